--- /dev/null
+++ b/crates/alderglade-core/src/cell/forming.rs
@@ -0,0 +1,203 @@
+//! Forming a gang, step by step, and giving everything back when it fails.
+
+use super::{Action, Cell};
+use crate::Name;
+use crate::gang::{self, BACK_OFF, Gang, RESERVE_LIMIT, Stage};
+use crate::queue::Entry;
+use crate::request::Id;
+use crate::time::Time;
+
+impl Cell {
+    /// Says whether the gang that is being formed is for this request.
+    pub(super) fn is_forming(&self, request: Id) -> bool {
+        let forming = self.forming.as_ref();
+        forming.is_some_and(|gang| gang.entry.ticket.id == request)
+    }
+
+    /// Says whether work that ends at `ends` may use an engine that a gang waits for.
+    pub(super) fn may_backfill(&self, engine: &Name, ends: Time) -> bool {
+        match &self.forming {
+            Some(gang) if gang.members.contains(engine) => ends <= gang.start,
+            _ => true,
+        }
+    }
+
+    /// Begins to form a gang; says whether the request left the queue.
+    pub(super) fn start_forming(&mut self, entry: &Entry, now: Time) -> bool {
+        if self.forming.is_some() {
+            return false;
+        }
+        let Some(gang) = gang::plan(self.engines.values(), entry, now) else {
+            return false;
+        };
+        self.queue.serve(entry.ticket.id);
+        self.forming = Some(gang);
+        self.tick_forming(now);
+        true
+    }
+
+    /// Moves the gang on as far as it goes.
+    pub(super) fn tick_forming(&mut self, now: Time) {
+        let Some(gang) = &self.forming else {
+            return;
+        };
+        if gang.entry.deadline <= now {
+            self.expire_forming(now);
+            return;
+        }
+        match gang.stage {
+            Stage::Draining => self.drain_members(now),
+            Stage::Reserving { since, .. } if now.since(since) > RESERVE_LIMIT => {
+                self.back_off(now);
+            }
+            Stage::BackingOff { until } if now >= until => self.plan_again(now),
+            Stage::Reserving { .. } | Stage::BackingOff { .. } => {}
+        }
+    }
+
+    /// Sets memory aside at each member that has enough; reserves once all have.
+    fn drain_members(&mut self, now: Time) {
+        let Some(gang) = &mut self.forming else {
+            return;
+        };
+        let open = |name: &Name| self.engines.get(name).is_some_and(|e| e.is_open(now));
+        if !gang.members.iter().all(open) {
+            self.plan_again(now);
+            return;
+        }
+        let mut ready = true;
+        for name in &gang.members {
+            let Some(engine) = self.engines.get_mut(name) else {
+                continue;
+            };
+            if engine.reserved == 0 && engine.free() >= gang.share {
+                engine.reserved = gang.share;
+            }
+            ready &= engine.reserved > 0;
+        }
+        if ready {
+            gang.stage = Stage::Reserving {
+                agreed: 0,
+                since: now,
+            };
+            self.reserve_next();
+        }
+    }
+
+    fn reserve_next(&mut self) {
+        let Some(gang) = &self.forming else {
+            return;
+        };
+        let Stage::Reserving { agreed, .. } = gang.stage else {
+            return;
+        };
+        self.actions.push(Action::Reserve {
+            engine: gang.members[agreed].clone(),
+            request: gang.entry.ticket.id,
+            tokens: gang.share,
+        });
+    }
+
+    /// Takes an engine's answer to a reservation.
+    pub fn reserved(&mut self, engine: &Name, request: Id, agreed: bool, now: Time) {
+        let expected = self.expects_answer(engine, request);
+        if !expected {
+            if agreed && !self.granted.contains_key(&request) {
+                let engine = engine.clone();
+                self.actions.push(Action::Free { engine, request });
+            }
+            return;
+        }
+        if !agreed {
+            self.back_off(now);
+            return;
+        }
+        let Some(gang) = &mut self.forming else {
+            return;
+        };
+        let Stage::Reserving { agreed, .. } = &mut gang.stage else {
+            return;
+        };
+        *agreed += 1;
+        if *agreed == gang.members.len() {
+            self.grant_gang(now);
+        } else {
+            self.reserve_next();
+        }
+    }
+
+    fn expects_answer(&self, engine: &Name, request: Id) -> bool {
+        let Some(gang) = &self.forming else {
+            return false;
+        };
+        let Stage::Reserving { agreed, .. } = gang.stage else {
+            return false;
+        };
+        gang.entry.ticket.id == request && gang.members.get(agreed) == Some(engine)
+    }
+
+    fn grant_gang(&mut self, now: Time) {
+        let Some(gang) = self.forming.take() else {
+            return;
+        };
+        self.clear_reserved(&gang);
+        for name in &gang.members {
+            self.book(&gang.entry, name, gang.share, now);
+        }
+        self.announce(&gang.entry, gang.members);
+    }
+
+    fn clear_reserved(&mut self, gang: &Gang) {
+        for name in &gang.members {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.reserved = 0;
+            }
+        }
+    }
+
+    /// Gives back whatever the gang holds, at the book and at the engines.
+    ///
+    /// The engine asked last may have agreed without its answer having come: it is told too.
+    pub(super) fn break_up(&mut self, _now: Time) {
+        let Some(gang) = self.forming.clone() else {
+            return;
+        };
+        self.clear_reserved(&gang);
+        let Stage::Reserving { agreed, .. } = gang.stage else {
+            return;
+        };
+        for engine in gang.members.iter().take(agreed + 1) {
+            self.actions.push(Action::Free {
+                engine: engine.clone(),
+                request: gang.entry.ticket.id,
+            });
+        }
+    }
+
+    fn back_off(&mut self, now: Time) {
+        self.break_up(now);
+        if let Some(gang) = &mut self.forming {
+            gang.stage = Stage::BackingOff {
+                until: now + BACK_OFF,
+            };
+        }
+    }
+
+    fn plan_again(&mut self, now: Time) {
+        self.break_up(now);
+        let Some(old) = self.forming.take() else {
+            return;
+        };
+        match gang::plan(self.engines.values(), &old.entry, now) {
+            Some(gang) => self.forming = Some(gang),
+            None => self.queue.push(old.entry),
+        }
+    }
+
+    fn expire_forming(&mut self, now: Time) {
+        self.break_up(now);
+        if let Some(gang) = self.forming.take() {
+            self.refuse_expired(&gang.entry);
+        }
+    }
+}
--- /dev/null
+++ b/crates/alderglade-core/src/cell/grants.rs
@@ -0,0 +1,164 @@
+//! Granting: the request that goes next meets an engine with room.
+
+use super::{Action, Cell, End, HEADS};
+use crate::Name;
+use crate::admission;
+use crate::book::Running;
+use crate::gang;
+use crate::lane::Lane;
+use crate::placement;
+use crate::queue::Entry;
+use crate::request::{Id, Ticket};
+use crate::time::Time;
+
+impl Cell {
+    /// Grants whatever fits, most urgent lane first.
+    ///
+    /// A lane whose next request fits nowhere doesn't hold up the lanes behind it: they need
+    /// other room (long work has engines of its own), and the guard on short work beside a long
+    /// prefill keeps the lanes apart.
+    pub(super) fn pump(&mut self, now: Time) {
+        while self.grant_short(Lane::Urgent, now) {}
+        if self.queue.count(Lane::Urgent) == 0 {
+            while self.grant_short(Lane::Standard, now) {}
+        }
+        while self.grant_long(now) {}
+    }
+
+    fn grant_short(&mut self, lane: Lane, now: Time) -> bool {
+        let Some(entry) = self.queue.peek(lane) else {
+            return false;
+        };
+        let engines = self.engines.values();
+        let picked = placement::pick_short(&self.config, engines, &entry.ticket, now);
+        let Some(engine) = picked.map(|engine| engine.name.clone()) else {
+            return false;
+        };
+        let id = entry.ticket.id;
+        self.grant(id, engine, now);
+        true
+    }
+
+    fn grant_long(&mut self, now: Time) -> bool {
+        if self.queue.count(Lane::Long) == 0 {
+            return false;
+        }
+        let bound = self.long_bound(now);
+        let heads: Vec<Entry> = self.queue.heads(Lane::Long, HEADS).cloned().collect();
+        heads
+            .into_iter()
+            .any(|entry| self.try_long(&entry, bound, now))
+    }
+
+    /// Tries to start one long request; says whether it left the queue.
+    fn try_long(&mut self, entry: &Entry, bound: usize, now: Time) -> bool {
+        let ticket = &entry.ticket;
+        if gang::is_needed(self.open(now), ticket) {
+            return self.start_forming(entry, now);
+        }
+        let ends = self.expected_end(ticket, now);
+        let free = self
+            .engines
+            .values()
+            .filter(|engine| self.may_backfill(&engine.name, ends));
+        let picked = placement::pick_long(&self.config, free, ticket, bound, now);
+        let Some(engine) = picked.map(|engine| engine.name.clone()) else {
+            return false;
+        };
+        self.grant(ticket.id, engine, now);
+        true
+    }
+
+    fn grant(&mut self, id: Id, engine: Name, now: Time) {
+        let Some(entry) = self.queue.serve(id) else {
+            return;
+        };
+        let need = entry.ticket.need();
+        self.book(&entry, &engine, need, now);
+        self.announce(&entry, vec![engine]);
+    }
+
+    /// Notes a granted request on one engine's page.
+    pub(super) fn book(&mut self, entry: &Entry, name: &Name, need: u64, now: Time) {
+        let ends = self.expected_end(&entry.ticket, now);
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let prefill = engine.prefill_of(&entry.ticket);
+        if entry.ticket.lane != Lane::Long {
+            let micros = prefill * 1_000_000 / engine.rate;
+            self.busy.add(micros, now);
+        }
+        engine.expect_prefix(&entry.ticket);
+        let running = Running {
+            from: entry.from.clone(),
+            lane: entry.ticket.lane,
+            prefill,
+            need,
+            since: now,
+            deadline: entry.deadline,
+            ends,
+            decoding: false,
+            seen: now,
+        };
+        engine.grant(entry.ticket.id, running, now);
+    }
+
+    /// Tells the entry host to send its request.
+    pub(super) fn announce(&mut self, entry: &Entry, engines: Vec<Name>) {
+        self.granted.insert(entry.ticket.id, engines.clone());
+        self.actions.push(Action::Grant {
+            to: entry.from.clone(),
+            request: entry.ticket.id,
+            attempt: entry.ticket.attempt,
+            engines,
+        });
+    }
+
+    pub(super) fn expected_end(&self, ticket: &Ticket, now: Time) -> Time {
+        let capacity = admission::Capacity::of(self.open(now), self.hold.get());
+        now + admission::service(&capacity, ticket)
+    }
+
+    /// Notes that a request's first token has come.
+    pub fn first_token(&mut self, request: Id, now: Time) {
+        let Some(engines) = self.granted.get(&request) else {
+            return;
+        };
+        for name in engines {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.first_token(request);
+            }
+        }
+        self.pump(now);
+    }
+
+    /// Notes that a granted request has left its engines.
+    pub fn done(&mut self, request: Id, end: End, now: Time) {
+        let Some(engines) = self.granted.remove(&request) else {
+            return;
+        };
+        self.departed.insert(request, now);
+        for name in &engines {
+            self.leave(name, request, end, now);
+        }
+        self.pump(now);
+    }
+
+    fn leave(&mut self, name: &Name, request: Id, end: End, now: Time) {
+        let Some(engine) = self.engines.get_mut(name) else {
+            return;
+        };
+        let running = engine.release(request);
+        match end {
+            End::Left => {
+                if let Some(running) = running {
+                    self.hold.add(now.since(running.since));
+                }
+            }
+            End::Leaving => engine.leaving = true,
+            End::Failed => engine.suspect = true,
+            End::Declined | End::NoRoom => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/alderglade-core/src/ledger.rs
@@ -0,0 +1,653 @@
+//! At most once: a claim is recorded in the platform before a non-repeatable request is sent.
+//!
+//! Keys are spread over shards. A shard is a row of segments in the platform's object API; only
+//! the last one is open, and every change of it is conditional on its version. Claims that come
+//! together are written together, so writes a second are bounded whatever the request rate.
+//!
+//! Segments live in a ring of objects that are emptied and used again, never deleted: a host that
+//! slept for long and still believes an old segment to be open states a version that is gone.
+//!
+//! Safety rests on the conditional write alone. Two homes of a shard may exist: one write wins,
+//! the other home reads again and finds the key. A writer that lost the answer to its write also
+//! reads again: the record names its claimant, so it sees whether its own write took effect.
+
+use crate::Name;
+use crate::error::Kind;
+use crate::request::Id;
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Shards of the ledger.
+pub const SHARDS: u32 = 16;
+/// Writes of one shard come at least this far apart.
+pub const COMMIT_EVERY: Duration = Duration::from_millis(50);
+/// A segment with more bytes than this is sealed with its next write.
+pub const SEGMENT_BYTES: usize = 64 * 1_024;
+/// Objects of one shard; segment `n` lives in object `n % RING`.
+pub const RING: u64 = 256;
+/// A key is kept this long after its issue time.
+pub const KEY_LIFE: Duration = Duration::from_secs(600);
+/// Clocks of callers and hosts may differ by this much.
+pub const SKEW: Duration = Duration::from_secs(60);
+/// The most bytes of an answer that are kept for repeating it.
+pub const KEPT_BODY: usize = 2_048;
+/// An answer from the platform is waited for this long.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+/// Bytes of a record beside its texts, about.
+const RECORD_BYTES: usize = 160;
+
+/// A wish to run a non-repeatable request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The key, workspace included.
+    pub key: Name,
+    /// A digest of what is asked, so that a key isn't used for two things.
+    pub body: u64,
+    /// When the caller issued the key, in milliseconds of the Unix epoch.
+    pub issued_ms: u64,
+    /// The request that wants to run.
+    pub claimant: Id,
+}
+
+/// How a claimed request ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It was not sent after all: the key may be claimed again.
+    NotSent,
+    /// It was answered.
+    Answered {
+        /// The status of the answer.
+        status: u16,
+        /// The answer, if it was short enough to keep.
+        body: Option<String>,
+    },
+    /// Contact was lost; nobody knows.
+    Unknown,
+}
+
+/// Says how a claimed request ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Settled {
+    /// The key.
+    pub key: Name,
+    /// The request that had claimed.
+    pub claimant: Id,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// The answer to a claim.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It is recorded: send the request, once.
+    Granted,
+    /// The first request with this key ended so.
+    Replay(Outcome),
+    /// No; nothing is sent.
+    Refused(Kind),
+}
+
+/// One line of a segment.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The claim.
+    pub claim: Claim,
+    /// How it ended, if it has.
+    pub outcome: Option<Outcome>,
+}
+
+/// The content of one object.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Segment {
+    /// Counts the shard's segments.
+    pub number: u64,
+    /// Whether nothing may be added any more.
+    pub sealed: bool,
+    /// The records, a later one of a key replacing an earlier.
+    pub records: Vec<Record>,
+}
+
+/// A segment as read, with its version in the platform.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Versioned {
+    /// The content.
+    pub segment: Segment,
+    /// The version; a write states it.
+    pub version: u64,
+}
+
+/// What a shard wants from the platform.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Read the shard's segments.
+    Read {
+        /// The shard.
+        shard: u32,
+    },
+    /// Write a segment, if its version is still this; `0` means it must not exist yet.
+    Write {
+        /// The shard.
+        shard: u32,
+        /// The version that it must have.
+        version: u64,
+        /// The new content.
+        segment: Segment,
+    },
+    /// Empty a sealed segment whose keys are all past their life.
+    Clear {
+        /// The shard.
+        shard: u32,
+        /// The version that it must have.
+        version: u64,
+        /// The emptied content.
+        segment: Segment,
+    },
+    /// Answer a claim.
+    Answer {
+        /// The entry host that claimed.
+        to: Name,
+        /// The request.
+        request: Id,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Confirm that an outcome is recorded.
+    Confirm {
+        /// The entry host that settled.
+        to: Name,
+        /// The request.
+        request: Id,
+    },
+}
+
+/// How a write ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Written {
+    /// It took effect; the new version.
+    Done(u64),
+    /// Another write came first.
+    Conflict,
+    /// No answer: it may have taken effect.
+    Unknown,
+}
+
+#[derive(Debug, Clone)]
+enum Wish {
+    Claim(Claim),
+    Settle(Settled),
+}
+
+impl Wish {
+    fn claimant(&self) -> Id {
+        match self {
+            Wish::Claim(claim) => claim.claimant,
+            Wish::Settle(settled) => settled.claimant,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Waiter {
+    from: Name,
+    wish: Wish,
+    since: Time,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Phase {
+    Unread,
+    Reading { since: Time },
+    Ready,
+    Writing { since: Time },
+}
+
+/// One shard, as its home has it.
+#[derive(Debug)]
+pub struct Shard {
+    number: u32,
+    phase: Phase,
+    records: HashMap<Name, Record>,
+    sealed: Vec<Sealed>,
+    versions: HashMap<u64, u64>,
+    open: Versioned,
+    waiting: VecDeque<Waiter>,
+    writing: Vec<Waiter>,
+    written: Option<Segment>,
+    last_write: Option<Time>,
+    actions: Vec<Action>,
+    writes: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Sealed {
+    number: u64,
+    version: u64,
+    newest_ms: u64,
+    empty: bool,
+}
+
+/// Gives the object of the ring that a segment lives in.
+pub fn slot_of(number: u64) -> u64 {
+    number % RING
+}
+
+/// Gives the shard that a key belongs to.
+pub fn shard_of(key: &str) -> u32 {
+    (xxh3_64(key.as_bytes()) % u64::from(SHARDS)) as u32
+}
+
+impl Shard {
+    /// Starts a shard that has read nothing yet.
+    pub fn new(number: u32) -> Shard {
+        Shard {
+            number,
+            phase: Phase::Unread,
+            records: HashMap::new(),
+            sealed: Vec::new(),
+            versions: HashMap::new(),
+            open: Versioned::default(),
+            waiting: VecDeque::new(),
+            writing: Vec::new(),
+            written: None,
+            last_write: None,
+            actions: Vec::new(),
+            writes: 0,
+        }
+    }
+
+    /// Gives what the shard wants done since it was last asked.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Gives how many writes were asked for.
+    pub fn writes(&self) -> u64 {
+        self.writes
+    }
+
+    /// Says whether nobody waits for the shard.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.writing.is_empty()
+    }
+
+    /// Takes a claim. A claim that waits already is left as it is.
+    pub fn claim(&mut self, from: &Name, claim: Claim, now: Time, wall_ms: u64) {
+        if let Some(kind) = check_age(&claim, wall_ms) {
+            self.answer(from, claim.claimant, Verdict::Refused(kind));
+            return;
+        }
+        self.wait(from, Wish::Claim(claim), now);
+        self.advance(now, wall_ms);
+    }
+
+    /// Takes the outcome of a claimed request.
+    pub fn settle(&mut self, from: &Name, settled: Settled, now: Time, wall_ms: u64) {
+        self.wait(from, Wish::Settle(settled), now);
+        self.advance(now, wall_ms);
+    }
+
+    fn wait(&mut self, from: &Name, wish: Wish, now: Time) {
+        let same = |waiter: &Waiter| {
+            waiter.wish.claimant() == wish.claimant()
+                && std::mem::discriminant(&waiter.wish) == std::mem::discriminant(&wish)
+        };
+        if self.waiting.iter().chain(&self.writing).any(same) {
+            return;
+        }
+        self.waiting.push_back(Waiter {
+            from: from.clone(),
+            wish,
+            since: now,
+        });
+    }
+
+    /// Takes the shard's segments as the platform has them; `None` if it gave no answer.
+    pub fn read(&mut self, segments: Option<Vec<Versioned>>, now: Time, wall_ms: u64) {
+        if !matches!(self.phase, Phase::Reading { .. }) {
+            return;
+        }
+        let Some(segments) = segments else {
+            self.phase = Phase::Unread;
+            self.give_up();
+            return;
+        };
+        self.load(segments);
+        self.phase = Phase::Ready;
+        self.advance(now, wall_ms);
+    }
+
+    fn load(&mut self, mut segments: Vec<Versioned>) {
+        segments.sort_by_key(|versioned| versioned.segment.number);
+        self.records.clear();
+        self.sealed.clear();
+        self.versions.clear();
+        self.open = Versioned::default();
+        for versioned in segments {
+            self.learn(versioned);
+        }
+    }
+
+    /// Takes in one segment; they come in the order of their numbers.
+    fn learn(&mut self, versioned: Versioned) {
+        for record in &versioned.segment.records {
+            self.records
+                .insert(record.claim.key.clone(), record.clone());
+        }
+        let number = versioned.segment.number;
+        self.versions.insert(slot_of(number), versioned.version);
+        if versioned.segment.sealed {
+            self.sealed.push(Sealed::of(&versioned));
+            self.open = self.next_segment(number + 1);
+        } else {
+            self.open = versioned;
+        }
+    }
+
+    fn next_segment(&self, number: u64) -> Versioned {
+        let version = self.versions.get(&slot_of(number)).copied();
+        Versioned {
+            segment: Segment {
+                number,
+                ..Segment::default()
+            },
+            version: version.unwrap_or(0),
+        }
+    }
+
+    /// Says whether the ring has come round to a segment whose keys still live.
+    fn is_full(&self) -> bool {
+        let slot = slot_of(self.open.segment.number);
+        let mut live = self.sealed.iter().filter(|sealed| !sealed.empty);
+        live.any(|sealed| {
+            slot_of(sealed.number) == slot && sealed.number != self.open.segment.number
+        })
+    }
+
+    /// Takes the end of a write.
+    pub fn wrote(&mut self, written: Written, now: Time, wall_ms: u64) {
+        if !matches!(self.phase, Phase::Writing { .. }) {
+            return;
+        }
+        match written {
+            Written::Done(version) => self.commit(version),
+            Written::Conflict | Written::Unknown => self.take_back(now),
+        }
+        self.advance(now, wall_ms);
+    }
+
+    fn commit(&mut self, version: u64) {
+        self.phase = Phase::Ready;
+        let Some(segment) = self.written.take() else {
+            return;
+        };
+        self.learn(Versioned { segment, version });
+        for waiter in std::mem::take(&mut self.writing) {
+            match waiter.wish {
+                Wish::Claim(claim) => self.answer(&waiter.from, claim.claimant, Verdict::Granted),
+                Wish::Settle(settled) => self.confirm(&waiter.from, settled.claimant),
+            }
+        }
+    }
+
+    /// The write's fate is open or it lost: whoever waited waits on, and all is read again.
+    fn take_back(&mut self, now: Time) {
+        self.written = None;
+        for waiter in std::mem::take(&mut self.writing).into_iter().rev() {
+            self.waiting.push_front(waiter);
+        }
+        self.start_read(now);
+    }
+
+    fn start_read(&mut self, now: Time) {
+        self.phase = Phase::Reading { since: now };
+        let shard = self.number;
+        self.actions.push(Action::Read { shard });
+    }
+
+    /// Tells everyone who waits for a claim that it can't be recorded now.
+    ///
+    /// Outcomes wait on: whoever sent them repeats them until they are confirmed.
+    fn give_up(&mut self) {
+        for waiter in std::mem::take(&mut self.waiting) {
+            if let Wish::Claim(claim) = waiter.wish {
+                let verdict = Verdict::Refused(Kind::PlatformUnavailable);
+                self.answer(&waiter.from, claim.claimant, verdict);
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, wall_ms: u64) {
+        match self.phase {
+            Phase::Reading { since } if now.since(since) > ANSWER_LIMIT => {
+                self.phase = Phase::Unread;
+                self.give_up();
+            }
+            Phase::Writing { since } if now.since(since) > ANSWER_LIMIT => self.take_back(now),
+            _ => {}
+        }
+        self.waiting
+            .retain(|waiter| now.since(waiter.since) < KEY_LIFE);
+        self.advance(now, wall_ms);
+        self.clear_old(wall_ms);
+    }
+
+    fn advance(&mut self, now: Time, wall_ms: u64) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        match self.phase {
+            Phase::Unread => self.start_read(now),
+            Phase::Ready if self.may_write(now) => self.write(now, wall_ms),
+            _ => {}
+        }
+    }
+
+    fn may_write(&self, now: Time) -> bool {
+        let since = self.last_write.map(|last| now.since(last));
+        since.is_none_or(|since| since >= COMMIT_EVERY)
+    }
+
+    /// Answers what the records answer and writes the rest together.
+    fn write(&mut self, now: Time, wall_ms: u64) {
+        if self.is_full() {
+            self.give_up();
+            return;
+        }
+        let mut segment = self.open.segment.clone();
+        let mut fresh: HashMap<Name, Record> = HashMap::new();
+        let mut bytes = size(&segment);
+        for waiter in std::mem::take(&mut self.waiting) {
+            let known = |key: &Name| fresh.get(key).or(self.records.get(key)).cloned();
+            match judge(&waiter.wish, known) {
+                Step::Write(record) => {
+                    bytes += record_size(&record);
+                    fresh.insert(record.claim.key.clone(), record.clone());
+                    segment.records.push(record);
+                    self.writing.push(waiter);
+                }
+                Step::Answer(verdict) => {
+                    self.answer(&waiter.from, waiter.wish.claimant(), verdict);
+                }
+                Step::Confirm => self.confirm(&waiter.from, waiter.wish.claimant()),
+            }
+        }
+        if self.writing.is_empty() {
+            return;
+        }
+        drop_superseded(&mut segment, wall_ms);
+        segment.sealed = bytes > SEGMENT_BYTES;
+        self.writes += 1;
+        self.last_write = Some(now);
+        self.phase = Phase::Writing { since: now };
+        self.written = Some(segment.clone());
+        self.actions.push(Action::Write {
+            shard: self.number,
+            version: self.open.version,
+            segment,
+        });
+    }
+
+    /// Empties segments whose keys are all past their life.
+    ///
+    /// A clear that fails or whose answer is lost only makes a later version stale; the next
+    /// write then meets a conflict and reads again.
+    fn clear_old(&mut self, wall_ms: u64) {
+        if self.phase != Phase::Ready {
+            return;
+        }
+        let shard = self.number;
+        let before = self.actions.len();
+        for sealed in &mut self.sealed {
+            if sealed.empty || !is_past(sealed.newest_ms, wall_ms) {
+                continue;
+            }
+            sealed.empty = true;
+            self.actions.push(Action::Clear {
+                shard,
+                version: sealed.version,
+                segment: Segment {
+                    number: sealed.number,
+                    sealed: true,
+                    records: Vec::new(),
+                },
+            });
+        }
+        if self.actions.len() > before {
+            self.records
+                .retain(|_, record| !is_past(record.claim.issued_ms, wall_ms));
+        }
+    }
+
+    /// Takes the new version of a segment that was emptied.
+    pub fn cleared(&mut self, number: u64, version: u64) {
+        if slot_of(self.open.segment.number) != slot_of(number) {
+            self.versions.insert(slot_of(number), version);
+        }
+    }
+
+    fn answer(&mut self, to: &Name, request: Id, verdict: Verdict) {
+        let to = to.clone();
+        self.actions.push(Action::Answer {
+            to,
+            request,
+            verdict,
+        });
+    }
+
+    fn confirm(&mut self, to: &Name, request: Id) {
+        let to = to.clone();
+        self.actions.push(Action::Confirm { to, request });
+    }
+}
+
+impl Sealed {
+    fn of(versioned: &Versioned) -> Sealed {
+        let issued = versioned.segment.records.iter().map(|r| r.claim.issued_ms);
+        Sealed {
+            number: versioned.segment.number,
+            version: versioned.version,
+            newest_ms: issued.max().unwrap_or(0),
+            empty: versioned.segment.records.is_empty(),
+        }
+    }
+}
+
+enum Step {
+    Write(Record),
+    Answer(Verdict),
+    Confirm,
+}
+
+/// Decides one wish by the record of its key, if there is one.
+fn judge(wish: &Wish, known: impl Fn(&Name) -> Option<Record>) -> Step {
+    match wish {
+        Wish::Claim(claim) => judge_claim(claim, known(&claim.key)),
+        Wish::Settle(settled) => judge_settled(settled, known(&settled.key)),
+    }
+}
+
+fn judge_claim(claim: &Claim, known: Option<Record>) -> Step {
+    let fresh = Record {
+        claim: claim.clone(),
+        outcome: None,
+    };
+    let Some(record) = known else {
+        return Step::Write(fresh);
+    };
+    if record.claim.claimant == claim.claimant && record.outcome.is_none() {
+        return Step::Answer(Verdict::Granted);
+    }
+    if record.claim.body != claim.body {
+        return Step::Answer(Verdict::Refused(Kind::KeyReused));
+    }
+    match record.outcome {
+        None => Step::Answer(Verdict::Refused(Kind::KeyInFlight)),
+        Some(Outcome::NotSent) if record.claim.claimant == claim.claimant => {
+            Step::Answer(Verdict::Refused(Kind::ExpiredWaiting))
+        }
+        Some(Outcome::NotSent) => Step::Write(fresh),
+        Some(outcome) => Step::Answer(Verdict::Replay(outcome)),
+    }
+}
+
+fn judge_settled(settled: &Settled, known: Option<Record>) -> Step {
+    match known {
+        Some(record) if record.claim.claimant == settled.claimant => match record.outcome {
+            None => Step::Write(Record {
+                claim: record.claim,
+                outcome: Some(settled.outcome.clone()),
+            }),
+            Some(_) => Step::Confirm,
+        },
+        // The claim never took effect, or the key is past its life: nothing to record.
+        _ => Step::Confirm,
+    }
+}
+
+fn check_age(claim: &Claim, wall_ms: u64) -> Option<Kind> {
+    let life = KEY_LIFE.as_millis() as u64;
+    let skew = SKEW.as_millis() as u64;
+    if claim.issued_ms > wall_ms + skew {
+        return Some(Kind::BadRequest);
+    }
+    let old = claim.issued_ms + life < wall_ms;
+    old.then_some(Kind::KeyExpired)
+}
+
+/// Past its life for every host, even one whose clock is behind.
+fn is_past(issued_ms: u64, wall_ms: u64) -> bool {
+    let kept = (KEY_LIFE + 2 * SKEW).as_millis() as u64;
+    issued_ms + kept < wall_ms
+}
+
+/// Drops records that a later one of the same key replaces, and keys past their life.
+fn drop_superseded(segment: &mut Segment, wall_ms: u64) {
+    let mut last = HashMap::new();
+    for (position, record) in segment.records.iter().enumerate() {
+        last.insert(record.claim.key.clone(), position);
+    }
+    let mut position = 0;
+    segment.records.retain(|record| {
+        let newest = last.get(&record.claim.key) == Some(&position);
+        position += 1;
+        newest && !is_past(record.claim.issued_ms, wall_ms)
+    });
+}
+
+fn size(segment: &Segment) -> usize {
+    segment.records.iter().map(record_size).sum()
+}
+
+fn record_size(record: &Record) -> usize {
+    let body = match &record.outcome {
+        Some(Outcome::Answered {
+            body: Some(body), ..
+        }) => body.len(),
+        _ => 0,
+    };
+    RECORD_BYTES + record.claim.key.len() + body
+}
--- /dev/null
+++ b/crates/alderglade-core/src/lib.rs
@@ -0,0 +1,32 @@
+//! The decisions of alderglade, free of I/O, threads, clocks and global random numbers.
+//!
+//! Every part takes events together with the present [`time::Time`] and gives back actions. The
+//! daemon carries the actions out; scripted scenarios, differential tests and benchmarks drive the
+//! very same code under a virtual clock. Nothing in here may read a clock, open a socket or start
+//! a thread.
+
+pub mod admission;
+pub mod book;
+pub mod cell;
+pub mod error;
+pub mod estimate;
+pub mod gang;
+pub mod inflight;
+pub mod lane;
+pub mod lease;
+pub mod ledger;
+pub mod limit;
+pub mod membership;
+pub mod message;
+pub mod node;
+pub mod placement;
+pub mod queue;
+pub mod request;
+pub mod retry;
+pub mod settings;
+pub mod slo;
+pub mod stream;
+pub mod time;
+
+/// A shared immutable string: the name of a host, an engine, a workspace or a model.
+pub type Name = std::sync::Arc<str>;
--- /dev/null
+++ b/crates/alderglade-core/src/node/progress.rs
@@ -0,0 +1,499 @@
+//! Following a request from its cell's queue to its answer.
+
+use super::submit::{COME_BACK, LOAD_ANSWER};
+use super::{Action, Ended, Node};
+use crate::Name;
+use crate::cell::{End, Key};
+use crate::error::Kind;
+use crate::inflight::{Entry, Place, Stage};
+use crate::ledger::Outcome;
+use crate::message::Message;
+use crate::request::{Id, Refusal};
+use crate::slo::Sample;
+use std::time::Duration;
+
+/// A home that doesn't confirm a queued request within this time is asked again.
+const QUEUED_ANSWER: Duration = Duration::from_millis(300);
+/// Tries after "no room" that one request gets, beside the budget for real failures.
+const MOST_TRIES: u32 = 12;
+
+impl Node {
+    /// Notes that a home has the request in its queue.
+    pub(super) fn note_queued(&mut self, from: &Name, request: Id, attempt: u32) {
+        let Some(entry) = self.inflight.get_mut(request) else {
+            return;
+        };
+        let same = entry.submission.ticket.attempt == attempt;
+        if let Stage::Waiting { home, queued, .. } = &mut entry.stage {
+            *queued |= same && home == from;
+        }
+    }
+
+    /// Takes a grant; one that is not waited for is declined, so that its engines go to others.
+    pub(super) fn granted(
+        &mut self,
+        from: &Name,
+        cell: Key,
+        request: Id,
+        attempt: u32,
+        engines: Vec<Name>,
+    ) {
+        if !self.waits_for(request, attempt, &cell) {
+            let running = self.runs_at(request, &engines);
+            if !running {
+                let end = End::Declined;
+                self.send(from, Message::Done { cell, request, end });
+            }
+            return;
+        }
+        let place = Place::Engines {
+            cell,
+            home: from.clone(),
+            engines,
+        };
+        self.placed(request, place);
+    }
+
+    fn waits_for(&self, request: Id, attempt: u32, cell: &Key) -> bool {
+        let Some(entry) = self.inflight.get(request) else {
+            return false;
+        };
+        let here = matches!(&entry.stage, Stage::Waiting { cell: own, .. } if own == cell);
+        here && entry.submission.ticket.attempt == attempt && self.now < entry.deadline
+    }
+
+    fn runs_at(&self, request: Id, granted: &[Name]) -> bool {
+        let Some(entry) = self.inflight.get(request) else {
+            return false;
+        };
+        match &entry.stage {
+            Stage::Running {
+                place: Place::Engines { engines, .. },
+            }
+            | Stage::Claiming {
+                place: Place::Engines { engines, .. },
+                ..
+            } => engines == granted,
+            _ => false,
+        }
+    }
+
+    /// Goes on with a request that has its engines or its server.
+    pub(super) fn placed(&mut self, request: Id, place: Place) {
+        let claims = self
+            .inflight
+            .get(request)
+            .is_some_and(|entry| entry.submission.claim.is_some());
+        if claims {
+            self.start_claim(request, place);
+        } else {
+            self.start(request, place);
+        }
+    }
+
+    /// Has the request sent to where it is placed.
+    pub(super) fn start(&mut self, request: Id, place: Place) {
+        let stage = Stage::Running {
+            place: place.clone(),
+        };
+        self.stage(request, stage);
+        self.inflight.set_sent(request, true);
+        let Some(entry) = self.inflight.get_mut(request) else {
+            return;
+        };
+        entry.sent = true;
+        let attempt = entry.submission.ticket.attempt;
+        self.actions.push(match place {
+            Place::Engines { engines, .. } => Action::Start {
+                request,
+                attempt,
+                engines,
+            },
+            Place::Server { server } => Action::Call {
+                request,
+                attempt,
+                server,
+            },
+        });
+    }
+
+    /// Takes a home's refusal: other cells and domains are asked before the caller hears of it.
+    pub(super) fn refused(&mut self, cell: Key, request: Id, attempt: u32, refusal: Refusal) {
+        if !self.waits_for(request, attempt, &cell) {
+            return;
+        }
+        let expired = refusal.kind == Kind::ExpiredWaiting;
+        if expired {
+            self.finish(request, Some(refusal));
+            return;
+        }
+        let Some(entry) = self.inflight.get_mut(request) else {
+            return;
+        };
+        entry.refused_by.push(cell);
+        if self.has_other_place(request) {
+            self.place(request);
+        } else {
+            self.finish(request, Some(refusal));
+        }
+    }
+
+    /// Says whether asking on can help: another cell of the model exists somewhere.
+    fn has_other_place(&self, request: Id) -> bool {
+        let Some(entry) = self.inflight.get(request) else {
+            return false;
+        };
+        let model = &entry.submission.ticket.model;
+        let mut cells = self.cells.keys().filter(|key| key.model == *model);
+        cells.any(|key| !entry.refused_by.contains(key))
+    }
+
+    /// Notes the first token.
+    pub(super) fn first_token(&mut self, request: Id) {
+        let now = self.now;
+        let Some(entry) = self.inflight.get_mut(request) else {
+            return;
+        };
+        entry.first_token.get_or_insert(now);
+        if let Stage::Running {
+            place: Place::Engines { cell, home, .. },
+        } = &entry.stage
+        {
+            let (cell, home) = (cell.clone(), home.clone());
+            self.send(&home, Message::FirstToken { cell, request });
+        }
+    }
+
+    /// Takes the end of a try at a backend server.
+    pub(super) fn ended(&mut self, request: Id, attempt: u32, ended: Ended) {
+        let Some(entry) = self.inflight.get(request) else {
+            return;
+        };
+        let running = matches!(entry.stage, Stage::Running { .. });
+        if !running || entry.submission.ticket.attempt != attempt {
+            return;
+        }
+        self.leave_place(request, &ended);
+        match ended {
+            Ended::Finished { tokens, outcome } => {
+                self.learn(request, tokens);
+                self.settle(request, outcome);
+                self.finish(request, None);
+            }
+            Ended::Expired => {
+                self.settle(request, Outcome::Unknown);
+                self.finish(request, Some(Refusal::new(Kind::ExpiredRunning, COME_BACK)));
+            }
+            Ended::NoRoom | Ended::Leaving | Ended::Unreached => self.try_unsent(request, &ended),
+            Ended::Broke | Ended::Failed => self.try_again(request, &ended),
+        }
+    }
+
+    /// Tells the home, or the servers' book, that a request has left.
+    fn leave_place(&mut self, request: Id, ended: &Ended) {
+        let Some(entry) = self.inflight.get_mut(request) else {
+            return;
+        };
+        let Stage::Running { place } = entry.stage.clone() else {
+            return;
+        };
+        match place {
+            Place::Engines {
+                cell,
+                home,
+                engines,
+            } => {
+                entry.submission.ticket.avoid = avoid(ended, &engines);
+                if matches!(ended, Ended::Leaving) {
+                    self.leaving.note(&engines, self.now);
+                }
+                let end = end_of(ended);
+                self.send(&home, Message::Done { cell, request, end });
+                if may_still_run(ended) {
+                    self.actions.push(Action::Cancel { request, engines });
+                }
+            }
+            Place::Server { server } => {
+                let fault = !matches!(
+                    ended,
+                    Ended::Finished { .. } | Ended::NoRoom | Ended::Expired
+                );
+                if fault {
+                    entry.failed_by.push(server.clone());
+                }
+                if matches!(ended, Ended::Leaving) {
+                    self.leaving.note(std::slice::from_ref(&server), self.now);
+                }
+                self.servers.leave(&server, fault, self.now);
+            }
+        }
+    }
+
+    fn learn(&mut self, request: Id, tokens: u64) {
+        self.budget.earn();
+        let Some(entry) = self.inflight.get(request) else {
+            return;
+        };
+        let workspace = &entry.submission.ticket.workspace;
+        self.output
+            .learn(workspace, &entry.submission.class, tokens);
+    }
+
+    /// Tries again what the backend says it didn't start.
+    ///
+    /// The claim of a non-repeatable request stays recorded for this very request.
+    fn try_unsent(&mut self, request: Id, ended: &Ended) {
+        let Some(entry) = self.inflight.get(request) else {
+            return;
+        };
+        let attempt = entry.submission.ticket.attempt;
+        let free = !matches!(ended, Ended::Unreached);
+        let may = attempt < MOST_TRIES && (free || self.budget.spend(attempt));
+        if may {
+            self.retry(request);
+            return;
+        }
+        self.settle(request, Outcome::NotSent);
+        self.finish_unsent(request, Kind::NoCapacity);
+    }
+
+    /// Answers a request that no backend has started.
+    fn finish_unsent(&mut self, request: Id, kind: Kind) {
+        self.finish(request, Some(Refusal::new(kind, COME_BACK)));
+    }
+
+    /// Tries again what broke off, if it may be repeated and the budget allows it.
+    fn try_again(&mut self, request: Id, ended: &Ended) {
+        let Some(entry) = self.inflight.get(request) else {
+            return;
+        };
+        let attempt = entry.submission.ticket.attempt;
+        let repeatable = entry.submission.repeatable;
+        if repeatable && self.budget.spend(attempt) {
+            self.retry(request);
+            return;
+        }
+        self.settle(request, Outcome::Unknown);
+        let kind = match ended {
+            Ended::Failed => Kind::BackendFailed,
+            _ if repeatable => Kind::BackendFailed,
+            _ => Kind::ContactLost,
+        };
+        self.finish(request, Some(Refusal::new(kind, COME_BACK)));
+    }
+
+    fn retry(&mut self, request: Id) {
+        let Some(entry) = self.inflight.get_mut(request) else {
+            return;
+        };
+        entry.submission.ticket.attempt += 1;
+        entry.refused_by.clear();
+        self.inflight.set_sent(request, false);
+        self.place(request);
+    }
+
+    /// Ends a request whose caller went away or whose thread gave up.
+    pub(super) fn gone(&mut self, request: Id) {
+        let Some(entry) = self.inflight.get(request).cloned() else {
+            return;
+        };
+        self.give_back(request, &entry);
+        self.sample(&entry, None);
+        self.inflight.remove(request);
+    }
+
+    /// Tells whoever has the request in a queue or at work that it is no longer wanted.
+    fn give_back(&mut self, request: Id, entry: &Entry) {
+        match entry.stage.clone() {
+            Stage::Limited | Stage::Asking => {}
+            Stage::Waiting { cell, home, .. } => {
+                self.send(&home, Message::Withdraw { cell, request });
+            }
+            Stage::Claiming { place, .. } => {
+                self.release_place(request, place);
+                self.settle(request, Outcome::NotSent);
+            }
+            Stage::Running { place } => {
+                if let Place::Engines { engines, .. } = &place {
+                    let engines = engines.clone();
+                    self.actions.push(Action::Cancel { request, engines });
+                }
+                self.release_place(request, place);
+                self.settle(request, Outcome::Unknown);
+            }
+        }
+    }
+
+    /// Gives a place back that was not used, or is not used any more.
+    pub(super) fn release_place(&mut self, request: Id, place: Place) {
+        match place {
+            Place::Engines { cell, home, .. } => {
+                let end = End::Left;
+                self.send(&home, Message::Done { cell, request, end });
+            }
+            Place::Server { server } => self.servers.leave(&server, false, self.now),
+        }
+    }
+
+    /// Answers a request and lets it go.
+    pub(super) fn finish(&mut self, request: Id, refusal: Option<Refusal>) {
+        let Some(entry) = self.inflight.remove(request) else {
+            return;
+        };
+        self.sample(&entry, refusal);
+        if let Some(refusal) = refusal {
+            self.refuse(request, refusal);
+        }
+    }
+
+    fn sample(&mut self, entry: &Entry, refusal: Option<Refusal>) {
+        let ticket = &entry.submission.ticket;
+        let sample = Sample {
+            first_token: entry.first_token.map(|at| at.since(entry.since)),
+            objective: entry.submission.first_token,
+            finished: refusal.is_none() && self.now <= entry.deadline,
+            refused: refusal.is_some() && !entry.sent,
+        };
+        let per_mille = entry.submission.objective_per_mille;
+        let class = &entry.submission.class;
+        self.slo
+            .add(&ticket.workspace, class, per_mille, sample, self.wall_ms);
+    }
+
+    pub(super) fn tick_inflight(&mut self) {
+        while let Some(request) = self.inflight.expired(self.now) {
+            self.expire(request);
+        }
+        for request in self.inflight.unsent() {
+            self.tick_unsent(request);
+        }
+    }
+
+    fn expire(&mut self, request: Id) {
+        let Some(entry) = self.inflight.get(request).cloned() else {
+            return;
+        };
+        let running = matches!(entry.stage, Stage::Running { .. });
+        let kind = if running || entry.sent && !entry.submission.repeatable {
+            Kind::ExpiredRunning
+        } else {
+            Kind::ExpiredWaiting
+        };
+        self.give_back(request, &entry);
+        self.finish(request, Some(Refusal::new(kind, COME_BACK)));
+    }
+
+    fn tick_unsent(&mut self, request: Id) {
+        let Some(entry) = self.inflight.get(request) else {
+            return;
+        };
+        match entry.stage.clone() {
+            Stage::Limited => self.tick_limited(request),
+            Stage::Asking if self.now.since(entry.staged) >= LOAD_ANSWER => {
+                self.place_far(request);
+            }
+            Stage::Waiting {
+                cell,
+                home,
+                sent,
+                queued,
+            } => {
+                let due = !queued && self.now.since(sent) >= QUEUED_ANSWER;
+                self.follow_home(request, cell, home, due);
+            }
+            Stage::Claiming { home, sent, .. } => self.tick_claiming(request, &home, sent),
+            Stage::Asking | Stage::Running { .. } => {}
+        }
+    }
+
+    /// Moves a waiting request to the cell's new home, or asks the silent home again.
+    fn follow_home(&mut self, request: Id, cell: Key, home: Name, due: bool) {
+        if due && cell.domain != self.view.own().domain {
+            self.view.note_silent(&home, self.now);
+        }
+        let moved = self.cell_home(&cell).is_none_or(|new| new != home);
+        if moved {
+            let message = Message::Withdraw {
+                cell: cell.clone(),
+                request,
+            };
+            self.send(&home, message);
+        }
+        if moved || due {
+            self.enqueue(request, cell);
+        }
+    }
+
+    /// Asks a home again that has started anew and so has forgotten its queue.
+    pub(super) fn resend_to(&mut self, host: &Name) {
+        for request in self.inflight.unsent() {
+            let Some(entry) = self.inflight.get(request) else {
+                continue;
+            };
+            let Stage::Waiting { cell, home, .. } = &entry.stage else {
+                continue;
+            };
+            if home == host {
+                let cell = cell.clone();
+                self.enqueue(request, cell);
+            }
+        }
+    }
+
+    /// Goes on with requests that waited for other domains' load.
+    pub(super) fn place_asking(&mut self) {
+        for request in self.inflight.unsent() {
+            let asking = self
+                .inflight
+                .get(request)
+                .is_some_and(|entry| entry.stage == Stage::Asking);
+            if asking && self.has_fresh_far_load(request) {
+                self.place_far(request);
+            }
+        }
+    }
+
+    /// Says whether a holding at an engine is wanted by a request in hand here.
+    pub(super) fn wants(&self, request: Id, engine: &Name) -> bool {
+        self.runs_engine(request, engine)
+    }
+
+    fn runs_engine(&self, request: Id, engine: &Name) -> bool {
+        let Some(entry) = self.inflight.get(request) else {
+            return false;
+        };
+        match &entry.stage {
+            Stage::Running {
+                place: Place::Engines { engines, .. },
+            }
+            | Stage::Claiming {
+                place: Place::Engines { engines, .. },
+                ..
+            } => engines.contains(engine),
+            _ => false,
+        }
+    }
+}
+
+/// Says whether an engine may still work on a try that ended so.
+fn may_still_run(ended: &Ended) -> bool {
+    matches!(ended, Ended::Broke | Ended::Failed | Ended::Expired)
+}
+
+fn end_of(ended: &Ended) -> End {
+    match ended {
+        Ended::NoRoom => End::NoRoom,
+        Ended::Leaving => End::Leaving,
+        Ended::Unreached | Ended::Broke => End::Failed,
+        Ended::Finished { .. } | Ended::Failed | Ended::Expired => End::Left,
+    }
+}
+
+/// A gang is tried again as it comes; a single engine that failed is avoided next time.
+fn avoid(ended: &Ended, engines: &[Name]) -> Option<Name> {
+    let fault = !matches!(ended, Ended::Finished { .. } | Ended::Expired);
+    match engines {
+        [single] if fault => Some(single.clone()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/alderglade-core/src/placement.rs
@@ -0,0 +1,141 @@
+//! Picks the engine for the request that goes next.
+//!
+//! Short work goes where its first token is expected soonest, and only while an engine's short
+//! backlog is below a window: what waits, waits in the queue, where order and fairness hold, and
+//! not in an engine. Long work goes to a bounded set of engines, one long prefill on each at a
+//! time, and prefers engines that have long work already, so that the others stay fast.
+
+use crate::book::{CONTEXT_BOUND, Engine};
+use crate::request::Ticket;
+use crate::time::Time;
+use std::time::Duration;
+
+/// The numbers that placement goes by. The defaults are those that the experiments chose.
+#[derive(Debug, Clone, Copy)]
+pub struct Config {
+    /// Short prompt tokens that may wait within an engine.
+    pub window: u64,
+    /// KV memory that long work leaves free, in thousandths.
+    pub headroom_per_mille: u64,
+    /// The share of an engine's time that short work may take beside a long prefill, in thousandths.
+    pub beside_per_mille: u64,
+    /// Engines kept free of long prefill for each engine that short work keeps busy, in thousandths.
+    pub spare_per_mille: u64,
+    /// Whether long prefill keeps to a bounded set of engines.
+    pub isolate: bool,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            window: 4_096,
+            headroom_per_mille: 100,
+            beside_per_mille: 500,
+            spare_per_mille: 1_500,
+            isolate: true,
+        }
+    }
+}
+
+/// Prefill beside a long prompt is expected to take this much longer, in thousandths.
+const BESIDE_LONG_PER_MILLE: u64 = 1_600;
+
+/// Says how many engines of `open` may prefill long prompts, when short work keeps `busy`
+/// thousandths of an engine busy.
+///
+/// At least one, so that long work is never starved; at least one is kept for short work
+/// wherever there are two.
+pub fn long_bound(config: &Config, open: usize, busy_per_mille: u64) -> usize {
+    if !config.isolate {
+        return open;
+    }
+    let wanted = busy_per_mille * config.spare_per_mille / 1_000;
+    let spare = (wanted.div_ceil(1_000) as usize).max(1);
+    open.saturating_sub(spare).max(1)
+}
+
+/// Picks an engine for short work, or none where all are busy enough.
+pub fn pick_short<'a>(
+    config: &Config,
+    engines: impl Iterator<Item = &'a Engine>,
+    ticket: &Ticket,
+    now: Time,
+) -> Option<&'a Engine> {
+    engines
+        .filter(|engine| takes_short(config, engine, ticket, now))
+        .min_by_key(|engine| (first_token(engine, ticket), engine.running.len()))
+}
+
+/// Picks an engine for long work that one engine can hold.
+///
+/// `bound` is how many engines may prefill long prompts at once.
+pub fn pick_long<'a>(
+    config: &Config,
+    engines: impl Iterator<Item = &'a Engine> + Clone,
+    ticket: &Ticket,
+    bound: usize,
+    now: Time,
+) -> Option<&'a Engine> {
+    let under_way: usize = engines.clone().filter(|e| e.long_prefills() > 0).count();
+    if under_way >= bound {
+        return None;
+    }
+    engines
+        .filter(|engine| takes_long(config, engine, ticket, now))
+        .min_by_key(|engine| long_order(engine, ticket))
+}
+
+/// Estimates the time to the first token of short work on an engine.
+pub fn first_token(engine: &Engine, ticket: &Ticket) -> Duration {
+    let tokens = engine.short_backlog() + engine.prefill_of(ticket);
+    let micros = tokens * 1_000_000 / engine.rate;
+    let beside = engine.long_prefills() > 0;
+    let factor = if beside { BESIDE_LONG_PER_MILLE } else { 1_000 };
+    engine.step_time() + Duration::from_micros(micros * factor / 1_000)
+}
+
+fn takes_short(config: &Config, engine: &Engine, ticket: &Ticket, now: Time) -> bool {
+    let room = engine.free() >= ticket.need() && engine.running.len() < engine.max_batch;
+    let backlog = engine.short_backlog();
+    let window = backlog == 0 || backlog + ticket.prompt <= config.window;
+    let wanted = ticket.avoid.as_ref() != Some(&engine.name);
+    let context = engine.context() + ticket.need() <= CONTEXT_BOUND;
+    engine.is_open(now)
+        && room
+        && window
+        && wanted
+        && context
+        && beside(config, engine, ticket, now)
+}
+
+/// Short work beside a long prefill keeps to a share of the engine, so that the long one ends.
+fn beside(config: &Config, engine: &Engine, ticket: &Ticket, now: Time) -> bool {
+    if engine.long_prefills() == 0 {
+        return true;
+    }
+    let micros = now.since(engine.long_since()).as_micros() as u64;
+    let could = engine.rate * micros / 1_000_000 + config.window;
+    let may = could * config.beside_per_mille / 1_000;
+    engine.short_beside_long + ticket.prompt <= may
+}
+
+fn takes_long(config: &Config, engine: &Engine, ticket: &Ticket, now: Time) -> bool {
+    let kept = engine.kv_tokens * config.headroom_per_mille / 1_000;
+    let room = engine.free() >= ticket.need() + kept;
+    let batch = engine.running.len() < engine.max_batch;
+    let alone = engine.long_prefills() == 0;
+    let wanted = ticket.avoid.as_ref() != Some(&engine.name);
+    engine.is_open(now) && room && batch && alone && wanted
+}
+
+/// Engines with long work come first, then those with the least short work.
+fn long_order(engine: &Engine, ticket: &Ticket) -> (bool, u64, u64, usize) {
+    let fresh = engine.longs() == 0;
+    let saved = ticket.prompt - engine.prefill_of(ticket);
+    (
+        fresh,
+        u64::MAX - saved,
+        engine.short_backlog(),
+        engine.running.len(),
+    )
+}
--- /dev/null
+++ b/crates/alderglade-operator/src/logging.rs
@@ -0,0 +1,43 @@
+//! Sets `log4rs` up: lines on standard error, the hosts have no disks.
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+use snafu::{ResultExt, Snafu};
+
+/// Why logging can't be set up.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The configuration doesn't fit together.
+    #[snafu(display("can't set the log up"))]
+    Config {
+        /// The cause.
+        source: log4rs::config::runtime::ConfigErrors,
+    },
+    /// Another logger is there already.
+    #[snafu(display("a log is set up already"))]
+    Taken {
+        /// The cause.
+        source: log::SetLoggerError,
+    },
+}
+
+/// Starts logging under a host's name.
+///
+/// # Errors
+///
+/// Where a logger is there already.
+pub fn start(host: &str, level: LevelFilter) -> Result<(), Error> {
+    let pattern = format!("{{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)}} {{l}} {host} {{m}}{{n}}");
+    let appender = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(PatternEncoder::new(&pattern)))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(appender)))
+        .build(Root::builder().appender("console").build(level))
+        .context(ConfigSnafu)?;
+    log4rs::init_config(config).context(TakenSnafu)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/alderglade-platform/src/ledger.rs
@@ -0,0 +1,38 @@
+//! The ledger's segments as objects: conditional writes, and what their answers mean.
+
+use crate::client::{Client, Error};
+use crate::object::{Object, SEGMENT};
+use alderglade_core::ledger::{Segment, Versioned, Written, slot_of};
+
+/// The label that a shard's segments are listed by.
+const SHARD: &str = "alderglade.io/shard";
+
+/// Reads all segments of a shard; `None` where the platform gives no answer.
+pub fn read(client: &Client, shard: u32) -> Option<Vec<Versioned>> {
+    let objects = client
+        .list::<Segment>(SEGMENT, Some((SHARD, &shard.to_string())))
+        .ok()?;
+    let versioned = |object: Object<Segment>| Versioned {
+        version: object.version(),
+        segment: object.spec,
+    };
+    Some(objects.into_iter().map(versioned).collect())
+}
+
+/// Writes a segment if its object still has `version`; `0` means that it must not exist.
+pub fn write(client: &Client, shard: u32, version: u64, segment: Segment) -> Written {
+    let name = format!("s{shard}-{}", slot_of(segment.number));
+    let mut object = Object::new(SEGMENT, &name, segment);
+    object
+        .metadata
+        .labels
+        .insert(SHARD.into(), shard.to_string());
+    if version > 0 {
+        object.metadata.resource_version = version.to_string();
+    }
+    match client.write(SEGMENT, &object) {
+        Ok(object) => Written::Done(object.version()),
+        Err(Error::Conflict { .. } | Error::NotFound { .. }) => Written::Conflict,
+        Err(Error::Busy { .. } | Error::Lost { .. } | Error::Unreadable { .. }) => Written::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/alderglade-standin/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for what alderglade meets outside, and the tools that try it out.
+//!
+//! Nothing of the product depends on this package. [`platform`], [`engine`] and [`service`] speak
+//! the outside systems' protocols on loopback; [`batch`] is the timing model that the engine
+//! stand-in and the virtual-clock world share.
+
+pub mod batch;
+pub mod client;
+pub mod command;
+pub mod engine;
+pub mod fleet;
+pub mod http;
+pub mod platform;
+pub mod process;
+pub mod relay;
+pub mod service;
