Keep short work fast beside long prompts: estimate steps, bound long engines by demand

Two reasons were found: the estimate of the first token knew nothing of chunked steps, so it preferred an engine whose present step was a long prompt's whole chunk; and long prefill took every engine but one, so the one left queued. Ruled out: the in-engine window (1,000 to 4,096 tokens made no difference) and the share of short work beside a long prefill (no difference either). Change: the estimate counts steps; the bound on engines with long prefill leaves ten times the prefill time that short work takes, and grows as long deadlines press.

--- a/crates/alderglade-core/src/book.rs
+++ b/crates/alderglade-core/src/book.rs
@@ -87,6 +87,10 @@
     pub rate: u64,
     /// Step time when idle.
     pub step: Duration,
+    /// Prompt tokens of a step while nothing decodes.
+    pub chunk: u64,
+    /// Prompt tokens of a step beside decoding streams.
+    pub mixed_chunk: u64,
     /// Whether it is leaving; sticky for the incarnation.
     pub leaving: bool,
     /// Whether it failed a request and hasn't reported since.
@@ -114,6 +118,7 @@
     long_prefills: usize,
     longs: usize,
     long_since: Time,
+    decoding: usize,
 }
 
 impl Engine {
@@ -125,6 +130,8 @@
             max_batch: engine.max_batch,
             rate: model.prefill_tokens_per_second.max(1),
             step: Duration::from_millis(model.step_ms),
+            chunk: model.chunk_tokens.max(1),
+            mixed_chunk: model.mixed_chunk_tokens.max(1),
             leaving: false,
             suspect: false,
             reported: now,
@@ -168,6 +175,11 @@
         self.load.context
     }
 
+    /// Gives how many streams decode.
+    pub fn decoding(&self) -> usize {
+        self.load.decoding
+    }
+
     /// Gives when the long prefill that is under way was granted.
     pub fn long_since(&self) -> Time {
         self.load.long_since
@@ -222,6 +234,7 @@
     /// Notes that a request was granted here, or found here.
     pub fn grant(&mut self, id: Id, running: Running, now: Time) {
         self.release(id);
+        self.load.decoding += usize::from(running.decoding);
         match running.lane {
             Lane::Long if running.decoding => self.load.longs += 1,
             Lane::Long => {
@@ -250,6 +263,7 @@
             return;
         }
         running.decoding = true;
+        self.load.decoding += 1;
         let (lane, prefill) = (running.lane, running.prefill);
         self.end_prefill(lane, prefill);
     }
@@ -257,7 +271,9 @@
     /// Notes that a request has left; gives what the book had of it.
     pub fn release(&mut self, id: Id) -> Option<Running> {
         let running = self.running.remove(&id)?;
-        if !running.decoding {
+        if running.decoding {
+            self.load.decoding -= 1;
+        } else {
             self.end_prefill(running.lane, running.prefill);
         }
         if running.lane == Lane::Long {
--- a/crates/alderglade-core/src/cell.rs
+++ b/crates/alderglade-core/src/cell.rs
@@ -305,7 +305,7 @@
     /// Sums up what the cell can do.
     pub fn capacity(&mut self, now: Time) -> Capacity {
         let mut capacity = Capacity::of(self.open(now), self.hold.get());
-        capacity.long_engines = self.long_bound(now) as u64;
+        capacity.long_engines = capacity.engines.saturating_sub(1).max(1);
         capacity.long_under_way = self.long_under_way(now);
         capacity
     }
@@ -313,7 +313,13 @@
     fn long_bound(&mut self, now: Time) -> usize {
         let busy = self.busy.per_mille(now);
         let open = self.open(now).count();
-        placement::long_bound(&self.config, open, busy)
+        let first = self.queue.peek(Lane::Long);
+        let demand = placement::Demand {
+            tokens: self.queue.tokens(Lane::Long) + self.long_under_way(now),
+            slack: first.map_or(Duration::MAX, |entry| entry.deadline.left(now)),
+            rate: self.open(now).map(|engine| engine.rate).max().unwrap_or(1),
+        };
+        placement::long_bound(&self.config, open, busy, demand)
     }
 
     /// Gives the long prompt tokens that are granted and, by the clock, not yet prefilled.
--- a/crates/alderglade-core/src/placement.rs
+++ b/crates/alderglade-core/src/placement.rs
@@ -31,27 +31,47 @@
             window: 4_096,
             headroom_per_mille: 100,
             beside_per_mille: 500,
-            spare_per_mille: 1_500,
+            spare_per_mille: 10_000,
             isolate: true,
         }
     }
 }
 
-/// Prefill beside a long prompt is expected to take this much longer, in thousandths.
-const BESIDE_LONG_PER_MILLE: u64 = 1_600;
+/// Long work that waits, and how soon it has to be done.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Demand {
+    /// Prompt tokens that wait or are being prefilled.
+    pub tokens: u64,
+    /// The time that the most pressing request has left.
+    pub slack: Duration,
+    /// Prefill tokens a second of one engine.
+    pub rate: u64,
+}
+
+impl Demand {
+    /// Gives the engines that clear the work in half the time that is left.
+    fn engines(self) -> usize {
+        let within = self.slack.as_micros() as u64 / 2_000_000;
+        let one = self.rate.saturating_mul(within).max(1);
+        usize::try_from(self.tokens.div_ceil(one)).unwrap_or(usize::MAX)
+    }
+}
 
 /// Says how many engines of `open` may prefill long prompts, when short work keeps `busy`
 /// thousandths of an engine busy.
 ///
-/// At least one, so that long work is never starved; at least one is kept for short work
-/// wherever there are two.
-pub fn long_bound(config: &Config, open: usize, busy_per_mille: u64) -> usize {
+/// Long work leaves several times the engines that short work needs, because short work waits
+/// for a free one; it gets more as its deadlines press. It always has one, so that it is never
+/// starved, and leaves one wherever there are two.
+pub fn long_bound(config: &Config, open: usize, busy_per_mille: u64, demand: Demand) -> usize {
     if !config.isolate {
         return open;
     }
     let wanted = busy_per_mille * config.spare_per_mille / 1_000;
     let spare = (wanted.div_ceil(1_000) as usize).max(1);
-    open.saturating_sub(spare).max(1)
+    let left = open.saturating_sub(spare);
+    let most = open.saturating_sub(1);
+    left.max(demand.engines()).min(most).max(1)
 }
 
 /// Picks an engine for short work, or none where all are busy enough.
@@ -86,12 +106,38 @@
 }
 
 /// Estimates the time to the first token of short work on an engine.
+///
+/// The engine's present step has to end first, on average half of it. Then short prompts are
+/// prefilled in chunks, smaller ones beside decoding streams; a long prompt fills up what the
+/// short ones leave of each chunk.
 pub fn first_token(engine: &Engine, ticket: &Ticket) -> Duration {
-    let tokens = engine.short_backlog() + engine.prefill_of(ticket);
-    let micros = tokens * 1_000_000 / engine.rate;
-    let beside = engine.long_prefills() > 0;
-    let factor = if beside { BESIDE_LONG_PER_MILLE } else { 1_000 };
-    engine.step_time() + Duration::from_micros(micros * factor / 1_000)
+    let work = engine.short_backlog() + engine.prefill_of(ticket);
+    let decodes = engine.decoding() > 0;
+    let chunk = if decodes {
+        engine.mixed_chunk
+    } else {
+        engine.chunk
+    };
+    let steps = work.div_ceil(chunk);
+    let base = if decodes {
+        engine.step_time()
+    } else {
+        Duration::ZERO
+    };
+    let fills = engine.long_prefills() > 0;
+    let tokens = if fills { steps * chunk } else { work };
+    let under_way = if fills || engine.short_backlog() > 0 {
+        chunk
+    } else {
+        0
+    };
+    let rest = (base + prefill_time(engine, under_way)) / 2;
+    let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+    rest + base.saturating_mul(steps) + prefill_time(engine, tokens)
+}
+
+fn prefill_time(engine: &Engine, tokens: u64) -> Duration {
+    Duration::from_micros(tokens * 1_000_000 / engine.rate)
 }
 
 fn takes_short(config: &Config, engine: &Engine, ticket: &Ticket, now: Time) -> bool {
--- a/crates/alderglade-core/src/settings/check.rs
+++ b/crates/alderglade-core/src/settings/check.rs
@@ -83,6 +83,17 @@
             "at least 1",
         );
     }
+    for (name, model) in &fleet.models {
+        let smallest = model.chunk_tokens.min(model.mixed_chunk_tokens);
+        let path = format!("fleet.models.{name}.chunk_tokens and mixed_chunk_tokens");
+        expect(
+            faults,
+            smallest > 0,
+            &path,
+            smallest,
+            "tokens, at least 1 each",
+        );
+    }
     for (name, engine) in &fleet.engines {
         check_engine(fleet, name, engine, faults);
     }
--- a/crates/alderglade-core/src/settings/tree.rs
+++ b/crates/alderglade-core/src/settings/tree.rs
@@ -42,6 +42,12 @@
     pub prefill_tokens_per_second: u64,
     /// The time of one decode step of an engine that does nothing else, in milliseconds.
     pub step_ms: u64,
+    /// Prompt tokens that one step prefills at most while nothing decodes.
+    #[serde(default = "chunk")]
+    pub chunk_tokens: u64,
+    /// Prompt tokens that one step prefills at most beside decoding streams.
+    #[serde(default = "mixed_chunk")]
+    pub mixed_chunk_tokens: u64,
     /// The longest prompt, in tokens.
     pub max_prompt_tokens: u64,
     /// The version of the weights that engines shall have; changing it orders a load.
@@ -129,6 +135,14 @@
     }
 }
 
+fn chunk() -> u64 {
+    2_048
+}
+
+fn mixed_chunk() -> u64 {
+    512
+}
+
 fn yes() -> bool {
     true
 }
--- a/crates/alderglade-standin/src/command.rs
+++ b/crates/alderglade-standin/src/command.rs
@@ -1,6 +1,7 @@
 //! The `alderglade-standin` command line.
 
 mod demo;
+mod experiment;
 mod load;
 mod run;
 
@@ -22,6 +23,8 @@
   load          send prompts to entry hosts and print times to first token
                 --hosts A,B [--requests N] [--rate PER_SECOND] [--lengths 1000,8000]
                 [--workspace NAME] [--seed N] [--json]
+  experiment    run an experiment under a virtual clock
+                --file FILE.json [--plot FILE.svg] [--json]
   demo          start a small fleet of separate processes, send mixed prompts, print times
 
 A stand-in prints its address as a JSON line when it listens.
@@ -52,7 +55,7 @@
     }
 }
 
-const NAMES: [&str; 11] = [
+const NAMES: [&str; 13] = [
     "address",
     "name",
     "kv-tokens",
@@ -64,6 +67,8 @@
     "workspace",
     "seed",
     "output",
+    "file",
+    "plot",
 ];
 
 /// Runs the command line and gives the exit code.
@@ -108,6 +113,7 @@
         "service" => run::service(options),
         "load" => load::run(options),
         "demo" => demo::run(),
+        "experiment" => experiment::run(options),
         "help" => {
             print!("{HELP}");
             Ok(())
--- a/crates/alderglade-standin/src/fleet.rs
+++ b/crates/alderglade-standin/src/fleet.rs
@@ -139,6 +139,8 @@
         Model {
             prefill_tokens_per_second: batch.rate,
             step_ms: batch.step.as_millis() as u64,
+            chunk_tokens: batch.chunk,
+            mixed_chunk_tokens: batch.mixed_chunk,
             max_prompt_tokens: 1_000_000,
             version: "v1".into(),
         },
--- /dev/null
+++ b/crates/alderglade-standin/src/world.rs
@@ -0,0 +1,479 @@
+//! The real decision core of several entry hosts under a virtual clock, with small fakes around.
+//!
+//! [`World`] holds a queue of happenings in the order of their times. Entry hosts are
+//! [`alderglade_core::node::Node`]s; engines are the timing model; the platform, the plain
+//! service, the network and the callers are fakes of a few lines. Everything random comes from
+//! one seed, so a run gives the same result every time.
+
+pub mod check;
+mod engines;
+pub mod fault;
+mod hosts;
+pub mod naive;
+mod network;
+mod platform;
+pub mod requests;
+mod services;
+
+use crate::batch;
+use crate::engine::model::Model;
+use alderglade_backend::wire::Reason;
+use alderglade_core::Name;
+use alderglade_core::book::Report;
+use alderglade_core::cell::Key;
+use alderglade_core::ledger;
+use alderglade_core::message::Message;
+use alderglade_core::node::{Ended, Event};
+use alderglade_core::placement;
+use alderglade_core::request::Id;
+use alderglade_core::settings::Tree;
+use alderglade_core::time::Time;
+use check::Ledger;
+use fault::Fault;
+use requests::Caller;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Hosts let time pass this often.
+const TICK: Duration = Duration::from_millis(20);
+/// Load reports are fetched this often.
+const POLL: Duration = Duration::from_millis(250);
+/// Wall clock at the start, in milliseconds of the Unix epoch.
+pub const EPOCH_MS: u64 = 1_800_000_000_000;
+
+/// What a world is made of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Failure domains.
+    pub domains: Vec<Name>,
+    /// Entry hosts in each.
+    pub hosts_each: usize,
+    /// Engines in each.
+    pub engines_each: usize,
+    /// What engines are like.
+    pub batch: batch::Config,
+    /// How engines are picked.
+    pub placement: placement::Config,
+    /// One way between hosts and anything else in a domain.
+    pub near: Duration,
+    /// One way between domains.
+    pub far: Duration,
+    /// How far load reports lag.
+    pub report_lag: Duration,
+    /// How far the platform's list of hosts lags.
+    pub list_lag: Duration,
+    /// Who schedules.
+    pub scheduler: Scheduler,
+    /// Guards of the core that are switched off, to see a proof fail.
+    pub off: Vec<Guard>,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// Who schedules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scheduler {
+    /// The product.
+    Alderglade,
+    /// Arrival order, engines in turn, no admission.
+    Naive,
+}
+
+/// A guard that a scenario can switch off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Guard {
+    /// The request's own thread answers at the deadline.
+    OwnDeadline,
+    /// Leases on what engines hold, and the sweep.
+    Sweep,
+    /// Frames of other tries are dropped.
+    Attempts,
+    /// The ledger's write is conditional on the version.
+    ConditionalWrite,
+    /// A word that a server leaves is acted upon.
+    Leaving,
+    /// A stopping host waits for what is in flight.
+    DrainWait,
+    /// Older settings are dropped.
+    NewerOnly,
+    /// What was sent is never called "did not run".
+    SentNotRefused,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            domains: vec!["muc-a".into()],
+            hosts_each: 2,
+            engines_each: 7,
+            batch: batch::Config::default(),
+            placement: placement::Config::default(),
+            near: Duration::from_micros(300),
+            far: Duration::from_millis(1),
+            report_lag: Duration::from_millis(300),
+            list_lag: Duration::from_secs(5),
+            scheduler: Scheduler::Alderglade,
+            off: Vec::new(),
+            seed: 1,
+        }
+    }
+}
+
+/// Something that happens at a time.
+#[derive(Debug, Clone)]
+pub(crate) enum Happening {
+    /// A host lets time pass.
+    Tick { host: Name, incarnation: u64 },
+    /// A host fetches reports.
+    Poll { host: Name, incarnation: u64 },
+    /// Something reaches a host.
+    Event {
+        host: Name,
+        incarnation: u64,
+        event: Box<Event>,
+    },
+    /// A message reaches a host.
+    Message {
+        to: Name,
+        from: Name,
+        message: Box<Message>,
+    },
+    /// An engine begins its next step.
+    Step { engine: Name },
+    /// An engine's step ends with these tokens.
+    StepEnd {
+        engine: Name,
+        generation: u64,
+        emitted: Vec<batch::Emitted>,
+    },
+    /// A try reaches its engine, or the next engine of its gang.
+    Start { request: Id, attempt: u32 },
+    /// Something comes back from an engine to the host that reads it.
+    Back {
+        request: Id,
+        attempt: u32,
+        back: Back,
+    },
+    /// An engine's answer to a reservation or a wish to free.
+    Call {
+        host: Name,
+        engine: Name,
+        call: Call,
+        tries: u32,
+    },
+    /// A call reaches a server of the plain service.
+    Serve {
+        request: Id,
+        attempt: u32,
+        server: Name,
+    },
+    /// The platform carries a call out.
+    Platform {
+        host: Name,
+        incarnation: u64,
+        call: ledger::Action,
+    },
+    /// A host looks for new settings.
+    Look { host: Name, incarnation: u64 },
+    /// The platform's list reaches a host.
+    List { host: Name, incarnation: u64 },
+    /// A caller's request comes to a host.
+    Ask(Box<Caller>),
+    /// The request's own thread gives up.
+    Deadline { request: Id },
+    /// A fault begins or ends.
+    Fault(Fault),
+}
+
+/// What comes back from an engine.
+#[derive(Debug, Clone)]
+pub(crate) enum Back {
+    /// A token.
+    Token {
+        sequence: u64,
+        attempt: u32,
+        of: Id,
+        last: bool,
+    },
+    /// The engine refused.
+    Refused(Reason),
+    /// Contact was lost.
+    Broke,
+    /// Nothing could be sent.
+    Unreached,
+    /// A server answered.
+    Answered,
+    /// A server said that it is leaving.
+    ServerLeaving,
+}
+
+/// A call to an engine beside the streams.
+#[derive(Debug, Clone)]
+pub(crate) enum Call {
+    /// Reserve memory.
+    Reserve { request: Id, tokens: u64 },
+    /// Free what is held.
+    Free { request: Id },
+    /// Renew what is held.
+    Renew { request: Id },
+}
+
+struct Due {
+    at: Time,
+    order: u64,
+    happening: Happening,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// An engine and where it is in its step.
+pub(crate) struct EngineAt {
+    model: Model,
+    domain: Name,
+    alive: bool,
+    stepping: bool,
+    generation: u64,
+    reports: std::collections::VecDeque<(Time, Report)>,
+    leaving_since: Option<Time>,
+}
+
+/// The world.
+pub struct World {
+    pub(crate) plan: Plan,
+    pub(crate) now: Time,
+    order: u64,
+    queue: BinaryHeap<Reverse<Due>>,
+    pub(crate) hosts: BTreeMap<Name, hosts::HostAt>,
+    pub(crate) engines: BTreeMap<Name, EngineAt>,
+    pub(crate) servers: BTreeMap<Name, services::ServerAt>,
+    pub(crate) platform: platform::PlatformAt,
+    pub(crate) network: network::Network,
+    pub(crate) running: BTreeMap<Id, requests::Running>,
+    pub(crate) naive: naive::Naive,
+    /// What is held against the promises.
+    pub ledger: Ledger,
+    happened: u64,
+}
+
+impl World {
+    /// Makes a world in which all hosts have the first settings.
+    pub fn new(plan: Plan) -> World {
+        let mut world = World {
+            now: Time(0),
+            order: 0,
+            queue: BinaryHeap::new(),
+            hosts: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            platform: platform::PlatformAt::default(),
+            network: network::Network::default(),
+            running: BTreeMap::new(),
+            naive: naive::Naive::default(),
+            ledger: Ledger::default(),
+            happened: 0,
+            plan,
+        };
+        world.build();
+        world
+    }
+
+    fn build(&mut self) {
+        let domains = self.plan.domains.clone();
+        for domain in &domains {
+            for number in 0..self.plan.engines_each {
+                self.add_engine(&format!("{domain}-e{number:03}").into(), domain);
+            }
+            self.add_server(&format!("{domain}-s0").into(), domain);
+        }
+        let tree = self.first_tree();
+        self.platform.accept(tree);
+        self.ledger.first_tree = self.platform.tree.clone();
+        for domain in &domains {
+            for number in 0..self.plan.hosts_each {
+                self.start_host(&format!("{domain}-h{number}").into(), domain);
+            }
+        }
+        self.naive.engines = self.engines.keys().cloned().collect();
+    }
+
+    fn first_tree(&self) -> Tree {
+        let engines: Vec<crate::fleet::EngineAt> = self
+            .engines
+            .iter()
+            .map(|(name, engine)| crate::fleet::EngineAt {
+                name: name.clone(),
+                domain: engine.domain.clone(),
+                address: "127.0.0.1:1".into(),
+                kv_tokens: self.plan.batch.kv_tokens,
+            })
+            .collect();
+        let servers: Vec<crate::fleet::ServerAt> = self
+            .servers
+            .iter()
+            .map(|(name, server)| crate::fleet::ServerAt {
+                name: name.clone(),
+                domain: server.domain.clone(),
+                address: "127.0.0.1:1".into(),
+            })
+            .collect();
+        let mut tree = crate::fleet::tree(&engines, &servers, &[]);
+        tree.revision = 1;
+        for engine in tree.fleet.engines.values_mut() {
+            engine.max_batch = self.plan.batch.max_batch;
+        }
+        tree
+    }
+
+    /// Gives the present time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Gives how many happenings there were.
+    pub fn happened(&self) -> u64 {
+        self.happened
+    }
+
+    /// Gives the settings in force at the platform.
+    pub fn tree(&self) -> Arc<Tree> {
+        self.platform.tree.clone()
+    }
+
+    /// Has a fault begin or end at a time.
+    pub fn schedule(&mut self, at: Time, fault: Fault) {
+        self.at(at, Happening::Fault(fault));
+    }
+
+    /// Has a caller ask at a time.
+    pub fn ask(&mut self, at: Time, caller: Caller) {
+        self.at(at, Happening::Ask(Box::new(caller)));
+    }
+
+    pub(crate) fn at(&mut self, at: Time, happening: Happening) {
+        self.order += 1;
+        self.queue.push(Reverse(Due {
+            at,
+            order: self.order,
+            happening,
+        }));
+    }
+
+    pub(crate) fn after(&mut self, pause: Duration, happening: Happening) {
+        self.at(self.now + pause, happening);
+    }
+
+    pub(crate) fn wall_ms(&self) -> u64 {
+        EPOCH_MS + self.now.as_millis()
+    }
+
+    pub(crate) fn is_off(&self, guard: Guard) -> bool {
+        self.plan.off.contains(&guard)
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, end: Time) {
+        while let Some(Reverse(due)) = self.queue.peek() {
+            if due.at > end {
+                break;
+            }
+            let Some(Reverse(due)) = self.queue.pop() else {
+                break;
+            };
+            self.now = due.at;
+            self.happened += 1;
+            self.happen(due.happening);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick { host, incarnation } => self.tick_host(host, incarnation),
+            Happening::Poll { host, incarnation } => self.poll(host, incarnation),
+            Happening::Event {
+                host,
+                incarnation,
+                event,
+            } => self.host_event(&host, incarnation, *event),
+            Happening::Message { to, from, message } => self.message(&to, from, *message),
+            Happening::Step { engine } => self.step(&engine),
+            Happening::StepEnd {
+                engine,
+                generation,
+                emitted,
+            } => self.step_end(&engine, generation, emitted),
+            Happening::Start { request, attempt } => self.start_at_engine(request, attempt),
+            Happening::Back {
+                request,
+                attempt,
+                back,
+            } => self.back(request, attempt, back),
+            Happening::Call {
+                host,
+                engine,
+                call,
+                tries,
+            } => self.call(host, engine, call, tries),
+            Happening::Serve {
+                request,
+                attempt,
+                server,
+            } => self.serve(request, attempt, server),
+            Happening::Platform {
+                host,
+                incarnation,
+                call,
+            } => self.platform_call(host, incarnation, call),
+            Happening::Look { host, incarnation } => self.look(host, incarnation),
+            Happening::List { host, incarnation } => self.list(host, incarnation),
+            Happening::Ask(caller) => self.take_ask(*caller),
+            Happening::Deadline { request } => self.own_deadline(request),
+            Happening::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    /// Gives the cells whose home each live host is.
+    pub fn homes(&self) -> BTreeMap<Name, Vec<Key>> {
+        let live = self.hosts.iter().filter_map(|(name, host)| {
+            let node = host.node.as_ref()?;
+            Some((
+                name.clone(),
+                node.homes().map(|cell| cell.key.clone()).collect(),
+            ))
+        });
+        live.collect()
+    }
+
+    pub(crate) fn end_try(&mut self, request: Id, ended: Ended) {
+        let Some(running) = self.running.get_mut(&request) else {
+            return;
+        };
+        running.stream = None;
+        let (host, incarnation, attempt) =
+            (running.host.clone(), running.incarnation, running.attempt);
+        let event = Event::Ended {
+            request,
+            attempt,
+            ended,
+        };
+        self.host_event(&host, incarnation, event);
+    }
+}
