Prove the promises by scripted scenarios, and mend what they found

Found by them, red first, and mended: - a request that had run and was refused on its retry was told that it did not run; - an engine of a gang that died made all its members suspect, so the retry found no room; - the claim of a refused booking could wait at another home of its shard and be recorded later, after which the caller's repetition met a key in flight for ever; what was not sent is now recorded under its claim, even if the claim itself has not arrived; - a fresh host trusted a stale watch before it had heard its peers, and went back a revision; - a gang's reservations named the home as their holder, so the death of that home freed them under the host that used them; - only hosts with a watch need the list of hosts often; the others learn by heartbeats. Ruled out: a rule that re-reads segments after a pause (the ring's versions already refuse them). Not proved by these: anything with real sockets.

--- a/crates/alderglade-core/src/book.rs
+++ b/crates/alderglade-core/src/book.rs
@@ -146,7 +146,12 @@
 
     /// Says whether it may get new work.
     pub fn is_open(&self, now: Time) -> bool {
-        !self.leaving && !self.suspect && now.since(self.reported) < REPORT_LIFE
+        self.is_live(now) && !self.suspect
+    }
+
+    /// Says whether it is there, though it may just have failed a request.
+    pub fn is_live(&self, now: Time) -> bool {
+        !self.leaving && now.since(self.reported) < REPORT_LIFE
     }
 
     /// Gives free KV memory in tokens, as the book has it.
--- a/crates/alderglade-core/src/cell.rs
+++ b/crates/alderglade-core/src/cell.rs
@@ -81,6 +81,8 @@
     Reserve {
         /// The engine.
         engine: Name,
+        /// The entry host that it is held for.
+        holder: Name,
         /// The request.
         request: Id,
         /// Memory in tokens.
@@ -284,8 +286,7 @@
     }
 
     fn admit(&mut self, ticket: &Ticket, now: Time) -> Result<(), Refusal> {
-        let largest: u64 = self.open(now).map(gang::usable).sum();
-        if ticket.need() > largest {
+        if ticket.need() > self.largest(now) {
             let later = admission::come_back(Duration::ZERO, ticket.id);
             return Err(Refusal::new(Kind::NoCapacity, later));
         }
@@ -298,6 +299,13 @@
             .map_err(|later| Refusal::new(Kind::Overloaded, later))
     }
 
+    /// Gives the largest need that the engines can hold together, those included that have just
+    /// failed a request: they may be back in a moment.
+    fn largest(&self, now: Time) -> u64 {
+        let live = self.engines.values().filter(|engine| engine.is_live(now));
+        live.map(gang::usable).sum()
+    }
+
     fn open(&self, now: Time) -> impl Iterator<Item = &Engine> + Clone {
         self.engines.values().filter(move |e| e.is_open(now))
     }
@@ -389,7 +397,7 @@
             cell: self.key.clone(),
             open: capacity.engines as u32,
             waits,
-            largest: self.open(now).map(gang::usable).sum(),
+            largest: self.largest(now),
         }
     }
 }
--- a/crates/alderglade-core/src/cell/forming.rs
+++ b/crates/alderglade-core/src/cell/forming.rs
@@ -93,6 +93,7 @@
         };
         self.actions.push(Action::Reserve {
             engine: gang.members[agreed].clone(),
+            holder: gang.entry.from.clone(),
             request: gang.entry.ticket.id,
             tokens: gang.share,
         });
--- a/crates/alderglade-core/src/cell/grants.rs
+++ b/crates/alderglade-core/src/cell/grants.rs
@@ -140,12 +140,12 @@
         };
         self.departed.insert(request, now);
         for name in &engines {
-            self.leave(name, request, end, now);
+            self.leave(name, request, end, engines.len() == 1, now);
         }
         self.pump(now);
     }
 
-    fn leave(&mut self, name: &Name, request: Id, end: End, now: Time) {
+    fn leave(&mut self, name: &Name, request: Id, end: End, alone: bool, now: Time) {
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
@@ -157,7 +157,8 @@
                 }
             }
             End::Leaving => engine.leaving = true,
-            End::Failed => engine.suspect = true,
+            // Which member of a gang has failed is not known; the reports will tell.
+            End::Failed => engine.suspect |= alone,
             End::Declined | End::NoRoom => {}
         }
     }
--- a/crates/alderglade-core/src/inflight.rs
+++ b/crates/alderglade-core/src/inflight.rs
@@ -116,6 +116,8 @@
     pub first_token: Option<Time>,
     /// Whether it was ever sent to a backend server.
     pub sent: bool,
+    /// Whether a backend server may have started it.
+    pub may_have_run: bool,
 }
 
 impl Entry {
--- a/crates/alderglade-core/src/ledger.rs
+++ b/crates/alderglade-core/src/ledger.rs
@@ -36,6 +36,8 @@
 pub const KEPT_BODY: usize = 2_048;
 /// An answer from the platform is waited for this long.
 const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+/// A wish waits this long; whoever sent it repeats it if it still stands.
+const WAIT_LIMIT: Duration = Duration::from_secs(3);
 /// Bytes of a record beside its texts, about.
 const RECORD_BYTES: usize = 160;
 
@@ -71,10 +73,8 @@
 /// Says how a claimed request ended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settled {
-    /// The key.
-    pub key: Name,
-    /// The request that had claimed.
-    pub claimant: Id,
+    /// The claim.
+    pub claim: Claim,
     /// How it ended.
     pub outcome: Outcome,
 }
@@ -184,7 +184,7 @@
     fn claimant(&self) -> Id {
         match self {
             Wish::Claim(claim) => claim.claimant,
-            Wish::Settle(settled) => settled.claimant,
+            Wish::Settle(settled) => settled.claim.claimant,
         }
     }
 }
@@ -387,7 +387,7 @@
         for waiter in std::mem::take(&mut self.writing) {
             match waiter.wish {
                 Wish::Claim(claim) => self.answer(&waiter.from, claim.claimant, Verdict::Granted),
-                Wish::Settle(settled) => self.confirm(&waiter.from, settled.claimant),
+                Wish::Settle(settled) => self.confirm(&waiter.from, settled.claim.claimant),
             }
         }
     }
@@ -430,7 +430,7 @@
             _ => {}
         }
         self.waiting
-            .retain(|waiter| now.since(waiter.since) < KEY_LIFE);
+            .retain(|waiter| now.since(waiter.since) < WAIT_LIMIT);
         self.advance(now, wall_ms);
         self.clear_old(wall_ms);
     }
@@ -566,7 +566,7 @@
 fn judge(wish: &Wish, known: impl Fn(&Name) -> Option<Record>) -> Step {
     match wish {
         Wish::Claim(claim) => judge_claim(claim, known(&claim.key)),
-        Wish::Settle(settled) => judge_settled(settled, known(&settled.key)),
+        Wish::Settle(settled) => judge_settled(settled, known(&settled.claim.key)),
     }
 }
 
@@ -595,16 +595,19 @@
 }
 
 fn judge_settled(settled: &Settled, known: Option<Record>) -> Step {
+    let ended = Record {
+        claim: settled.claim.clone(),
+        outcome: Some(settled.outcome.clone()),
+    };
     match known {
-        Some(record) if record.claim.claimant == settled.claimant => match record.outcome {
-            None => Step::Write(Record {
-                claim: record.claim,
-                outcome: Some(settled.outcome.clone()),
-            }),
+        // The claim may yet arrive at another home of the shard: what is recorded now refuses it.
+        None => Step::Write(ended),
+        Some(record) if record.claim.claimant == settled.claim.claimant => match record.outcome {
+            None => Step::Write(ended),
             Some(_) => Step::Confirm,
         },
-        // The claim never took effect, or the key is past its life: nothing to record.
-        _ => Step::Confirm,
+        // Another request holds the key: this one's claim never took effect, nor will it.
+        Some(_) => Step::Confirm,
     }
 }
 
--- a/crates/alderglade-core/src/membership.rs
+++ b/crates/alderglade-core/src/membership.rs
@@ -62,6 +62,8 @@
     others: BTreeMap<Name, Seen>,
     live: BTreeMap<Name, u64>,
     looked: Time,
+    began: Time,
+    seeded: bool,
 }
 
 impl View {
@@ -72,6 +74,8 @@
             others: BTreeMap::new(),
             live: BTreeMap::new(),
             looked: now,
+            began: now,
+            seeded: false,
         }
     }
 
@@ -95,6 +99,7 @@
 
     /// Takes the platform's list; what peers said themselves is not overwritten.
     pub fn seed(&mut self, cards: Vec<Card>) {
+        self.seeded = true;
         self.others
             .retain(|name, seen| seen.heard.is_some() || cards.iter().any(|c| c.name == *name));
         for card in cards {
@@ -185,6 +190,15 @@
         }
     }
 
+    /// Says whether the host has heard of every listed host of its domain, or has waited for
+    /// those that can't be reached. Before that it can't know whose settings are the newest.
+    pub fn has_joined(&self, now: Time) -> bool {
+        let waited = now.since(self.began) >= self.interval() * MISSED;
+        let own = &self.own.domain;
+        let mut near = self.others.values().filter(|seen| seen.card.domain == *own);
+        waited || (self.seeded && near.all(|seen| seen.heard.is_some()))
+    }
+
     /// Gives how far apart heartbeats are in a domain of this size.
     pub fn interval(&self) -> Duration {
         let hosts = self.domain_hosts() as u32;
--- a/crates/alderglade-core/src/node.rs
+++ b/crates/alderglade-core/src/node.rs
@@ -194,6 +194,8 @@
     Reserve {
         /// The engine.
         engine: Name,
+        /// The entry host that it is held for.
+        holder: Name,
         /// The request.
         request: Id,
         /// Memory in tokens.
@@ -357,6 +359,7 @@
     pub fn is_ready(&self) -> bool {
         !self.draining
             && self.tree.revision > 0
+            && self.view.has_joined(self.now)
             && self.tree.revision >= self.view.highest_revision()
     }
 
--- a/crates/alderglade-core/src/node/claims.rs
+++ b/crates/alderglade-core/src/node/claims.rs
@@ -106,6 +106,10 @@
             Verdict::Granted if self.now < entry.deadline => self.start(id, place),
             Verdict::Granted => self.drop_claim(id, Kind::ExpiredWaiting),
             Verdict::Replay(outcome) => self.replay(id, place, outcome),
+            // The claim may wait at another home as well, and be recorded there later.
+            Verdict::Refused(Kind::PlatformUnavailable) => {
+                self.drop_claim(id, Kind::PlatformUnavailable);
+            }
             Verdict::Refused(kind) => {
                 self.release_place(id, place);
                 self.finish(id, Some(Refusal::new(kind, COME_BACK)));
@@ -140,18 +144,14 @@
         let Some(claim) = self.inflight.get(id).and_then(claim_sent) else {
             return;
         };
-        let settled = Settled {
-            key: claim.key,
-            claimant: id,
-            outcome,
-        };
+        let settled = Settled { claim, outcome };
         let settling = Settling {
             settled: settled.clone(),
             since: self.now,
             sent: self.now,
         };
         self.settling.insert(id, settling);
-        let home = self.ledger_home(&settled.key);
+        let home = self.ledger_home(&settled.claim.key);
         self.send(&home, Message::Settle(settled));
     }
 
@@ -177,7 +177,7 @@
             }
         }
         for settled in due {
-            let home = self.ledger_home(&settled.key);
+            let home = self.ledger_home(&settled.claim.key);
             self.send(&home, Message::Settle(settled));
         }
     }
@@ -192,7 +192,7 @@
 
     /// Takes an outcome, as the home of its shard.
     pub(super) fn take_settle(&mut self, from: &Name, settled: Settled) {
-        let shard = shard_of(&settled.key);
+        let shard = shard_of(&settled.claim.key);
         self.with_shard(shard, |shard, now, wall| {
             shard.settle(from, settled, now, wall)
         });
--- a/crates/alderglade-core/src/node/homes.rs
+++ b/crates/alderglade-core/src/node/homes.rs
@@ -136,10 +136,12 @@
             }
             cell::Action::Reserve {
                 engine,
+                holder,
                 request,
                 tokens,
             } => self.actions.push(Action::Reserve {
                 engine,
+                holder,
                 request,
                 tokens,
             }),
--- a/crates/alderglade-core/src/node/progress.rs
+++ b/crates/alderglade-core/src/node/progress.rs
@@ -4,7 +4,7 @@
 use super::{Action, Ended, Node};
 use crate::Name;
 use crate::cell::{End, Key};
-use crate::error::Kind;
+use crate::error::{Kind, Ran};
 use crate::inflight::{Entry, Place, Stage};
 use crate::ledger::Outcome;
 use crate::message::Message;
@@ -173,6 +173,7 @@
         if !running || entry.submission.ticket.attempt != attempt {
             return;
         }
+        self.note_run(request, &ended);
         self.leave_place(request, &ended);
         match ended {
             Ended::Finished { tokens, outcome } => {
@@ -189,6 +190,14 @@
         }
     }
 
+    /// Remembers that a backend may have started the request, unless it said that it didn't.
+    fn note_run(&mut self, request: Id, ended: &Ended) {
+        let unsent = matches!(ended, Ended::NoRoom | Ended::Leaving | Ended::Unreached);
+        if let Some(entry) = self.inflight.get_mut(request) {
+            entry.may_have_run |= !unsent;
+        }
+    }
+
     /// Tells the home, or the servers' book, that a request has left.
     fn leave_place(&mut self, request: Id, ended: &Ended) {
         let Some(entry) = self.inflight.get_mut(request) else {
@@ -341,7 +350,10 @@
             return;
         };
         self.sample(&entry, refusal);
-        if let Some(refusal) = refusal {
+        if let Some(mut refusal) = refusal {
+            if entry.may_have_run && refusal.ran == Ran::No {
+                refusal.ran = Ran::Unknown;
+            }
             self.refuse(request, refusal);
         }
     }
@@ -374,7 +386,7 @@
             return;
         };
         let running = matches!(entry.stage, Stage::Running { .. });
-        let kind = if running || entry.sent && !entry.submission.repeatable {
+        let kind = if running || entry.may_have_run {
             Kind::ExpiredRunning
         } else {
             Kind::ExpiredWaiting
--- a/crates/alderglade-core/src/node/submit.rs
+++ b/crates/alderglade-core/src/node/submit.rs
@@ -41,6 +41,7 @@
             failed_by: Vec::new(),
             first_token: None,
             sent: false,
+            may_have_run: false,
         };
         self.estimate_output(&mut entry);
         let free = entry.submission.rate.is_free();
--- a/crates/alderglade-standin/src/experiment.rs
+++ b/crates/alderglade-standin/src/experiment.rs
@@ -244,15 +244,19 @@
     let mut world = World::new(plan(experiment, scheduler));
     let settle = Duration::from_secs(2);
     world.run_until(Time(0) + settle);
-    let mut arrivals = Vec::new();
-    for (number, group) in experiment.groups.iter().enumerate() {
-        // Each group has random numbers of its own, so that it is the same alone.
-        let seed = experiment.seed.wrapping_mul(1_000_003) + number as u64;
-        if only.is_none_or(|only| *only == group.name) {
-            arrivals.extend(arrivals_of(experiment, group, seed));
-        }
-    }
-    arrivals.sort_by_key(|(at, _)| *at);
+    let arrivals = arrivals_of_groups(
+        &experiment.groups,
+        &experiment.domains,
+        experiment.hosts_each,
+        experiment.engines_each,
+        experiment.seconds,
+        experiment.seed,
+    );
+    let wanted = |caller: &Caller| only.is_none_or(|only| *only == caller.group);
+    let arrivals: Vec<(Time, Caller)> = arrivals
+        .into_iter()
+        .filter(|(_, caller)| wanted(caller))
+        .collect();
     let tokens = arrivals.iter().map(|(_, caller)| caller.tokens).collect();
     for (at, caller) in arrivals {
         world.ask(at + settle, caller);
@@ -296,14 +300,48 @@
     }
 }
 
-fn arrivals_of(experiment: &Experiment, group: &Group, seed: u64) -> Vec<(Time, Caller)> {
+/// Where requests come to, and for how long.
+#[derive(Debug, Clone, Copy)]
+struct Site<'a> {
+    domains: &'a [Name],
+    hosts_each: usize,
+    engines_each: usize,
+    seconds: u64,
+}
+
+/// Gives the arrivals of several groups in the order of their times.
+pub fn arrivals_of_groups(
+    groups: &[Group],
+    domains: &[Name],
+    hosts_each: usize,
+    engines_each: usize,
+    seconds: u64,
+    seed: u64,
+) -> Vec<(Time, Caller)> {
+    let site = Site {
+        domains,
+        hosts_each,
+        engines_each,
+        seconds,
+    };
+    let mut arrivals = Vec::new();
+    for (number, group) in groups.iter().enumerate() {
+        // Each group has random numbers of its own, so that it is the same alone.
+        let seed = seed.wrapping_mul(1_000_003) + number as u64;
+        arrivals.extend(arrivals_of(site, group, seed));
+    }
+    arrivals.sort_by_key(|(at, _)| *at);
+    arrivals
+}
+
+fn arrivals_of(site: Site<'_>, group: &Group, seed: u64) -> Vec<(Time, Caller)> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let times = times(experiment, group, &mut random);
+    let times = times(site, group, &mut random);
     let mut arrivals = Vec::new();
     for (number, at) in times.into_iter().enumerate() {
         let tokens = group.tokens[random.random_range(0..group.tokens.len())];
-        let domain = &experiment.domains[number % experiment.domains.len()];
-        let host = random.random_range(0..experiment.hosts_each);
+        let domain = &site.domains[number % site.domains.len()];
+        let host = random.random_range(0..site.hosts_each);
         let workspace = number as u64 % group.workspaces.max(1);
         let caller = Caller {
             group: group.name.clone(),
@@ -324,11 +362,11 @@
     arrivals
 }
 
-fn times(experiment: &Experiment, group: &Group, random: &mut ChaCha8Rng) -> Vec<Time> {
-    let end = Time(0) + Duration::from_secs(experiment.seconds);
+fn times(site: Site<'_>, group: &Group, random: &mut ChaCha8Rng) -> Vec<Time> {
+    let end = Time(0) + Duration::from_secs(site.seconds);
     let per_second = match &group.arrival {
         Arrival::Steady { per_second } => *per_second,
-        Arrival::Load { share } => share * capacity(experiment, group),
+        Arrival::Load { share } => share * capacity(site, group),
         Arrival::Burst {
             at_ms,
             count,
@@ -357,9 +395,9 @@
 ///
 /// While one request decodes, the next one's prefill goes on in the smaller chunks of mixed
 /// steps; what is left of it is prefilled at the full rate.
-fn capacity(experiment: &Experiment, group: &Group) -> f64 {
+fn capacity(site: Site<'_>, group: &Group) -> f64 {
     let config = batch::Config::default();
-    let engines = experiment.domains.len() * experiment.engines_each;
+    let engines = site.domains.len() * site.engines_each;
     let mean = group.tokens.iter().sum::<u64>() as f64 / group.tokens.len() as f64;
     let context = config.per_1k_context.as_secs_f64() * mean / 1_000.0;
     let mixed_step =
--- a/crates/alderglade-standin/src/lib.rs
+++ b/crates/alderglade-standin/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod platform;
 pub mod process;
 pub mod relay;
+pub mod scenario;
 pub mod service;
 pub mod world;
--- a/crates/alderglade-standin/src/world.rs
+++ b/crates/alderglade-standin/src/world.rs
@@ -97,10 +97,6 @@
     Leaving,
     /// A stopping host waits for what is in flight.
     DrainWait,
-    /// Older settings are dropped.
-    NewerOnly,
-    /// What was sent is never called "did not run".
-    SentNotRefused,
 }
 
 impl Default for Plan {
@@ -214,7 +210,11 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Call {
     /// Reserve memory.
-    Reserve { request: Id, tokens: u64 },
+    Reserve {
+        holder: Name,
+        request: Id,
+        tokens: u64,
+    },
     /// Free what is held.
     Free { request: Id },
     /// Renew what is held.
@@ -253,6 +253,7 @@
     generation: u64,
     reports: std::collections::VecDeque<(Time, Report)>,
     leaving_since: Option<Time>,
+    listed_from: Option<Time>,
 }
 
 /// The world.
@@ -352,6 +353,20 @@
         self.happened
     }
 
+    /// Gives what the world is made of.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Gives the revision in force at each live host.
+    pub fn revisions(&self) -> Vec<(Name, u64)> {
+        let live = self.hosts.iter().filter_map(|(name, host)| {
+            let node = host.node.as_ref()?;
+            Some((name.clone(), node.tree().revision))
+        });
+        live.collect()
+    }
+
     /// Gives the settings in force at the platform.
     pub fn tree(&self) -> Arc<Tree> {
         self.platform.tree.clone()
--- a/crates/alderglade-standin/src/world/engines.rs
+++ b/crates/alderglade-standin/src/world/engines.rs
@@ -34,6 +34,7 @@
             generation: 0,
             reports: VecDeque::new(),
             leaving_since: None,
+            listed_from: None,
         };
         self.engines.insert(name.clone(), engine);
     }
@@ -83,15 +84,18 @@
         let Some(engine) = self.engines.get_mut(name) else {
             return;
         };
-        if sweeps {
-            engine.model.lapse(now);
-        }
+        let lapsed = if sweeps {
+            engine.model.lapse(now)
+        } else {
+            Vec::new()
+        };
         if !engine.alive || engine.model.faults.frozen || engine.model.is_idle() {
             engine.stepping = false;
             return;
         }
         let (time, emitted) = engine.model.step(|id| parts.contains(&id));
         let generation = engine.generation;
+        self.break_lapsed(name, &lapsed);
         let engine = name.clone();
         self.after(
             time,
@@ -103,6 +107,28 @@
         );
     }
 
+    /// Readers of streams whose lease lapsed lose them.
+    fn break_lapsed(&mut self, name: &Name, lapsed: &[Id]) {
+        for request in lapsed {
+            let Some(running) = self.running.get(request) else {
+                continue;
+            };
+            let here = |stream: &Stream| stream.engines.get(stream.member) == Some(name);
+            if running.stream.as_ref().is_some_and(here) {
+                let (request, attempt) = (*request, running.attempt);
+                let back = Back::Broke;
+                self.after(
+                    self.plan.near,
+                    Happening::Back {
+                        request,
+                        attempt,
+                        back,
+                    },
+                );
+            }
+        }
+    }
+
     /// Requests that only prefill one part of a gang's prompt at this engine.
     fn gang_parts(&self, name: &Name) -> Vec<Id> {
         let part =
@@ -359,10 +385,14 @@
             Call::Renew { request } => {
                 engine.model.renew(request, lease, now);
             }
-            Call::Reserve { request, tokens } => {
+            Call::Reserve {
+                holder,
+                request,
+                tokens,
+            } => {
                 let wish = Wish {
                     id: request,
-                    holder: host.clone(),
+                    holder,
                     tokens,
                     lease,
                 };
--- a/crates/alderglade-standin/src/world/fault.rs
+++ b/crates/alderglade-standin/src/world/fault.rs
@@ -19,6 +19,8 @@
     StartHost(Name),
     /// A host's process is stopped for a while and then goes on.
     FreezeHost { host: Name, ms: u64 },
+    /// A host's control thread is stuck for a while; its other threads go on.
+    StallControl { host: Name, ms: u64 },
     /// A host is told to stop as planned.
     DrainHost(Name),
     /// An engine dies.
@@ -31,6 +33,8 @@
     ThawEngine(Name),
     /// An engine or server begins to leave.
     Leave(Name),
+    /// The platform's list says that an engine leaves, which doesn't know it itself.
+    ListLeave(Name),
     /// An engine sends tokens late, twice and mixed with those of earlier tries.
     Shuffle(Name),
     /// A server's next answers are lost after it ran the calls.
@@ -74,12 +78,25 @@
                 }
                 self.ledger.note_frozen(&host, until);
             }
+            Fault::StallControl { host, ms } => {
+                let until = self.now + Duration::from_millis(ms);
+                if let Some(at) = self.hosts.get_mut(&host) {
+                    at.stalled_until = until;
+                }
+            }
             Fault::DrainHost(host) => self.drain_host(&host),
             Fault::KillEngine(name) => self.kill_engine(&name),
             Fault::StartEngine(name) => self.start_engine(&name),
             Fault::FreezeEngine(name) => self.set_frozen(&name, true),
             Fault::ThawEngine(name) => self.set_frozen(&name, false),
             Fault::Leave(name) => self.leave(&name),
+            Fault::ListLeave(name) => {
+                let shown = self.now + self.plan.list_lag;
+                if let Some(engine) = self.engines.get_mut(&name) {
+                    engine.listed_from = Some(shown);
+                    engine.leaving_since = Some(shown);
+                }
+            }
             Fault::Shuffle(name) => {
                 if let Some(engine) = self.engines.get_mut(&name) {
                     engine.model.faults.shuffled = true;
@@ -149,6 +166,7 @@
             engine.stepping = false;
             engine.generation += 1;
             engine.leaving_since = None;
+            engine.listed_from = None;
             engine.model.restart();
             engine.reports.clear();
         }
@@ -199,13 +217,16 @@
 
     fn leave(&mut self, name: &Name) {
         let now = self.now;
+        let lag = self.plan.list_lag;
         let heeds = !self.is_off(super::Guard::Leaving);
         if let Some(engine) = self.engines.get_mut(name) {
             engine.leaving_since = Some(now);
+            engine.listed_from = Some(now + lag);
             engine.model.faults.leaving = heeds;
         }
         if let Some(server) = self.servers.get_mut(name) {
             server.leaving_since = Some(now);
+            server.listed_from = Some(now + lag);
         }
     }
 
--- a/crates/alderglade-standin/src/world/hosts.rs
+++ b/crates/alderglade-standin/src/world/hosts.rs
@@ -12,8 +12,10 @@
 const SEND_LIMIT: Duration = Duration::from_secs(1);
 /// Settings are looked at this often by hosts that don't watch.
 const LOOK: Duration = Duration::from_secs(30);
-/// The list is read this often.
-const LIST: Duration = Duration::from_secs(5);
+/// The list is read this often by hosts that watch.
+const LIST: Duration = Duration::from_secs(1);
+/// A watch shows a change this soon.
+const WATCHED: Duration = Duration::from_millis(200);
 /// Hosts of a failure domain that watch the settings.
 const WATCHERS: usize = 2;
 
@@ -27,6 +29,8 @@
     pub incarnation: u64,
     /// Until when it is stopped.
     pub frozen_until: Time,
+    /// Until when only its control thread is stuck.
+    pub stalled_until: Time,
     /// When it was told to stop.
     pub draining_since: Option<Time>,
     /// The highest revision it ever had in force, across restarts.
@@ -57,6 +61,7 @@
                 node: Some(Node::new(config, self.now)),
                 incarnation,
                 frozen_until: Time(0),
+                stalled_until: Time(0),
                 draining_since: None,
                 highest_revision,
             },
@@ -143,10 +148,8 @@
         if !self.is_current(name, incarnation) {
             return;
         }
-        let frozen = self
-            .hosts
-            .get(name)
-            .map_or(Time(0), |host| host.frozen_until);
+        let busy = |host: &HostAt| host.frozen_until.max(host.stalled_until);
+        let frozen = self.hosts.get(name).map_or(Time(0), busy);
         if frozen > self.now {
             let (host, event) = (name.clone(), Box::new(event));
             self.at(
@@ -210,10 +213,15 @@
             }
             Action::Reserve {
                 engine,
+                holder,
                 request,
                 tokens,
             } => {
-                let call = Call::Reserve { request, tokens };
+                let call = Call::Reserve {
+                    holder,
+                    request,
+                    tokens,
+                };
                 self.call_engine(&host, engine, call, 0);
             }
             Action::Free { engine, request } => {
@@ -283,16 +291,7 @@
             let tree = self.platform.served_tree();
             self.host_event(&host, incarnation, Event::Settings(tree));
         }
-        let rank = self
-            .hosts
-            .keys()
-            .filter(|name| **name < host && self.domain_of(name) == self.domain_of(&host));
-        let watches = rank.count() < WATCHERS;
-        let pause = if watches {
-            Duration::from_millis(200)
-        } else {
-            LOOK
-        };
+        let pause = if self.watches(&host) { WATCHED } else { LOOK };
         self.after_frozen(
             pause,
             &host,
@@ -303,6 +302,16 @@
         );
     }
 
+    /// Says whether a host is among the few of its domain that watch.
+    fn watches(&self, host: &Name) -> bool {
+        let domain = self.domain_of(host);
+        let before = self
+            .hosts
+            .iter()
+            .filter(|(name, at)| *name < host && at.domain == domain);
+        before.count() < WATCHERS
+    }
+
     /// Hands a host the platform's list, as it was a while ago.
     pub(crate) fn list(&mut self, host: Name, incarnation: u64) {
         if !self.is_current(&host, incarnation) {
@@ -315,8 +324,9 @@
             let leaving = self.listed_leaving();
             self.host_event(&host, incarnation, Event::Hosts { cards, leaving });
         }
+        let pause = if self.watches(&host) { LIST } else { LOOK };
         self.after_frozen(
-            LIST,
+            pause,
             &host,
             Happening::List {
                 host: host.clone(),
@@ -327,18 +337,17 @@
 
     /// Backend servers that the list says are leaving, which it says late.
     fn listed_leaving(&self) -> Vec<Name> {
-        let lag = self.plan.list_lag;
-        let shown = |since: Option<Time>| since.is_some_and(|since| self.now.since(since) >= lag);
+        let shown = |from: Option<Time>| from.is_some_and(|from| self.now >= from);
         let engines = self
             .engines
             .iter()
-            .filter(|(_, e)| shown(e.leaving_since))
-            .map(|(n, _)| n);
+            .filter(|(_, engine)| shown(engine.listed_from));
         let servers = self
             .servers
             .iter()
-            .filter(|(_, s)| shown(s.leaving_since))
-            .map(|(n, _)| n);
+            .filter(|(_, server)| shown(server.listed_from));
+        let engines = engines.map(|(name, _)| name);
+        let servers = servers.map(|(name, _)| name);
         engines.chain(servers).cloned().collect()
     }
 }
--- a/crates/alderglade-standin/src/world/requests.rs
+++ b/crates/alderglade-standin/src/world/requests.rs
@@ -3,7 +3,7 @@
 use super::{Back, Guard, Happening, Scheduler, World};
 use alderglade_backend::wire::Reason;
 use alderglade_core::Name;
-use alderglade_core::error::{Kind, Ran};
+use alderglade_core::error::Kind;
 use alderglade_core::inflight::{Submission, Work};
 use alderglade_core::lane::{Lane, Priority};
 use alderglade_core::ledger::{Claim, Outcome};
@@ -343,12 +343,9 @@
         self.ledger.note_answer(request, None, self.now);
     }
 
-    pub(crate) fn answer_refusal(&mut self, request: Id, mut refusal: Refusal) {
-        let Some(running) = self.running.remove(&request) else {
+    pub(crate) fn answer_refusal(&mut self, request: Id, refusal: Refusal) {
+        if self.running.remove(&request).is_none() {
             return;
-        };
-        if self.is_off(Guard::SentNotRefused) && running.sent {
-            refusal.ran = Ran::No;
         }
         self.ledger.note_answer(request, Some(refusal), self.now);
     }
--- a/crates/alderglade-standin/src/world/services.rs
+++ b/crates/alderglade-standin/src/world/services.rs
@@ -15,6 +15,7 @@
     pub(crate) domain: Name,
     pub(crate) alive: bool,
     pub(crate) leaving_since: Option<Time>,
+    pub(crate) listed_from: Option<Time>,
     pub(crate) lose_answers: u32,
 }
 
@@ -24,6 +25,7 @@
             domain: domain.clone(),
             alive: true,
             leaving_since: None,
+            listed_from: None,
             lose_answers: 0,
         };
         self.servers.insert(name.clone(), server);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -210,9 +210,10 @@
             Action::Cancel { request, engines } => self.engines.cancel(request, engines),
             Action::Reserve {
                 engine,
+                holder,
                 request,
                 tokens,
-            } => self.engines.reserve(engine, request, tokens),
+            } => self.engines.reserve(engine, holder, request, tokens),
             Action::Free { engine, request } => self.engines.cancel(request, vec![engine]),
             Action::Ledger(action) => self.platform.ledger(action),
         }
--- a/src/entry/engines.rs
+++ b/src/entry/engines.rs
@@ -39,7 +39,6 @@
 /// The engines as this host calls them.
 #[derive(Clone)]
 pub(crate) struct Engines {
-    own: Name,
     clients: Arc<ArcSwap<Clients>>,
     pool: Pool,
     control: Sender<Input>,
@@ -47,9 +46,8 @@
 
 impl Engines {
     /// Starts the threads for calls.
-    pub(crate) fn start(own: Name, control: Sender<Input>) -> Engines {
+    pub(crate) fn start(control: Sender<Input>) -> Engines {
         Engines {
-            own,
             clients: Arc::default(),
             pool: Pool::start("engine", THREADS),
             control,
@@ -76,9 +74,9 @@
     }
 
     /// Reserves memory at an engine; the answer comes as an event.
-    pub(crate) fn reserve(&self, engine: Name, request: Id, tokens: u64) {
+    pub(crate) fn reserve(&self, engine: Name, holder: Name, request: Id, tokens: u64) {
         let client = self.client(&engine);
-        let (control, holder) = (self.control.clone(), self.own.clone());
+        let control = self.control.clone();
         self.pool.run(move || {
             let body = Reserve {
                 request,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -55,7 +55,7 @@
 }
 
 fn list_every() -> u64 {
-    5_000
+    1_000
 }
 
 impl Host {
--- a/src/entry/outside.rs
+++ b/src/entry/outside.rs
@@ -111,8 +111,14 @@
     pause + pause * u32::try_from(random).unwrap_or(0) / 1_024
 }
 
-/// Keeps the platform's list of hosts fresh.
-pub(crate) fn follow_hosts(client: &Client, control: &Sender<Input>, every: Duration) {
+/// Keeps the platform's list of hosts fresh: those that watch read it often and tell the others
+/// by their heartbeats, which read it slowly.
+pub(crate) fn follow_hosts(
+    client: &Client,
+    control: &Sender<Input>,
+    published: &Published,
+    every: Duration,
+) {
     let mut lost = false;
     loop {
         match hosts::list(client) {
@@ -125,7 +131,7 @@
                     leaving: list.leaving,
                 };
                 let _ = control.send(Input::Event(event));
-                thread::sleep(jitter(every));
+                wait_for_list(published, every);
             }
             Err(error) => {
                 if !std::mem::replace(&mut lost, true) {
@@ -137,6 +143,14 @@
     }
 }
 
+fn wait_for_list(published: &Published, every: Duration) {
+    thread::sleep(jitter(every));
+    let alone = published.load().status.peers.is_empty();
+    if !alone && !watches(published) {
+        wait_slowly(published);
+    }
+}
+
 /// Keeps the settings fresh: by a watch, or by a slow look where others watch.
 pub(crate) fn follow_settings(client: &Client, control: &Sender<Input>, published: &Published) {
     let mut cache = Cache::default();
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -61,7 +61,7 @@
     let published = Published::default();
     let metrics = Metrics::default();
     let client = Client::new(&host.platform.to_string());
-    let engines = Engines::start(host.name.clone(), control.clone());
+    let engines = Engines::start(control.clone());
     let platform = Platform::start(client.clone(), control.clone());
     let card = card(&host, &peers, incarnation);
     let mut node = Node::new(
@@ -177,8 +177,8 @@
     published: &Published,
 ) {
     let every = Duration::from_millis(host.list_every_ms);
-    let (listing, telling) = (client.clone(), control.clone());
-    thread::spawn(move || outside::follow_hosts(&listing, &telling, every));
+    let (listing, telling, shown) = (client.clone(), control.clone(), published.clone());
+    thread::spawn(move || outside::follow_hosts(&listing, &telling, &shown, every));
     let (watching, telling, shown) = (client.clone(), control.clone(), published.clone());
     thread::spawn(move || outside::follow_settings(&watching, &telling, &shown));
     let (counting, name) = (platform.clone(), host.name.clone());
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests by feature.
+
+mod scenarios;
