Measure the slopes of control, and halve what was dear

Ruled out: heartbeats (121 to 817 bytes; 4.6 KB/s at 36 hosts) and the tree (6.5 MB at 3,700). Change: buckets are packed and merged once only the slow window needs them, a host publishes its 500 busiest series and the rest as one, in one call; the control thread sleeps until its next tick; a request that is granted at once is not told that it waits.

--- a/crates/alderglade-core/src/cell.rs
+++ b/crates/alderglade-core/src/cell.rs
@@ -266,7 +266,6 @@
             });
             return;
         }
-        self.note_queued(from, request, attempt);
         self.queue.push(Entry {
             deadline: now + ticket.time_left,
             from: from.clone(),
@@ -274,6 +273,10 @@
             ticket,
         });
         self.pump(now);
+        // A request that is granted at once needs no further word.
+        if !self.granted.contains_key(&request) {
+            self.note_queued(from, request, attempt);
+        }
     }
 
     fn note_queued(&mut self, to: &Name, request: Id, attempt: u32) {
--- a/crates/alderglade-core/src/slo.rs
+++ b/crates/alderglade-core/src/slo.rs
@@ -1,6 +1,6 @@
 //! Service-level objectives: what was good, what was not, and how fast the budget burns.
 //!
-//! Counts are kept in buckets of a minute over an hour. A host publishes its buckets to the
+//! Counts are kept in buckets of a minute, later of five, over an hour. A host publishes its buckets to the
 //! platform now and then; a report adds up what all hosts published.
 
 use crate::Name;
@@ -16,6 +16,8 @@
 pub const FAST: u64 = 5;
 /// Pairs of workspace and class counted apart; the rest is counted together.
 const MOST_KEYS: usize = 8_000;
+/// Series that a host publishes one by one.
+pub const MOST_PUBLISHED: usize = 500;
 /// The name under which the rest is counted.
 const REST: &str = "(rest)";
 
@@ -54,15 +56,46 @@
     pub buckets: VecDeque<Bucket>,
 }
 
-/// The counts of one minute.
+/// The counts of one minute, or of several once they are older than the fast window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Packed", from = "Packed")]
 pub struct Bucket {
-    /// Minutes since the Unix epoch.
+    /// The first minute, since the Unix epoch.
     pub minute: u64,
     /// The counts.
     pub counts: Counts,
 }
 
+/// A bucket as it is published: minute, total, prompt, finished, refused.
+type Packed = (u64, u64, u64, u64, u64);
+
+impl From<Bucket> for Packed {
+    fn from(bucket: Bucket) -> Packed {
+        let counts = bucket.counts;
+        (
+            bucket.minute,
+            counts.total,
+            counts.prompt,
+            counts.finished,
+            counts.refused,
+        )
+    }
+}
+
+impl From<Packed> for Bucket {
+    fn from((minute, total, prompt, finished, refused): Packed) -> Bucket {
+        Bucket {
+            minute,
+            counts: Counts {
+                total,
+                prompt,
+                finished,
+                refused,
+            },
+        }
+    }
+}
+
 impl Series {
     fn bucket(&mut self, minute: u64) -> &mut Counts {
         let newest = self.buckets.back().map_or(0, |bucket| bucket.minute);
@@ -77,6 +110,26 @@
         &mut self.buckets[last].counts
     }
 
+    /// Merges buckets that only the slow window counts.
+    fn merge_old(&mut self, minute: u64) {
+        let mut merged: VecDeque<Bucket> = VecDeque::new();
+        for bucket in self.buckets.drain(..) {
+            let old = bucket.minute + 2 * FAST < minute;
+            let group = |minute: u64| minute / FAST;
+            match merged.back_mut() {
+                Some(last) if old && group(last.minute) == group(bucket.minute) => {
+                    last.counts.add(bucket.counts);
+                }
+                _ => merged.push_back(bucket),
+            }
+        }
+        self.buckets = merged;
+    }
+
+    fn total(&self) -> u64 {
+        self.buckets.iter().map(|bucket| bucket.counts.total).sum()
+    }
+
     fn over(&self, minute: u64, window: u64) -> Counts {
         let mut sum = Counts::default();
         let recent = |bucket: &&Bucket| bucket.minute + window > minute && bucket.minute <= minute;
@@ -152,7 +205,24 @@
         self.series.len() - 1
     }
 
-    /// Drops series without a bucket in the last hour.
+    /// Gives what is published: the series with the most requests, and the others together.
+    ///
+    /// The object stays far below the platform's largest value, and the traffic within the
+    /// budget, whatever the number of workspaces.
+    pub fn published(&self) -> Log {
+        let mut series = self.series.clone();
+        series.sort_by_key(|series| std::cmp::Reverse(series.total()));
+        let others = series.split_off(series.len().min(MOST_PUBLISHED));
+        if let Some(rest) = sum_of(others) {
+            series.push(rest);
+        }
+        Log {
+            series,
+            index: BTreeMap::new(),
+        }
+    }
+
+    /// Drops series without a bucket in the last hour and merges old buckets.
     pub fn tidy(&mut self, wall_ms: u64) {
         let minute = wall_ms / BUCKET_MS;
         let live = |series: &Series| {
@@ -160,6 +230,9 @@
             newest.is_some_and(|bucket| bucket.minute + BUCKETS > minute)
         };
         self.series.retain(live);
+        self.series
+            .iter_mut()
+            .for_each(|series| series.merge_old(minute));
         self.index = self
             .series
             .iter()
@@ -169,6 +242,27 @@
     }
 }
 
+/// Adds series up into one.
+fn sum_of(others: Vec<Series>) -> Option<Series> {
+    let mut buckets: BTreeMap<u64, Counts> = BTreeMap::new();
+    let objective = others
+        .iter()
+        .map(|series| series.objective_per_mille)
+        .min()?;
+    for bucket in others.iter().flat_map(|series| &series.buckets) {
+        buckets.entry(bucket.minute).or_default().add(bucket.counts);
+    }
+    let buckets = buckets.into_iter();
+    Some(Series {
+        workspace: REST.into(),
+        class: REST.into(),
+        objective_per_mille: objective,
+        buckets: buckets
+            .map(|(minute, counts)| Bucket { minute, counts })
+            .collect(),
+    })
+}
+
 /// The burn of one workspace's class.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Burn {
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/lease.rs
@@ -0,0 +1,98 @@
+//! Two candidates, an object store and random delays: the fence holds.
+
+use crate::each_seed;
+use alderglade_core::lease::{Action, Candidate, LIFE, ORDER_LIFE, Versioned};
+use alderglade_core::time::Time;
+use std::time::Duration;
+
+/// A candidate whose own clock differs from the others' and who is stopped now and then.
+struct Host {
+    candidate: Candidate,
+    clock_ahead: Duration,
+    stopped_until: Time,
+}
+
+#[test]
+fn no_two_hosts_give_orders_at_once_and_epochs_only_grow() {
+    each_seed(100, |u| {
+        let mut store = Versioned::default();
+        let mut hosts = Vec::new();
+        for number in 0..3 {
+            hosts.push(Host {
+                candidate: Candidate::new(format!("h{number}").into(), 1),
+                clock_ahead: Duration::from_millis(u.int_in_range(0..=100_000)?),
+                stopped_until: Time(0),
+            });
+        }
+        let mut now = Time::from_millis(1_000);
+        let mut last_order: Option<(u64, Time)> = None;
+        for _ in 0..600 {
+            now = now + Duration::from_millis(u.int_in_range(50..=300)?);
+            let number = u.int_in_range(0..=2)?;
+            let host = &mut hosts[number];
+            if now < host.stopped_until {
+                continue;
+            }
+            if u.ratio(1, 80)? {
+                host.stopped_until = now + Duration::from_secs(u.int_in_range(1..=30)?);
+                continue;
+            }
+            let own = now + host.clock_ahead;
+            match host.candidate.tick(u.ratio(9, 10)?, own) {
+                Some(Action::Read) => host.candidate.read(store.clone(), own),
+                Some(Action::Write(wish)) if u.ratio(1, 8)? => {
+                    // The answer is lost; the write may have taken effect.
+                    if wish.version == store.version && u.ratio(1, 2)? {
+                        store = next(&store, wish);
+                    }
+                    host.candidate.wrote(None, own, own);
+                }
+                Some(Action::Write(wish)) if wish.version == store.version => {
+                    store = next(&store, wish);
+                    host.candidate.wrote(Some(store.clone()), own, own);
+                }
+                Some(Action::Write(_)) => host.candidate.wrote(None, own, own),
+                None => {}
+            }
+            if let Some(epoch) = host.candidate.may_order(false, own) {
+                if let Some((before, at)) = last_order {
+                    assert!(epoch >= before, "epoch {epoch} after {before}");
+                    let overlap = epoch > before && now.since(at) < ORDER_LIFE;
+                    assert!(
+                        !overlap,
+                        "an order of epoch {before} may still be under way"
+                    );
+                }
+                last_order = Some((epoch, now));
+            }
+        }
+        Ok(())
+    });
+}
+
+fn next(store: &Versioned, wish: Versioned) -> Versioned {
+    Versioned {
+        record: wish.record,
+        version: store.version + 1,
+    }
+}
+
+#[test]
+fn a_holder_that_was_stopped_for_long_no_longer_holds() {
+    let mut candidate = Candidate::new("h".into(), 1);
+    let now = Time::from_millis(1_000);
+    assert_eq!(candidate.tick(true, now), Some(Action::Read));
+    candidate.read(Versioned::default(), now);
+    let later = now + LIFE;
+    let Some(Action::Write(wish)) = candidate.tick(true, later) else {
+        panic!("an empty lease is taken");
+    };
+    candidate.wrote(Some(next(&Versioned::default(), wish)), later, later);
+    assert!(candidate.may_order(true, later).is_some());
+    assert!(
+        candidate.may_order(false, later).is_none(),
+        "an earlier holder's orders may be under way"
+    );
+    assert!(candidate.may_order(false, later + ORDER_LIFE).is_some());
+    assert!(candidate.held(later + LIFE).is_none());
+}
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/request.rs
@@ -0,0 +1,107 @@
+//! The life cycle, the table of kinds, and times to come back.
+
+use crate::queue::ticket;
+use alderglade_core::admission::come_back;
+use alderglade_core::error::{Kind, Ran, TABLE};
+use alderglade_core::lane::{LONG_TOKENS, Lane, Priority};
+use alderglade_core::request::{Id, Refusal, Request};
+use alderglade_core::retry::{Budget, MOST_ATTEMPTS};
+use alderglade_core::time::Time;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+#[test]
+fn the_table_is_in_the_order_of_its_kinds_and_has_no_doubles() {
+    for (position, row) in TABLE.iter().enumerate() {
+        assert_eq!(row.kind as usize, position);
+        assert_eq!(row.kind.row().label, row.label);
+        let json = serde_json::to_string(&row.kind).expect("a word");
+        assert_eq!(json, format!("\"{}\"", row.label));
+    }
+    let labels: BTreeSet<&str> = TABLE.iter().map(|row| row.label).collect();
+    let events: BTreeSet<u16> = TABLE.iter().map(|row| row.event).collect();
+    assert_eq!((labels.len(), events.len()), (TABLE.len(), TABLE.len()));
+}
+
+#[test]
+fn what_was_not_sent_is_refused_as_not_run() {
+    let received = Request::receive(ticket(1, "w", Lane::Urgent, 10, 1), Time(5));
+    let lost = Refusal::new(Kind::ContactLost, Duration::ZERO);
+    assert_eq!(lost.ran, Ran::Unknown);
+    let answered = received.admit().refuse(lost);
+    assert_eq!(
+        answered.state.failure.map(|refusal| refusal.ran),
+        Some(Ran::No)
+    );
+}
+
+#[test]
+fn a_try_that_is_repeated_counts_and_avoids_the_engine_that_failed() {
+    let request = Request::receive(ticket(1, "w", Lane::Urgent, 10, 1), Time(5));
+    let again = request
+        .admit()
+        .place(vec!["e1".into()])
+        .dispatch()
+        .again(Some("e1".into()));
+    assert_eq!(again.ticket.attempt, 2);
+    assert_eq!(again.ticket.avoid.as_deref(), Some("e1"));
+    assert!(
+        again
+            .place(vec!["e2".into()])
+            .dispatch()
+            .finish()
+            .state
+            .failure
+            .is_none()
+    );
+}
+
+#[test]
+fn a_long_prompt_is_long_work_whatever_its_class() {
+    assert_eq!(Lane::of(Priority::Urgent, LONG_TOKENS + 1), Lane::Long);
+    assert_eq!(Lane::of(Priority::Urgent, LONG_TOKENS), Lane::Urgent);
+    assert_eq!(Lane::of(Priority::Batch, 1), Lane::Standard);
+}
+
+#[test]
+fn a_burst_that_is_refused_together_comes_back_spread() {
+    let backlog = Duration::from_secs(10);
+    let times: Vec<Duration> = (0..1_000)
+        .map(|serial| {
+            let id = Id {
+                incarnation: 7,
+                serial,
+            };
+            come_back(backlog, id)
+        })
+        .collect();
+    assert!(
+        times
+            .iter()
+            .all(|time| (5_000..=15_000).contains(&(time.as_millis() as u64)))
+    );
+    for second in 5..15 {
+        let within = times.iter().filter(|time| time.as_secs() == second).count();
+        assert!((60..=140).contains(&within), "{within} in second {second}");
+    }
+}
+
+#[test]
+fn retries_never_multiply_an_overload() {
+    let mut budget = Budget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        retries += u32::from(budget.spend(1));
+    }
+    assert_eq!(retries, 25, "what a fresh budget holds");
+    for _ in 0..1_000 {
+        budget.earn();
+        retries += u32::from(budget.spend(1));
+    }
+    assert!(
+        (110..=126).contains(&retries),
+        "a tenth of the successes: {retries}"
+    );
+    (0..1_000).for_each(|_| budget.earn());
+    assert!(!budget.spend(MOST_ATTEMPTS));
+}
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/stream.rs
@@ -0,0 +1,63 @@
+//! Frames in any order, doubled, foreign or of other tries.
+
+use crate::each_seed;
+use alderglade_core::request::Id;
+use alderglade_core::stream::{Assembler, Frame, WINDOW};
+
+#[test]
+fn delivers_each_token_once_in_order_whatever_comes() {
+    each_seed(300, |u| {
+        let ours = Id {
+            incarnation: 1,
+            serial: 1,
+        };
+        let mut assembler = Assembler::new(ours, 1);
+        let mut attempt = 1;
+        let mut delivered = Vec::new();
+        for _ in 0..300 {
+            if u.ratio(1, 60)? {
+                attempt += 1;
+                assembler.resume(attempt);
+            }
+            let foreign = u.ratio(1, 10)?;
+            let frame = Frame {
+                request: Id {
+                    incarnation: 1,
+                    serial: if foreign { 2 } else { 1 },
+                },
+                attempt: attempt - u.int_in_range(0..=1)?,
+                sequence: u.int_in_range(0..=40)?,
+                text: if foreign {
+                    "foreign".into()
+                } else {
+                    "ours".into()
+                },
+            };
+            for frame in assembler.push(frame) {
+                assert_eq!(frame.text, "ours");
+                delivered.push(frame.sequence);
+            }
+        }
+        let expected: Vec<u64> = (0..delivered.len() as u64).collect();
+        assert_eq!(delivered, expected);
+        assert_eq!(assembler.next(), delivered.len() as u64);
+        Ok(())
+    });
+}
+
+#[test]
+fn frames_far_ahead_take_no_memory() {
+    let id = Id::default();
+    let mut assembler = Assembler::new(id, 1);
+    let frame = |sequence| Frame {
+        request: id,
+        attempt: 1,
+        sequence,
+        text: String::new(),
+    };
+    assert!(assembler.push(frame(WINDOW)).is_empty());
+    assert!(!assembler.has_gap());
+    assert!(assembler.push(frame(WINDOW - 1)).is_empty());
+    assert!(assembler.has_gap());
+    assert_eq!(assembler.dropped(), 1);
+}
--- a/crates/alderglade-operator/src/command/report.rs
+++ b/crates/alderglade-operator/src/command/report.rs
@@ -14,8 +14,9 @@
 Usage: alderglade report --platform ADDRESS [--plot FILE.svg] [--json]
 
 FAST is the last 5 minutes, SLOW the last hour. A burn of 1 uses the budget up exactly; LEFT is
-the part of the hour's budget that is left. Hosts publish every 10 s: what a host counted after
-its last publication is lost if it is killed, and is kept by a planned stop.
+the part of the hour's budget that is left. Hosts publish every 10 s, those with more than 50 series
+every minute: what a host counted after its last publication is lost if it is killed, and is kept
+by a planned stop. A host publishes its 500 busiest series one by one and the others as (rest).
 ";
 
 pub(super) fn run(arguments: &Arguments, shell: &Shell) -> Result<(), Error> {
--- a/crates/alderglade-standin/src/command.rs
+++ b/crates/alderglade-standin/src/command.rs
@@ -6,6 +6,7 @@
 mod fuzz;
 
 mod load;
+mod measure;
 mod run;
 
 use lexopt::prelude::*;
@@ -29,6 +30,7 @@
   experiment    run an experiment under a virtual clock
                 --file FILE.json [--plot FILE.svg] [--json]
   bench         measure what one decision costs  [--rounds N] [--json]
+  measure       measure the slopes of docs/CAPACITY.md  [--processes yes] [--json]
   fuzz          run random fault schedules  [--seed FIRST] [--seeds COUNT] [--json]
   demo          start a small fleet of separate processes, send mixed prompts, print times
 
@@ -60,7 +62,8 @@
     }
 }
 
-const NAMES: [&str; 15] = [
+const NAMES: [&str; 16] = [
+    "processes",
     "rounds",
     "seeds",
     "address",
@@ -119,6 +122,7 @@
         "engine" => run::engine(options),
         "service" => run::service(options),
         "load" => load::run(options),
+        "measure" => measure::run(options),
         "bench" => bench::run(options),
         "demo" => demo::run(),
         "fuzz" => fuzz::run(options),
--- a/crates/alderglade-standin/src/experiment.rs
+++ b/crates/alderglade-standin/src/experiment.rs
@@ -43,6 +43,9 @@
     /// What fails.
     #[serde(default)]
     pub faults: Vec<Timed>,
+    /// Engines that share a queue; `0` means the default.
+    #[serde(default)]
+    pub cell_engines: usize,
     /// Numbers of placement that differ from the defaults.
     #[serde(default)]
     pub placement: Placement,
@@ -294,6 +297,7 @@
             isolate: wanted.isolate.unwrap_or(defaults.isolate),
             ..defaults
         },
+        cell_engines: experiment.cell_engines,
         scheduler,
         seed: experiment.seed,
         ..Plan::default()
--- a/crates/alderglade-standin/src/lib.rs
+++ b/crates/alderglade-standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fuzz;
 
 pub mod http;
+pub mod measure;
 pub mod platform;
 pub mod process;
 pub mod relay;
--- a/crates/alderglade-standin/src/world.rs
+++ b/crates/alderglade-standin/src/world.rs
@@ -64,6 +64,8 @@
     pub report_lag: Duration,
     /// How far the platform's list of hosts lags.
     pub list_lag: Duration,
+    /// Engines that share a queue; `0` means the default.
+    pub cell_engines: usize,
     /// Who schedules.
     pub scheduler: Scheduler,
     /// Guards of the core that are switched off, to see a proof fail.
@@ -111,6 +113,7 @@
             far: Duration::from_millis(1),
             report_lag: Duration::from_millis(300),
             list_lag: Duration::from_secs(5),
+            cell_engines: 0,
             scheduler: Scheduler::Alderglade,
             off: Vec::new(),
             seed: 1,
@@ -337,6 +340,7 @@
             .collect();
         let mut tree = crate::fleet::tree(&engines, &servers, &[]);
         tree.revision = 1;
+        tree.fleet.cell_engines = self.plan.cell_engines;
         for engine in tree.fleet.engines.values_mut() {
             engine.max_batch = self.plan.batch.max_batch;
         }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -22,7 +22,7 @@
 /// Time is let pass this often.
 const TICK: Duration = Duration::from_millis(20);
 /// The picture for traffic threads is renewed this often.
-const PUBLISH: Duration = Duration::from_millis(100);
+const PUBLISH: Duration = Duration::from_millis(250);
 /// Events handled between two looks at the clock for a tick.
 const BURST: usize = 256;
 
@@ -93,7 +93,7 @@
         let mut published = None;
         let mut draining = None;
         loop {
-            self.take_inputs();
+            self.take_inputs(TICK.saturating_sub(ticked.elapsed()));
             if ticked.elapsed() >= TICK {
                 ticked = Instant::now();
                 self.handle(Event::Tick);
@@ -122,8 +122,9 @@
         }
     }
 
-    fn take_inputs(&mut self) {
-        let mut next = self.inputs.recv_timeout(TICK / 2);
+    /// Waits for something to happen, no longer than until the next tick, and takes what has.
+    fn take_inputs(&mut self, wait: Duration) {
+        let mut next = self.inputs.recv_timeout(wait);
         for _ in 0..BURST {
             match next {
                 Ok(input) => self.take(input),
--- a/src/entry/outside.rs
+++ b/src/entry/outside.rs
@@ -17,8 +17,8 @@
 use alderglade_platform::{Client, hosts, settings, slo};
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
-use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -33,6 +33,10 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Counts are published this often.
 const PUBLISH: Duration = Duration::from_secs(10);
+/// Counts of many series are published this often, which keeps the traffic small.
+const PUBLISH_MANY: Duration = Duration::from_secs(60);
+/// So many series are few.
+const FEW_SERIES: usize = 50;
 /// Threads for the ledger.
 const THREADS: usize = 8;
 
@@ -42,6 +46,7 @@
     client: Client,
     pool: Pool,
     control: Sender<Input>,
+    version: Arc<Mutex<String>>,
 }
 
 impl Platform {
@@ -51,6 +56,7 @@
             client,
             pool: Pool::start("ledger", THREADS),
             control,
+            version: Arc::default(),
         }
     }
 
@@ -64,11 +70,13 @@
         });
     }
 
-    /// Publishes counts.
+    /// Publishes counts. What isn't published now is published with the next ones.
     pub(crate) fn publish_log(&self, host: &str, mut log: Log) {
         log.tidy(wall_ms());
-        // What isn't published now is published with the next counts.
-        let _ = slo::publish(&self.client, host, log);
+        let mut version = self.version.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Ok(newer) = slo::publish(&self.client, host, log.published(), &version) {
+            *version = newer;
+        }
     }
 }
 
@@ -217,11 +225,14 @@
 
 /// Publishes the counts again and again.
 pub(crate) fn follow_log(platform: &Platform, host: &Name) {
+    let mut pause = PUBLISH;
     loop {
-        thread::sleep(jitter(PUBLISH));
+        thread::sleep(jitter(pause));
         let (reply, answer) = channel();
         let _ = platform.control.send(Input::AskLog(reply));
         if let Ok(log) = answer.recv_timeout(PUBLISH) {
+            let many = log.series.len() > FEW_SERIES;
+            pause = if many { PUBLISH_MANY } else { PUBLISH };
             platform.publish_log(host, log);
         }
     }
