Admit only what mixed steps can finish, and strengthen proofs that proved nothing

The estimate took the engines' rate with nothing decoding; beside decoding streams they prefill 14,400 tokens a second, not 25,000, and each step is longer. Change 1: admission and expected ends count mixed steps while short prompts keep coming, and a short request that can no longer finish is answered instead of started.

--- a/crates/alderglade-core/src/admission.rs
+++ b/crates/alderglade-core/src/admission.rs
@@ -40,6 +40,10 @@
     pub hold: Duration,
     /// Step time while decoding.
     pub step: Duration,
+    /// Step time while short prompts are prefilled beside what decodes.
+    pub mixed_step: Duration,
+    /// Prompt tokens of such a step.
+    pub mixed_chunk: u64,
     /// Prompt tokens of long work that was granted and isn't prefilled yet.
     pub long_under_way: u64,
     /// Prompt tokens of short work that was granted and isn't prefilled yet.
@@ -47,6 +51,12 @@
 }
 
 impl Capacity {
+    /// Gives the prompt tokens that one engine prefills in a second beside what decodes.
+    pub fn mixed_rate(&self) -> u64 {
+        let micros = self.mixed_step.as_micros().max(1) as u64;
+        (self.mixed_chunk * 1_000_000 / micros).max(1)
+    }
+
     /// Adds what one open engine can do.
     pub fn add(&mut self, engine: &Engine, now: Time) {
         self.engines += 1;
@@ -54,6 +64,8 @@
         self.slots += engine.max_batch as u64;
         self.running += engine.running.len() as u64;
         self.step = self.step.max(engine.step_time());
+        self.mixed_step = self.mixed_step.max(engine.mixed_step());
+        self.mixed_chunk = self.mixed_chunk.max(engine.mixed_chunk);
         self.short_under_way += engine.short_backlog();
         self.long_under_way += engine.long_left(now);
     }
@@ -70,12 +82,20 @@
         .filter(|lane| **lane < ticket.lane && ticket.lane != Lane::Long)
         .map(|lane| queue.tokens(*lane))
         .sum();
-    let (servers, under_way) = match ticket.lane {
-        Lane::Long => (capacity.long_engines.max(1), capacity.long_under_way),
-        Lane::Urgent | Lane::Standard => (capacity.engines, capacity.short_under_way),
+    let (servers, under_way, rate) = match ticket.lane {
+        Lane::Long => (
+            capacity.long_engines.max(1),
+            capacity.long_under_way,
+            capacity.rate,
+        ),
+        Lane::Urgent | Lane::Standard => (
+            capacity.engines,
+            capacity.short_under_way,
+            capacity.mixed_rate(),
+        ),
     };
     let tokens = own + before + under_way;
-    let prefill = Duration::from_micros(tokens * 1_000_000 / (capacity.rate * servers));
+    let prefill = Duration::from_micros(tokens * 1_000_000 / (rate * servers).max(1));
     prefill.max(slot_wait(queue, capacity, ticket.lane))
 }
 
@@ -93,10 +113,23 @@
 }
 
 /// Estimates how long a request runs once an engine starts on it.
-pub fn service(capacity: &Capacity, ticket: &Ticket) -> Duration {
-    let prefill = ticket.prompt * 1_000_000 / capacity.rate.max(1);
+///
+/// While short prompts keep coming each step also prefills a chunk of them, and takes longer.
+pub fn service(capacity: &Capacity, ticket: &Ticket, busy: bool) -> Duration {
+    let (rate, step) = if busy && ticket.lane != Lane::Long {
+        (capacity.mixed_rate(), capacity.mixed_step)
+    } else {
+        (capacity.rate, capacity.step)
+    };
+    let prefill = ticket.prompt * 1_000_000 / rate.max(1);
     let steps = u32::try_from(ticket.output_expected).unwrap_or(u32::MAX);
-    Duration::from_micros(prefill) + capacity.step.saturating_mul(steps)
+    Duration::from_micros(prefill) + step.saturating_mul(steps)
+}
+
+/// Says whether short prompts wait or are being prefilled.
+pub fn is_busy(queue: &Queue, capacity: &Capacity) -> bool {
+    let waiting = queue.tokens(Lane::Urgent) + queue.tokens(Lane::Standard);
+    waiting + capacity.short_under_way > 0
 }
 
 /// Says whether the request may be let in.
@@ -106,7 +139,8 @@
 /// Gives the time to come back after where the request can't be in time.
 pub fn admit(queue: &Queue, capacity: &Capacity, ticket: &Ticket) -> Result<(), Duration> {
     let wait = wait(queue, capacity, ticket);
-    let needed = wait.saturating_add(service(capacity, ticket));
+    let busy = is_busy(queue, capacity);
+    let needed = wait.saturating_add(service(capacity, ticket, busy));
     let allowed = ticket.time_left.as_micros() as u64 / 1_000 * FILL_PER_MILLE;
     if needed <= Duration::from_micros(allowed) {
         return Ok(());
--- a/crates/alderglade-core/src/book.rs
+++ b/crates/alderglade-core/src/book.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Gives the time that a step takes while short prompts are prefilled beside what decodes.
+    pub fn mixed_step(&self) -> Duration {
+        self.step_time() + Duration::from_micros(self.mixed_chunk * 1_000_000 / self.rate)
+    }
+
     /// Says whether it may get new work.
     pub fn is_open(&self, now: Time) -> bool {
         self.is_live(now) && !self.suspect
--- a/crates/alderglade-core/src/cell/grants.rs
+++ b/crates/alderglade-core/src/cell/grants.rs
@@ -25,6 +25,7 @@
     }
 
     fn grant_short(&mut self, lane: Lane, now: Time) -> bool {
+        self.refuse_hopeless(lane, now);
         let Some(entry) = self.queue.peek(lane) else {
             return false;
         };
@@ -37,6 +38,25 @@
         true
     }
 
+    /// Answers requests that could not finish in time even if an engine began on them now: to
+    /// start them would only take the time of those that can.
+    fn refuse_hopeless(&mut self, lane: Lane, now: Time) {
+        let capacity = self.summary(now).capacity;
+        if !self.admits || capacity.engines == 0 {
+            return;
+        }
+        while let Some(entry) = self.queue.peek(lane) {
+            let needed = admission::service(&capacity, &entry.ticket, true);
+            if entry.ticket.attempt > 1 || now + needed <= entry.deadline {
+                return;
+            }
+            let id = entry.ticket.id;
+            if let Some(entry) = self.queue.remove(id) {
+                self.refuse_expired(&entry);
+            }
+        }
+    }
+
     fn grant_long(&mut self, now: Time) -> bool {
         if self.queue.count(Lane::Long) == 0 {
             return false;
@@ -70,7 +90,7 @@
         let heads = self.queue.heads(Lane::Long, HEADS);
         let mut fitting = heads.filter(|entry| entry.ticket.need() <= summary.roomiest);
         fitting.find_map(|entry| {
-            let ends = now + admission::service(&summary.capacity, &entry.ticket);
+            let ends = now + admission::service(&summary.capacity, &entry.ticket, true);
             let free = self
                 .engines
                 .iter()
@@ -131,7 +151,7 @@
 
     fn expected_end(&mut self, ticket: &Ticket, now: Time) -> Time {
         let capacity = self.summary(now).capacity;
-        now + admission::service(&capacity, ticket)
+        now + admission::service(&capacity, ticket, true)
     }
 
     /// Notes that a request's first token has come.
--- a/crates/alderglade-core/tests/testsuite/cell.rs
+++ b/crates/alderglade-core/tests/testsuite/cell.rs
@@ -160,6 +160,26 @@
     });
 }
 
+#[test]
+fn short_work_beside_a_long_prompt_stops_at_the_memory_that_is_left() {
+    let now = Time::from_millis(1_000);
+    let mut cell = cell(1, now);
+    let long = ticket(0, "w", Lane::Long, 350_000, 1);
+    cell.enqueue(&"h".into(), long.clone(), now);
+    assert_eq!(grants(&mut cell).len(), 1);
+    cell.first_token(long.id, now);
+    let mut granted = 0;
+    for serial in 1..40 {
+        cell.enqueue(&"h".into(), short(serial, 3_000), now);
+        for (id, _) in grants(&mut cell) {
+            granted += 1;
+            cell.first_token(id, now);
+        }
+    }
+    let room = 400_000 - long.need();
+    assert_eq!(granted, room / short(1, 3_000).need());
+}
+
 #[test]
 fn a_gang_is_granted_only_when_all_members_agree_and_gives_all_back_when_one_does_not() {
     let now = Time::from_millis(1_000);
--- a/crates/alderglade-core/tests/testsuite/stream.rs
+++ b/crates/alderglade-core/tests/testsuite/stream.rs
@@ -20,21 +20,18 @@
                 assembler.resume(attempt);
             }
             let foreign = u.ratio(1, 10)?;
+            let stale = u.ratio(1, 5)?;
             let frame = Frame {
                 request: Id {
                     incarnation: 1,
                     serial: if foreign { 2 } else { 1 },
                 },
-                attempt: attempt - u.int_in_range(0..=1)?,
+                attempt: attempt - u32::from(stale),
                 sequence: u.int_in_range(0..=40)?,
-                text: if foreign {
-                    "foreign".into()
-                } else {
-                    "ours".into()
-                },
+                text: format!("foreign {foreign} stale {stale}"),
             };
             for frame in assembler.push(frame) {
-                assert_eq!(frame.text, "ours");
+                assert_eq!(frame.text, "foreign false stale false");
                 delivered.push(frame.sequence);
             }
         }
@@ -45,6 +42,21 @@
     });
 }
 
+#[test]
+fn a_token_that_comes_again_is_dropped_and_takes_no_memory() {
+    let id = Id::default();
+    let mut assembler = Assembler::new(id, 1);
+    let frame = || Frame {
+        request: id,
+        attempt: 1,
+        sequence: 0,
+        text: String::new(),
+    };
+    assert_eq!(assembler.push(frame()).len(), 1);
+    assert!(assembler.push(frame()).is_empty());
+    assert!(!assembler.has_gap());
+}
+
 #[test]
 fn frames_far_ahead_take_no_memory() {
     let id = Id::default();
--- a/crates/alderglade-standin/src/command/fuzz.rs
+++ b/crates/alderglade-standin/src/command/fuzz.rs
@@ -52,10 +52,16 @@
         );
     }
     if options.json {
-        for (seed, _) in &failures {
+        let wanted = failures.iter().map(|(seed, _)| *seed);
+        let wanted: Vec<u64> = if count == 1 {
+            vec![first]
+        } else {
+            wanted.collect()
+        };
+        for seed in wanted {
             println!(
                 "{}",
-                serde_json::to_string(&fuzz::scenario(*seed)).unwrap_or_default()
+                serde_json::to_string(&fuzz::scenario(seed)).unwrap_or_default()
             );
         }
     }
--- a/crates/alderglade-standin/src/scenario.rs
+++ b/crates/alderglade-standin/src/scenario.rs
@@ -75,6 +75,8 @@
 pub struct Expect {
     /// Requests of each group that finish, at least.
     pub finished: BTreeMap<Name, usize>,
+    /// Requests of each group that fail without their host being lost, at most.
+    pub failed_at_most: BTreeMap<Name, usize>,
     /// Runs of each booking's key, exactly.
     pub runs: BTreeMap<Name, u32>,
     /// Every key was run by the end: none is held by a request that was never sent.
@@ -195,6 +197,21 @@
             unmet.push(format!("{finished} of {group} finished, expected {least}"));
         }
     }
+    for (group, most) in &expect.failed_at_most {
+        let of_group = world
+            .ledger
+            .fates
+            .values()
+            .filter(|fate| fate.group == *group);
+        let failed = of_group
+            .filter(|fate| matches!(fate.answer, Some(Some(_))))
+            .count();
+        if failed > *most {
+            unmet.push(format!(
+                "{failed} of {group} failed, expected {most} at most"
+            ));
+        }
+    }
     for (key, wanted) in &expect.runs {
         let runs = world.ledger.runs.get(key).copied().unwrap_or(0);
         if runs != *wanted {
--- a/crates/alderglade-standin/src/world/hosts.rs
+++ b/crates/alderglade-standin/src/world/hosts.rs
@@ -33,6 +33,8 @@
     pub stalled_until: Time,
     /// When it was told to stop.
     pub draining_since: Option<Time>,
+    /// The revision that this start of it has in force.
+    pub revision: u64,
     /// The highest revision it ever had in force, across restarts.
     pub highest_revision: u64,
 }
@@ -63,6 +65,7 @@
                 frozen_until: Time(0),
                 stalled_until: Time(0),
                 draining_since: None,
+                revision: 0,
                 highest_revision,
             },
         );
@@ -182,7 +185,9 @@
         };
         let revision = node.tree().revision;
         let ready = node.is_ready();
-        if ready && revision < host.highest_revision {
+        let reverted = revision < host.revision;
+        host.revision = revision;
+        if reverted || ready && revision < host.highest_revision {
             self.ledger.reverted(name, revision, host.highest_revision);
         }
         host.highest_revision = host.highest_revision.max(revision);
