--- a/crates/alderglade-core/src/cell.rs
+++ b/crates/alderglade-core/src/cell.rs
@@ -145,6 +145,13 @@
 /// How fast the measured short load follows.
 const BUSY_WINDOW: Duration = Duration::from_secs(2);
 
+/// What was granted to a request.
+#[derive(Debug, Default)]
+struct Granted {
+    attempt: u32,
+    engines: Vec<Name>,
+}
+
 /// The home's state of one cell. All of it is soft: a new home starts empty and learns.
 #[derive(Debug)]
 pub struct Cell {
@@ -154,7 +161,7 @@
     admits: bool,
     queue: Queue,
     engines: Pool,
-    granted: HashMap<Id, Vec<Name>>,
+    granted: HashMap<Id, Granted>,
     departed: HashMap<Id, Time>,
     forming: Option<Gang>,
     hold: Average,
@@ -251,11 +258,13 @@
     /// Takes a request from an entry host. A request that is here already is left as it is.
     pub fn enqueue(&mut self, from: &Name, ticket: Ticket, now: Time) {
         let (request, attempt) = (ticket.id, ticket.attempt);
-        let forming = self.is_forming(request);
-        if self.queue.contains(request) || forming || self.granted.contains_key(&request) {
+        if self.queue.contains(request) || self.is_forming(request) {
             self.note_queued(from, request, attempt);
             return;
         }
+        if self.grant_again(from, request, attempt, now) {
+            return;
+        }
         if let Err(refusal) = self.admit(&ticket, now) {
             let to = from.clone();
             self.actions.push(Action::Refuse {
@@ -279,6 +288,25 @@
         }
     }
 
+    /// Repeats a grant whose news was lost. A newer try means that the news of the older one's end
+    /// was lost.
+    fn grant_again(&mut self, to: &Name, request: Id, attempt: u32, now: Time) -> bool {
+        let Some(granted) = self.granted.get(&request) else {
+            return false;
+        };
+        if granted.attempt < attempt {
+            self.done(request, End::Left, now);
+            return false;
+        }
+        self.actions.push(Action::Grant {
+            to: to.clone(),
+            request,
+            attempt,
+            engines: granted.engines.clone(),
+        });
+        true
+    }
+
     fn note_queued(&mut self, to: &Name, request: Id, attempt: u32) {
         let to = to.clone();
         self.actions.push(Action::Queued {
--- a/crates/alderglade-core/src/cell/grants.rs
+++ b/crates/alderglade-core/src/cell/grants.rs
@@ -1,6 +1,6 @@
 //! Granting: the request that goes next meets an engine with room.
 
-use super::{Action, Cell, End, HEADS};
+use super::{Action, Cell, End, Granted, HEADS};
 use crate::Name;
 use crate::admission;
 use crate::book::Running;
@@ -140,7 +140,11 @@
 
     /// Tells the entry host to send its request.
     pub(super) fn announce(&mut self, entry: &Entry, engines: Vec<Name>) {
-        self.granted.insert(entry.ticket.id, engines.clone());
+        let granted = Granted {
+            attempt: entry.ticket.attempt,
+            engines: engines.clone(),
+        };
+        self.granted.insert(entry.ticket.id, granted);
         self.actions.push(Action::Grant {
             to: entry.from.clone(),
             request: entry.ticket.id,
@@ -156,10 +160,10 @@
 
     /// Notes that a request's first token has come.
     pub fn first_token(&mut self, request: Id, now: Time) {
-        let Some(engines) = self.granted.get(&request) else {
+        let Some(granted) = self.granted.get(&request) else {
             return;
         };
-        for name in engines {
+        for name in &granted.engines {
             self.engines
                 .change(name, |engine| engine.first_token(request));
         }
@@ -168,7 +172,7 @@
 
     /// Notes that a granted request has left its engines.
     pub fn done(&mut self, request: Id, end: End, now: Time) {
-        let Some(engines) = self.granted.remove(&request) else {
+        let Some(Granted { engines, .. }) = self.granted.remove(&request) else {
             return;
         };
         self.departed.insert(request, now);
--- a/crates/alderglade-core/src/cell/reports.rs
+++ b/crates/alderglade-core/src/cell/reports.rs
@@ -49,7 +49,11 @@
         }
         self.engines
             .change(name, |engine| adopt(engine, holding, now));
-        self.granted.entry(id).or_default().push(name.clone());
+        self.granted
+            .entry(id)
+            .or_default()
+            .engines
+            .push(name.clone());
         self.actions.push(Action::Verify {
             to: holding.holder.clone(),
             engine: name.clone(),
@@ -106,7 +110,7 @@
     }
 
     fn forget(&mut self, request: Id) {
-        for name in self.granted.remove(&request).unwrap_or_default() {
+        for name in self.granted.remove(&request).unwrap_or_default().engines {
             self.engines.change(&name, |engine| engine.release(request));
         }
     }
--- a/crates/alderglade-core/src/node/progress.rs
+++ b/crates/alderglade-core/src/node/progress.rs
@@ -14,6 +14,8 @@
 
 /// A home that doesn't confirm a queued request within this time is asked again.
 const QUEUED_ANSWER: Duration = Duration::from_millis(300);
+/// A queued request is sent again this often: the home repeats a grant whose news was lost.
+const QUEUED_AGAIN: Duration = Duration::from_secs(2);
 /// Tries after "no room" that one request gets, beside the budget for real failures.
 const MOST_TRIES: u32 = 12;
 
@@ -410,8 +412,9 @@
                 sent,
                 queued,
             } => {
-                let due = !queued && self.now.since(sent) >= QUEUED_ANSWER;
-                self.follow_home(request, cell, home, due);
+                let pause = if queued { QUEUED_AGAIN } else { QUEUED_ANSWER };
+                let due = self.now.since(sent) >= pause;
+                self.follow_home(request, cell, home, queued, due);
             }
             Stage::Claiming { home, sent, .. } => self.tick_claiming(request, &home, sent),
             Stage::Asking | Stage::Running { .. } => {}
@@ -419,8 +422,8 @@
     }
 
     /// Moves a waiting request to the cell's new home, or asks the silent home again.
-    fn follow_home(&mut self, request: Id, cell: Key, home: Name, due: bool) {
-        if due && cell.domain != self.view.own().domain {
+    fn follow_home(&mut self, request: Id, cell: Key, home: Name, queued: bool, due: bool) {
+        if due && !queued && cell.domain != self.view.own().domain {
             self.view.note_silent(&home, self.now);
         }
         let moved = self.cell_home(&cell).is_none_or(|new| new != home);
--- a/crates/alderglade-standin/src/world.rs
+++ b/crates/alderglade-standin/src/world.rs
@@ -30,6 +30,8 @@
 use alderglade_core::time::Time;
 use check::Ledger;
 use fault::Fault;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use requests::Caller;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -264,6 +266,7 @@
     pub(crate) plan: Plan,
     pub(crate) now: Time,
     order: u64,
+    random: ChaCha8Rng,
     queue: BinaryHeap<Reverse<Due>>,
     pub(crate) hosts: BTreeMap<Name, hosts::HostAt>,
     pub(crate) engines: BTreeMap<Name, EngineAt>,
@@ -283,6 +286,7 @@
         let mut world = World {
             now: Time(0),
             order: 0,
+            random: ChaCha8Rng::seed_from_u64(plan.seed),
             queue: BinaryHeap::new(),
             hosts: BTreeMap::new(),
             engines: BTreeMap::new(),
@@ -423,6 +427,12 @@
         self.now = end;
     }
 
+    /// Says whether a message between hosts is lost now.
+    pub(crate) fn loses_message(&mut self) -> bool {
+        let share = self.network.lost_per_mille;
+        share > 0 && self.random.random_range(0..1_000) < share
+    }
+
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Tick { host, incarnation } => self.tick_host(host, incarnation),
--- a/crates/alderglade-standin/src/world/fault.rs
+++ b/crates/alderglade-standin/src/world/fault.rs
@@ -43,6 +43,8 @@
     Cut(Name, Name),
     /// They can again.
     Mend(Name, Name),
+    /// Messages between hosts are lost at random.
+    LoseMessages { per_mille: u32 },
     /// All ways are mended.
     MendAll,
     /// The platform gives no answers.
@@ -109,6 +111,7 @@
             }
             Fault::Cut(a, b) => self.network.set_cut(&a, &b, true),
             Fault::Mend(a, b) => self.network.set_cut(&a, &b, false),
+            Fault::LoseMessages { per_mille } => self.network.lost_per_mille = per_mille,
             Fault::MendAll => self.network.mend(),
             Fault::PlatformDown => self.platform.down = true,
             Fault::PlatformUp => {
--- a/crates/alderglade-standin/src/world/hosts.rs
+++ b/crates/alderglade-standin/src/world/hosts.rs
@@ -253,6 +253,9 @@
             );
             return;
         };
+        if self.loses_message() {
+            return;
+        }
         let (from, message) = (name.clone(), Box::new(message));
         self.after(way, Happening::Message { to, from, message });
     }
--- a/crates/alderglade-standin/src/world/network.rs
+++ b/crates/alderglade-standin/src/world/network.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Network {
     cuts: BTreeSet<(Name, Name)>,
+    /// The share of messages between hosts that are lost, in thousandths.
+    pub(crate) lost_per_mille: u32,
 }
 
 impl Network {
@@ -29,6 +31,7 @@
     /// Mends everything.
     pub(crate) fn mend(&mut self) {
         self.cuts.clear();
+        self.lost_per_mille = 0;
     }
 
     fn is_cut(&self, a: &Name, b: &Name) -> bool {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests by feature.
 
+mod docs;
 mod faults;
 mod fleet;
 mod operators;
