Use the typed life cycle where answers are made; split what had grown large; poll engines less

Change: each request's thread holds its typed life; as long as nothing was sent a failure says that it did not run, whatever the table says, except where it speaks of an earlier request with the same key (KeyInFlight, KeyExpired, ContactLost; the booking tests caught that). Ledger, tries, arrivals and engine calls have files of their own. Engines are polled twice a second in place of four times, pages and orders look less often. A request's again() is gone: nothing used it, and its test with it; a test of what was sent takes its place. Ruled out as the cost: heartbeats (0.1% of a core at 36 hosts, without sockets).

--- a/crates/alderglade-core/src/error.rs
+++ b/crates/alderglade-core/src/error.rs
@@ -213,4 +213,13 @@
     pub fn label(self) -> &'static str {
         self.row().label
     }
+
+    /// Says whether the answer speaks of an earlier request with the same key, which may have run
+    /// although this one was not sent.
+    pub fn is_about_earlier(self) -> bool {
+        matches!(
+            self,
+            Kind::KeyInFlight | Kind::KeyExpired | Kind::ContactLost
+        )
+    }
 }
--- a/crates/alderglade-core/src/node.rs
+++ b/crates/alderglade-core/src/node.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Node::handle`] is the only way in. It is driven by the daemon's control thread and, in
 //! scenarios, by a virtual clock. The parts: [`submit`](self) takes requests and finds them a
-//! cell, `progress` follows them to their answer, `homes` runs the cells whose home this host
+//! cell, `progress` follows them to their answer, `tries` decides
+//! what the end of a try means, `homes` runs the cells whose home this host
 //! is, `peers` keeps the view of the other hosts, `claims` keeps the ledger.
 
 mod claims;
@@ -11,6 +12,7 @@
 mod progress;
 mod servers;
 mod submit;
+mod tries;
 
 use crate::Name;
 use crate::book::Report;
--- a/crates/alderglade-core/src/request.rs
+++ b/crates/alderglade-core/src/request.rs
@@ -150,9 +150,12 @@
 impl<S: NotSent> Request<S> {
     /// Ends the request with an answer that says it did not run.
     ///
-    /// The kind's own word on `ran` gives way: what was not sent did not run.
+    /// The kind's own word on `ran` gives way: what was not sent did not run. Only an answer about
+    /// an earlier request with the same key keeps its word.
     pub fn refuse(self, mut refusal: Refusal) -> Request<Answered> {
-        refusal.ran = Ran::No;
+        if !refusal.kind.is_about_earlier() {
+            refusal.ran = Ran::No;
+        }
         self.turn(Answered {
             failure: Some(refusal),
         })
@@ -202,12 +205,4 @@
             failure: Some(refusal),
         })
     }
-
-    /// Takes the request back to wait again, on the backend's own word that it did not start, or
-    /// to resume where a repeatable answer broke off.
-    pub fn again(mut self, failed: Option<Name>) -> Request<Admitted> {
-        self.ticket.attempt += 1;
-        self.ticket.avoid = failed;
-        self.turn(Admitted)
-    }
 }
--- a/crates/alderglade-core/tests/testsuite/request.rs
+++ b/crates/alderglade-core/tests/testsuite/request.rs
@@ -26,34 +26,37 @@
 #[test]
 fn what_was_not_sent_is_refused_as_not_run() {
     let received = Request::receive(ticket(1, "w", Lane::Urgent, 10, 1), Time(5));
-    let lost = Refusal::new(Kind::ContactLost, Duration::ZERO);
-    assert_eq!(lost.ran, Ran::Unknown);
-    let answered = received.admit().refuse(lost);
+    let expired = Refusal::new(Kind::ExpiredRunning, Duration::ZERO);
+    assert_eq!(expired.ran, Ran::Unknown);
+    let answered = received.admit().refuse(expired);
     assert_eq!(
         answered.state.failure.map(|refusal| refusal.ran),
         Some(Ran::No)
     );
+    // An answer about an earlier request with the same key says what is known of that one.
+    let received = Request::receive(ticket(1, "w", Lane::Urgent, 10, 1), Time(5));
+    let held = received
+        .admit()
+        .refuse(Refusal::new(Kind::KeyInFlight, Duration::ZERO));
+    assert_eq!(
+        held.state.failure.map(|refusal| refusal.ran),
+        Some(Ran::Unknown)
+    );
 }
 
 #[test]
-fn a_try_that_is_repeated_counts_and_avoids_the_engine_that_failed() {
+fn what_was_sent_is_answered_as_its_backend_said() {
     let request = Request::receive(ticket(1, "w", Lane::Urgent, 10, 1), Time(5));
-    let again = request
-        .admit()
-        .place(vec!["e1".into()])
-        .dispatch()
-        .again(Some("e1".into()));
-    assert_eq!(again.ticket.attempt, 2);
-    assert_eq!(again.ticket.avoid.as_deref(), Some("e1"));
-    assert!(
-        again
-            .place(vec!["e2".into()])
-            .dispatch()
-            .finish()
-            .state
-            .failure
-            .is_none()
+    let sent = request.admit().place(vec!["e1".into()]).dispatch();
+    let failed = sent.fail(Refusal::new(Kind::BackendFailed, Duration::ZERO));
+    assert_eq!(
+        failed.state.failure.map(|refusal| refusal.ran),
+        Some(Ran::Yes)
     );
+    let request = Request::receive(ticket(2, "w", Lane::Urgent, 10, 1), Time(5));
+    let sent = request.admit().place(vec!["e1".into()]).dispatch();
+    assert_eq!(sent.state.engines, ["e1".into()]);
+    assert!(sent.finish().state.failure.is_none());
 }
 
 #[test]
--- a/crates/alderglade-operator/src/pages.rs
+++ b/crates/alderglade-operator/src/pages.rs
@@ -13,7 +13,7 @@
 /// Threads that serve pages.
 const THREADS: usize = 4;
 /// How often the serving thread looks for an end.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(500);
 
 /// Why pages can't be served.
 #[derive(Debug, Snafu)]
--- a/crates/alderglade-standin/src/scenario.rs
+++ b/crates/alderglade-standin/src/scenario.rs
@@ -4,7 +4,7 @@
 //! in every run; a file adds what it expects beyond them, and names the guards without which the
 //! run has to fail, so that a proof that can't fail is noticed.
 
-use crate::experiment::{Group, Timed, arrivals_of_groups};
+use crate::experiment::{Group, Timed, arrivals};
 use crate::world::requests::Caller;
 use crate::world::{Guard, Plan, World};
 use alderglade_core::Name;
@@ -139,7 +139,7 @@
         ..Plan::default()
     });
     world.run_until(Time(0) + SETTLE);
-    let arrivals = arrivals_of_groups(
+    let asked = arrivals::of_groups(
         &scenario.groups,
         &scenario.domains,
         scenario.hosts_each,
@@ -147,7 +147,7 @@
         scenario.load_seconds.unwrap_or(scenario.seconds),
         scenario.seed,
     );
-    for (at, caller) in arrivals {
+    for (at, caller) in asked {
         world.ask(at + SETTLE, caller);
     }
     for booking in &scenario.bookings {
--- a/crates/alderglade-standin/src/world.rs
+++ b/crates/alderglade-standin/src/world.rs
@@ -5,6 +5,7 @@
 //! service, the network and the callers are fakes of a few lines. Everything random comes from
 //! one seed, so a run gives the same result every time.
 
+mod calls;
 pub mod check;
 mod engines;
 pub mod fault;
@@ -41,7 +42,7 @@
 /// Hosts let time pass this often.
 const TICK: Duration = Duration::from_millis(20);
 /// Load reports are fetched this often.
-const POLL: Duration = Duration::from_millis(250);
+const POLL: Duration = Duration::from_millis(500);
 /// Wall clock at the start, in milliseconds of the Unix epoch.
 pub const EPOCH_MS: u64 = 1_800_000_000_000;
 
--- a/src/entry/engines.rs
+++ b/src/entry/engines.rs
@@ -19,9 +19,9 @@
 use std::time::Duration;
 
 /// Load reports are fetched this often.
-const POLL: Duration = Duration::from_millis(250);
+const POLL: Duration = Duration::from_millis(500);
 /// The set of engines to poll is looked at this often.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(500);
 /// Threads that reserve and cancel.
 const THREADS: usize = 12;
 /// A cancel is tried this often before it is left to the sweep.
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 /// Time is let pass this often.
-const TICK: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(500);
 /// Orders given at once, so that weight loads stay below the weight store's rate.
 const AT_ONCE: usize = 1;
 /// Pause between orders.
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -5,6 +5,7 @@
 
 mod call;
 mod generate;
+mod life;
 
 use super::control::{Input, Instruction};
 use super::engines::Engines;
@@ -20,9 +21,11 @@
 use alderglade_core::ledger::Claim;
 use alderglade_core::limit::Rate;
 use alderglade_core::node::{Ended, Event};
-use alderglade_core::request::{Id, Prefix, Refusal, Ticket};
+use alderglade_core::request::{self, Id, Prefix, Refusal, Ticket};
+use alderglade_core::time::Time;
 use alderglade_operator::event;
 use alderglade_operator::metrics::Metrics;
+use life::Life;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -78,6 +81,7 @@
     deadline: Instant,
     instructions: Receiver<Instruction>,
     usage: Usage,
+    life: Option<Life>,
 }
 
 impl Handler for Traffic {
@@ -180,6 +184,7 @@
             prompt_tokens: submission.ticket.prompt,
             ..Usage::default()
         };
+        let received = request::Request::receive(submission.ticket.clone(), Time::NEVER);
         let submission = Box::new(submission);
         self.tell(Input::Submit { submission, thread });
         Pending {
@@ -187,6 +192,7 @@
             deadline,
             instructions,
             usage,
+            life: Some(Life::Unsent(received.admit())),
         }
     }
 
@@ -213,10 +219,21 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Moves the request's life on.
+    fn turn(&mut self, turn: impl FnOnce(Life) -> Life) {
+        self.life = self.life.take().map(turn);
+    }
+
+    /// Ends the request with a failure and gives what is to be said of it.
+    fn fail(&mut self, refusal: Refusal) -> Refusal {
+        self.turn(|life| life.fail(refusal));
+        let said = self.life.as_ref().and_then(Life::failure);
+        said.unwrap_or(refusal)
+    }
+
     /// Waits for what to do next; the time being up is an answer, too.
-    ///
-    /// `sent` says whether the request may have run already.
-    fn next(&self, sent: bool) -> Instruction {
+    fn next(&self) -> Instruction {
+        let sent = self.life.as_ref().is_some_and(Life::is_sent);
         match self.instructions.recv_timeout(self.left() + GRACE) {
             Ok(instruction) => instruction,
             Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
--- a/src/entry/traffic/call.rs
+++ b/src/entry/traffic/call.rs
@@ -93,20 +93,21 @@
 
 /// Serves a call to a plain service.
 pub(super) fn serve(traffic: &Traffic, mut answer: Answer, ask: Ask) {
-    let pending = traffic.submit(&ask.snapshot, ask.shape());
-    let mut sent = false;
+    let mut pending = traffic.submit(&ask.snapshot, ask.shape());
     loop {
-        match pending.next(sent) {
+        match pending.next() {
             Instruction::Call { attempt, server } => {
-                sent = true;
+                pending.turn(|life| life.dispatch(std::slice::from_ref(&server)));
                 if attempt_call(traffic, &mut answer, &ask, &pending, attempt, &server) {
                     return;
                 }
             }
             Instruction::Refuse(refusal) => {
-                return refuse(traffic, &mut answer, &pending, refusal);
+                return refuse(traffic, &mut answer, &mut pending, refusal);
+            }
+            Instruction::Replay(outcome) => {
+                return replay(traffic, &mut answer, &mut pending, outcome);
             }
-            Instruction::Replay(outcome) => return replay(traffic, &mut answer, &pending, outcome),
             Instruction::Start { attempt, .. } => {
                 traffic.ended(pending.id, attempt, Ended::Unreached);
             }
@@ -171,13 +172,14 @@
     answer.pass_on(pending.id, status, body);
 }
 
-fn refuse(traffic: &Traffic, answer: &mut Answer, pending: &Pending, refusal: Refusal) {
+fn refuse(traffic: &Traffic, answer: &mut Answer, pending: &mut Pending, refusal: Refusal) {
     traffic.gone(pending.id);
+    let refusal = pending.fail(refusal);
     traffic.answer_failure(answer, pending.id, refusal, None, pending.usage);
 }
 
 /// Answers what the first call of the same key was answered.
-fn replay(traffic: &Traffic, answer: &mut Answer, pending: &Pending, outcome: Outcome) {
+fn replay(traffic: &Traffic, answer: &mut Answer, pending: &mut Pending, outcome: Outcome) {
     match outcome {
         Outcome::Answered { status, body } => {
             let text = body.unwrap_or_else(|| "the first call ran; its answer is not kept".into());
--- a/src/entry/traffic/generate.rs
+++ b/src/entry/traffic/generate.rs
@@ -1,5 +1,6 @@
 //! A request for tokens.
 
+use super::life::Life;
 use super::{
     COME_BACK, Instruction, Pending, Shape, Snapshot, Traffic, allows, check_class, claim,
 };
@@ -144,11 +145,10 @@
 impl Run<'_> {
     /// Does what the control thread says until the request is answered.
     fn follow(mut self) {
-        let mut sent = false;
         loop {
-            match self.pending.next(sent) {
+            match self.pending.next() {
                 Instruction::Start { attempt, engines } => {
-                    sent = true;
+                    self.pending.turn(|life| life.dispatch(&engines));
                     if self.attempt(attempt, &engines) {
                         return;
                     }
@@ -204,6 +204,7 @@
         let outcome = Outcome::Answered { status: 200, body };
         self.traffic
             .ended(id, attempt, Ended::Finished { tokens, outcome });
+        self.pending.turn(Life::finish);
         self.answer
             .close(200, &Closing::finished(id, self.pending.usage));
         self.traffic
@@ -309,6 +310,7 @@
     fn refuse(mut self, refusal: Refusal) {
         // The control thread may not have heard that the time is up.
         self.traffic.gone(self.pending.id);
+        let refusal = self.pending.fail(refusal);
         let usage = self.pending.usage;
         self.traffic
             .answer_failure(&mut self.answer, self.pending.id, refusal, None, usage);
