Send peers patches of settings, and lend a cut-off domain only its part of a rate

Change: peers send what differs, up to 32 revisions back. Change: a substitute lends its domain's part. Ruled out: the hosts' fallback parts (they are used for 60 ms only). Also: clients of engines survive new settings, with their open connections.

--- a/crates/alderglade-backend/src/engine.rs
+++ b/crates/alderglade-backend/src/engine.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Gives the engine's address.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     /// Starts an answer; its lines are read from what this gives.
     ///
     /// `limits` bound the whole answer and each pause in it.
--- a/crates/alderglade-core/src/limit.rs
+++ b/crates/alderglade-core/src/limit.rs
@@ -83,6 +83,11 @@
         self.0.requests.is_infinite() && self.0.tokens.is_infinite()
     }
 
+    /// Gives a part of the rate, in thousandths.
+    pub fn per_mille(self, share: u64) -> Rate {
+        Rate(self.0.times(share as f64 / 1_000.0))
+    }
+
     fn part(self, hosts: usize) -> Rate {
         Rate(self.0.times(1.0 / hosts.max(1) as f64))
     }
--- a/crates/alderglade-core/src/membership.rs
+++ b/crates/alderglade-core/src/membership.rs
@@ -293,6 +293,21 @@
         best.unwrap_or(&self.own).name.clone()
     }
 
+    /// Says whether this host would be home of `key` if all hosts of other domains answered, and is
+    /// no mere substitute for one that can't be reached.
+    pub fn is_first_home(&self, key: &str, now: Time) -> bool {
+        let near = self.live_peers(now).filter(|card| !card.leaving);
+        let far = self.others.values().map(|seen| &seen.card);
+        let far = far.filter(|card| card.domain != self.own.domain && !card.leaving);
+        let own = rank(&self.own.name, key);
+        near.chain(far).all(|card| rank(&card.name, key) <= own)
+    }
+
+    /// Gives the part of the fleet's hosts that the own domain has, in thousandths.
+    pub fn domain_per_mille(&self) -> u64 {
+        (self.domain_hosts() * 1_000 / self.fleet_count()) as u64
+    }
+
     /// Gives how many entry hosts the fleet has, as far as is known.
     pub fn fleet_count(&self) -> usize {
         1 + self.others.len()
--- a/crates/alderglade-core/src/message.rs
+++ b/crates/alderglade-core/src/message.rs
@@ -10,6 +10,7 @@
 use crate::membership::Card;
 use crate::request::{Id, Refusal, Ticket};
 use crate::settings::Tree;
+use crate::settings::patch::Patch;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -158,6 +159,8 @@
         /// The newest revision that the sender has.
         revision: u64,
     },
-    /// Newer settings.
+    /// Newer settings as a whole.
     Settings(Arc<Tree>),
+    /// What leads to newer settings, one revision after the other.
+    Patches(Vec<Arc<Patch>>),
 }
--- a/crates/alderglade-core/src/node.rs
+++ b/crates/alderglade-core/src/node.rs
@@ -27,6 +27,7 @@
 use crate::request::{Id, Refusal};
 use crate::retry::Budget;
 use crate::settings::Tree;
+use crate::settings::patch::Patch;
 use crate::slo;
 use crate::time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -237,6 +238,7 @@
     now: Time,
     wall_ms: u64,
     tree: Arc<Tree>,
+    patches: VecDeque<Arc<Patch>>,
     cells: BTreeMap<Key, Vec<Name>>,
     view: View,
     homes: BTreeMap<Key, Cell>,
@@ -268,6 +270,7 @@
             now,
             wall_ms: 0,
             tree: Arc::default(),
+            patches: VecDeque::new(),
             cells: BTreeMap::new(),
             view: View::new(config.card, now),
             homes: BTreeMap::new(),
@@ -466,6 +469,7 @@
             return;
         }
         self.view.own_mut().revision = tree.revision;
+        self.remember_patch(&tree);
         self.cells = crate::cell::split(&tree);
         self.tree = tree;
         self.shares.clear();
--- a/crates/alderglade-core/src/node/peers.rs
+++ b/crates/alderglade-core/src/node/peers.rs
@@ -7,12 +7,17 @@
 use crate::membership::{Card, Change};
 use crate::message::{Heartbeat, Message};
 use crate::request::Id;
+use crate::settings::Tree;
+use crate::settings::patch::Patch;
 use crate::time::Time;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A word that a server is leaving counts this long unless it is repeated.
 const LEAVING_LIFE: Duration = Duration::from_secs(60);
+/// Patches kept for peers that are behind.
+const MOST_PATCHES: usize = 32;
 /// Settings are asked for again after this long.
 const SETTINGS_ANSWER: Duration = Duration::from_millis(500);
 
@@ -195,10 +200,41 @@
         }
     }
 
+    /// Keeps what leads to a new revision, for peers that are a little behind.
+    pub(super) fn remember_patch(&mut self, newer: &Tree) {
+        self.patches
+            .push_back(Arc::new(Patch::between(&self.tree, newer)));
+        if self.patches.len() > MOST_PATCHES {
+            self.patches.pop_front();
+        }
+    }
+
+    /// Gives a peer what it lacks: a few patches, or the whole tree where they don't reach back.
     fn give_settings(&mut self, from: &Name, revision: u64) {
-        if self.tree.revision > revision {
-            let tree = self.tree.clone();
-            self.send(from, Message::Settings(tree));
+        if self.tree.revision <= revision {
+            return;
+        }
+        let newer = self
+            .patches
+            .iter()
+            .skip_while(|patch| patch.base != revision);
+        let patches: Vec<Arc<Patch>> = newer.cloned().collect();
+        let message = if patches.is_empty() || revision == 0 {
+            Message::Settings(self.tree.clone())
+        } else {
+            Message::Patches(patches)
+        };
+        self.send(from, message);
+    }
+
+    fn take_patches(&mut self, patches: &[Arc<Patch>]) {
+        let mut newer = None;
+        for patch in patches {
+            let base = newer.as_ref().unwrap_or(self.tree.as_ref());
+            newer = patch.apply(base).or(newer);
+        }
+        if let Some(tree) = newer {
+            self.take_settings(Arc::new(tree));
         }
     }
 
@@ -281,6 +317,7 @@
             Message::Settled { request } => self.confirmed(request),
             Message::WantSettings { revision } => self.give_settings(&from, revision),
             Message::Settings(tree) => self.take_settings(tree),
+            Message::Patches(patches) => self.take_patches(&patches),
         }
     }
 
--- a/crates/alderglade-core/src/node/submit.rs
+++ b/crates/alderglade-core/src/node/submit.rs
@@ -91,13 +91,22 @@
     }
 
     fn limit_home(&self, workspace: &str) -> Name {
-        self.view
-            .fleet_home(&format!("limit/{workspace}"), self.now)
+        self.view.fleet_home(&limit_key(workspace), self.now)
     }
 
     /// Lends a slice, as the home of the workspace's rate.
+    ///
+    /// A substitute for a home that can't be reached lends the own domain's part of the rate only:
+    /// the other domains, cut off from this one, have substitutes of their own.
     pub(super) fn lend(&mut self, from: &Name, workspace: Name, cost: Cost) {
-        let rate = self.workspace_rate(&workspace);
+        let whole = self.workspace_rate(&workspace);
+        let first = self.view.is_first_home(&limit_key(&workspace), self.now);
+        let share = if first {
+            1_000
+        } else {
+            self.view.domain_per_mille()
+        };
+        let rate = whole.per_mille(share);
         let now = self.now;
         let loan = self
             .loans
@@ -371,6 +380,10 @@
     }
 }
 
+fn limit_key(workspace: &str) -> String {
+    format!("limit/{workspace}")
+}
+
 fn would_serve(digest: &Digest, ticket: &Ticket) -> bool {
     let wait = digest.waits[ticket.lane.index()];
     let room = digest.open > 0 && digest.largest >= ticket.need();
--- a/crates/alderglade-core/src/settings/mod.rs
+++ b/crates/alderglade-core/src/settings/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! A lower branch inherits from the one above unless it says otherwise. [`tree`] holds the shapes
 //! that operators write, [`policy`] resolves one request's values through the branches and
-//! [`check`] finds what is wrong before a tree is accepted.
+//! [`check`] finds what is wrong before a tree is accepted; [`patch`] is what moves between hosts.
 
 pub mod check;
+pub mod patch;
 pub mod policy;
 pub mod tree;
 
--- a/crates/alderglade-core/tests/testsuite/settings.rs
+++ b/crates/alderglade-core/tests/testsuite/settings.rs
@@ -3,6 +3,7 @@
 use crate::each_seed;
 use alderglade_core::settings::Policy;
 use alderglade_core::settings::check::{check, read};
+use alderglade_core::settings::patch::Patch;
 use alderglade_core::settings::policy::authenticate;
 use alderglade_core::settings::tree::{Branch, Fleet, Tree, Workspace};
 use sha2::{Digest, Sha256};
@@ -54,6 +55,38 @@
     });
 }
 
+#[test]
+fn a_patch_leads_from_any_tree_to_any_other() {
+    each_seed(200, |u| {
+        let mut trees = Vec::new();
+        for revision in 1..3 {
+            let mut tree = Tree {
+                revision,
+                ..Tree::default()
+            };
+            for number in 0..u.int_in_range(0..=6)? {
+                let name = format!("w{}", u.int_in_range(0..=6)?);
+                let own = Workspace {
+                    policy: policy(Some(u.int_in_range(1..=2)?)),
+                    ..Workspace::default()
+                };
+                tree.workspaces.insert(name.as_str().into(), own);
+                let text = format!(
+                    r#"{{"model": "m", "domain": "d", "address": "a", "kv_tokens": {number}, "max_batch": 1}}"#
+                );
+                let engine = read(&text).expect("readable");
+                tree.fleet.engines.insert(name.as_str().into(), engine);
+            }
+            tree.fleet.policy = policy(u.arbitrary::<bool>()?.then_some(2));
+            trees.push(tree);
+        }
+        let patch = Patch::between(&trees[0], &trees[1]);
+        assert_eq!(patch.apply(&trees[0]).as_ref(), Some(&trees[1]));
+        assert_eq!(patch.apply(&trees[1]), None, "it changes another revision");
+        Ok(())
+    });
+}
+
 #[test]
 fn faults_name_the_path_and_what_was_expected() {
     let unknown =
--- a/crates/alderglade-standin/src/fuzz.rs
+++ b/crates/alderglade-standin/src/fuzz.rs
@@ -86,6 +86,7 @@
             list_lag_ms: self.random.random_range(500..30_000),
             seed,
             load_seconds: Some(LOAD_SECONDS),
+            requests_per_second: None,
             groups: self.groups(),
             bookings: self.bookings(),
             faults,
--- a/crates/alderglade-standin/src/measure.rs
+++ b/crates/alderglade-standin/src/measure.rs
@@ -18,6 +18,7 @@
 use alderglade_core::placement;
 use alderglade_core::request::{Id, Ticket};
 use alderglade_core::settings::Tree;
+use alderglade_core::settings::patch::Patch;
 use alderglade_core::slo::{Log, Sample};
 use alderglade_core::time::Time;
 use serde::Serialize;
@@ -334,6 +335,29 @@
             .map(|workspace| serde_json::to_string(workspace).unwrap_or_default().len() + 24)
             .sum();
         let fleet = text.len() - branch.min(text.len());
+        let mut changed = made.clone();
+        changed.revision = 2;
+        if let Some(workspace) = changed.workspaces.values_mut().next() {
+            workspace.policy.weight = Some(2);
+        }
+        let began = Instant::now();
+        let patch = Patch::between(&made, &changed);
+        let patched = patch.apply(&made).map_or(0, |tree| tree.revision);
+        let patching = began.elapsed();
+        let patch = bytes(&Message::Patches(vec![Arc::new(patch)]));
+        figures.push(figure(
+            "settings, patch of one workspace",
+            &size,
+            patch as f64,
+            "bytes",
+        ));
+        figures.push(figure(
+            "settings, finding and applying it",
+            &size,
+            patching.as_secs_f64() * 1e3,
+            "ms",
+        ));
+        debug_assert_eq!(patched, changed.revision);
         let mut node = node("host-00", &tree(1, 0), Time(1));
         let mut newer = made;
         newer.revision = 2;
--- a/crates/alderglade-standin/src/scenario.rs
+++ b/crates/alderglade-standin/src/scenario.rs
@@ -40,6 +40,9 @@
     /// The seed of the arrivals.
     #[serde(default = "one")]
     pub seed: u64,
+    /// Requests that a workspace may start in a second, over all hosts.
+    #[serde(default)]
+    pub requests_per_second: Option<u64>,
     /// Groups of prompts.
     #[serde(default)]
     pub groups: Vec<Group>,
@@ -75,6 +78,8 @@
 pub struct Expect {
     /// Requests of each group that finish, at least.
     pub finished: BTreeMap<Name, usize>,
+    /// Requests of each group that finish, at most.
+    pub finished_at_most: BTreeMap<Name, usize>,
     /// Requests of each group that fail without their host being lost, at most.
     pub failed_at_most: BTreeMap<Name, usize>,
     /// Runs of each booking's key, exactly.
@@ -134,6 +139,7 @@
         hosts_each: scenario.hosts_each,
         engines_each: scenario.engines_each,
         list_lag: Duration::from_millis(scenario.list_lag_ms),
+        requests_per_second: scenario.requests_per_second,
         seed: scenario.seed,
         off: off.to_vec(),
         ..Plan::default()
@@ -147,7 +153,8 @@
         scenario.load_seconds.unwrap_or(scenario.seconds),
         scenario.seed,
     );
-    for (at, caller) in asked {
+    for (at, mut caller) in asked {
+        caller.rate = Rate::new(scenario.requests_per_second, None);
         world.ask(at + SETTLE, caller);
     }
     for booking in &scenario.bookings {
@@ -187,16 +194,19 @@
     let expect = &scenario.expect;
     let mut unmet = Vec::new();
     for (group, least) in &expect.finished {
-        let of_group = world
-            .ledger
-            .fates
-            .values()
-            .filter(|fate| fate.group == *group);
-        let finished = of_group.filter(|fate| fate.answer == Some(None)).count();
+        let finished = finished(world, group);
         if finished < *least {
             unmet.push(format!("{finished} of {group} finished, expected {least}"));
         }
     }
+    for (group, most) in &expect.finished_at_most {
+        let finished = finished(world, group);
+        if finished > *most {
+            unmet.push(format!(
+                "{finished} of {group} finished, expected {most} at most"
+            ));
+        }
+    }
     for (group, most) in &expect.failed_at_most {
         let of_group = world
             .ledger
@@ -239,6 +249,15 @@
     unmet
 }
 
+fn finished(world: &World, group: &Name) -> usize {
+    let of_group = world
+        .ledger
+        .fates
+        .values()
+        .filter(|fate| fate.group == *group);
+    of_group.filter(|fate| fate.answer == Some(None)).count()
+}
+
 /// Lists engines that hold memory for somebody.
 pub fn held_memory(world: &World) -> Vec<String> {
     let whole = world.plan().batch.kv_tokens;
--- a/crates/alderglade-standin/src/world.rs
+++ b/crates/alderglade-standin/src/world.rs
@@ -69,6 +69,8 @@
     pub list_lag: Duration,
     /// Engines that share a queue; `0` means the default.
     pub cell_engines: usize,
+    /// Requests that a workspace may start in a second, over all hosts.
+    pub requests_per_second: Option<u64>,
     /// Who schedules.
     pub scheduler: Scheduler,
     /// Guards of the core that are switched off, to see a proof fail.
@@ -117,6 +119,7 @@
             report_lag: Duration::from_millis(300),
             list_lag: Duration::from_secs(5),
             cell_engines: 0,
+            requests_per_second: None,
             scheduler: Scheduler::Alderglade,
             off: Vec::new(),
             seed: 1,
@@ -346,6 +349,7 @@
         let mut tree = crate::fleet::tree(&engines, &servers, &[]);
         tree.revision = 1;
         tree.fleet.cell_engines = self.plan.cell_engines;
+        tree.fleet.policy.requests_per_second = self.plan.requests_per_second;
         for engine in tree.fleet.engines.values_mut() {
             engine.max_batch = self.plan.batch.max_batch;
         }
--- a/src/entry/engines.rs
+++ b/src/entry/engines.rs
@@ -60,8 +60,13 @@
         if old.revision == tree.revision {
             return;
         }
+        // A client keeps its open connections as long as its engine's address stays.
+        let client = |name: &Name, address: &str| match old.by_name.get(name) {
+            Some(client) if client.address() == address => client.clone(),
+            _ => Client::new(address),
+        };
         let engines = tree.fleet.engines.iter();
-        let by_name = engines.map(|(name, e)| (name.clone(), Client::new(&e.address)));
+        let by_name = engines.map(|(name, e)| (name.clone(), client(name, &e.address)));
         self.clients.store(Arc::new(Clients {
             revision: tree.revision,
             by_name: by_name.collect(),
