--- a/crates/alderglade-core/src/node/peers.rs
+++ b/crates/alderglade-core/src/node/peers.rs
@@ -201,7 +201,12 @@
     }
 
     /// Keeps what leads to a new revision, for peers that are a little behind.
+    ///
+    /// The first settings of a host lead from nothing to everything; that is no patch to keep.
     pub(super) fn remember_patch(&mut self, newer: &Tree) {
+        if self.tree.revision == 0 {
+            return;
+        }
         self.patches
             .push_back(Arc::new(Patch::between(&self.tree, newer)));
         if self.patches.len() > MOST_PATCHES {
