--- a/crates/alderglade-operator/src/command.rs
+++ b/crates/alderglade-operator/src/command.rs
@@ -101,10 +101,10 @@
         detail: String,
     },
     /// A picture can't be drawn.
-    #[snafu(display("{detail}"))]
+    #[snafu(transparent)]
     Plot {
         /// What went wrong.
-        detail: String,
+        source: crate::plot::Error,
     },
 }
 
--- a/crates/alderglade-operator/src/command/report.rs
+++ b/crates/alderglade-operator/src/command/report.rs
@@ -28,7 +28,7 @@
         .unwrap_or_default();
     let burns = burn(&logs, now.as_millis() as u64);
     if let Some(path) = &arguments.plot {
-        plot::burn(path, &burns).map_err(|detail| Error::Plot { detail })?;
+        plot::burn(path, &burns)?;
     }
     shell.result(&burns, &table(&burns));
     Ok(())
--- a/crates/alderglade-operator/src/metrics.rs
+++ b/crates/alderglade-operator/src/metrics.rs
@@ -81,6 +81,11 @@
 }
 
 impl Metrics {
+    /// Counts an answer: `finished`, or the label of a kind of failure.
+    pub fn count_answer(&self, label: &str) {
+        self.answers.with_label_values(&[label]).inc();
+    }
+
     /// Gives all metrics as text for a scraper.
     pub fn text(&self) -> String {
         let mut text = Vec::new();
--- a/crates/alderglade-operator/src/pages.rs
+++ b/crates/alderglade-operator/src/pages.rs
@@ -45,9 +45,9 @@
     pub inflight: usize,
     /// Live hosts of the failure domain.
     pub peers: Vec<Card>,
-    /// Load of the cells whose home it is.
+    /// Load of the failure domain's cells, as last heard.
     pub cells: Vec<cell::Digest>,
-    /// What it has seen of one request's decisions.
+    /// Work of the cells whose home it is.
     #[serde(default)]
     pub backlog: Vec<Backlog>,
 }
--- a/crates/alderglade-operator/src/plot.rs
+++ b/crates/alderglade-operator/src/plot.rs
@@ -2,7 +2,18 @@
 
 use alderglade_core::slo::Burn;
 use plotters::prelude::*;
-use std::path::Path;
+use snafu::Snafu;
+use std::path::{Path, PathBuf};
+
+/// Why a picture can't be drawn.
+#[derive(Debug, Snafu)]
+#[snafu(display("can't draw {}: {cause}", path.display()))]
+pub struct Error {
+    /// The file.
+    path: PathBuf,
+    /// What the drawing library said.
+    cause: String,
+}
 
 /// Bars drawn at most.
 const MOST_BARS: usize = 20;
@@ -13,8 +24,11 @@
 /// # Errors
 ///
 /// Where the file can't be written.
-pub fn burn(path: &Path, burns: &[Burn]) -> Result<(), String> {
-    draw(path, burns).map_err(|cause| format!("can't draw {}: {cause}", path.display()))
+pub fn burn(path: &Path, burns: &[Burn]) -> Result<(), Error> {
+    draw(path, burns).map_err(|cause| Error {
+        path: path.to_path_buf(),
+        cause: cause.to_string(),
+    })
 }
 
 fn draw(path: &Path, burns: &[Burn]) -> Result<(), Box<dyn std::error::Error>> {
--- a/crates/alderglade-standin/src/command.rs
+++ b/crates/alderglade-standin/src/command.rs
@@ -10,6 +10,7 @@
 mod run;
 
 use lexopt::prelude::*;
+use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -52,13 +53,12 @@
             .unwrap_or_else(|| default.into())
     }
 
-    fn number(&self, name: &str, default: f64) -> Result<f64, String> {
+    fn number(&self, name: &str, default: f64) -> Result<f64, Failure> {
         let Some(value) = self.values.get(name) else {
             return Ok(default);
         };
-        value
-            .parse()
-            .map_err(|_| format!("--{name} is `{value}`; expected a number"))
+        let number = value.parse();
+        Ok(number.map_err(|_| format!("--{name} is `{value}`; expected a number"))?)
     }
 }
 
@@ -81,18 +81,33 @@
     "plot",
 ];
 
+/// Why a command failed, in words for the person who called it.
+#[derive(Debug, Snafu)]
+#[snafu(display("{detail}"))]
+pub(crate) struct Failure {
+    detail: String,
+}
+
+impl<T: Into<String>> From<T> for Failure {
+    fn from(detail: T) -> Failure {
+        Failure {
+            detail: detail.into(),
+        }
+    }
+}
+
 /// Runs the command line and gives the exit code.
 pub fn main(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
     match read(arguments).and_then(|(command, options)| run(&command, &options)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(detail) => {
-            eprintln!("error: {detail}\n  hint: see `alderglade-standin --help`");
+        Err(failure) => {
+            eprintln!("error: {failure}\n  hint: see `alderglade-standin --help`");
             ExitCode::FAILURE
         }
     }
 }
 
-fn read(arguments: impl IntoIterator<Item = OsString>) -> Result<(String, Options), String> {
+fn read(arguments: impl IntoIterator<Item = OsString>) -> Result<(String, Options), Failure> {
     let wrong = |error: lexopt::Error| error.to_string();
     let mut parser = lexopt::Parser::from_args(arguments);
     let mut command = String::new();
@@ -110,13 +125,13 @@
                 options.values.insert(name, value);
             }
             Value(value) if command.is_empty() => command = value.string().map_err(wrong)?,
-            other => return Err(wrong(other.unexpected())),
+            other => return Err(wrong(other.unexpected()).into()),
         }
     }
     Ok((command, options))
 }
 
-fn run(command: &str, options: &Options) -> Result<(), String> {
+fn run(command: &str, options: &Options) -> Result<(), Failure> {
     match command {
         "platform" => run::platform(options),
         "engine" => run::engine(options),
@@ -131,6 +146,6 @@
             print!("{HELP}");
             Ok(())
         }
-        other => Err(format!("no command `{other}`")),
+        other => Err(format!("no command `{other}`").into()),
     }
 }
--- a/crates/alderglade-standin/src/command/bench.rs
+++ b/crates/alderglade-standin/src/command/bench.rs
@@ -1,11 +1,11 @@
 //! Measures what one decision costs, and how it grows.
 
-use super::Options;
+use super::{Failure, Options};
 use crate::bench::{self, Cost, Size};
 
 const ROUNDS: f64 = 20_000.0;
 
-pub(super) fn run(options: &Options) -> Result<(), String> {
+pub(super) fn run(options: &Options) -> Result<(), Failure> {
     let rounds = options.number("rounds", ROUNDS)? as usize;
     let costs: Vec<Cost> = sizes()
         .into_iter()
--- a/crates/alderglade-standin/src/command/demo.rs
+++ b/crates/alderglade-standin/src/command/demo.rs
@@ -1,5 +1,6 @@
 //! A small fleet of separate processes: platform, engines, a service, six entry hosts.
 
+use super::Failure;
 use super::load::{self, Load};
 use crate::fleet::{self, EngineAt, Folder, HostFile, ServerAt};
 use crate::process::{Addresses, Listens, Process};
@@ -22,7 +23,7 @@
     entries: Vec<Addresses>,
 }
 
-pub(super) fn run() -> Result<(), String> {
+pub(super) fn run() -> Result<(), Failure> {
     let programs = Programs::find()?;
     let folder = Folder::new();
     println!(
@@ -64,15 +65,13 @@
 
 impl Programs {
     /// Finds the programs beside this one.
-    fn find() -> Result<Programs, String> {
+    fn find() -> Result<Programs, Failure> {
         let own = std::env::current_exe().map_err(|cause| cause.to_string())?;
         let folder = own.parent().unwrap_or(Path::new(".")).to_path_buf();
         let entry = folder.join("alderglade-entry");
         if !entry.exists() {
-            return Err(format!(
-                "no {}; run `cargo build --workspace` first",
-                entry.display()
-            ));
+            let hint = "run `cargo build --workspace` first";
+            return Err(format!("no {}; {hint}", entry.display()).into());
         }
         Ok(Programs {
             standin: own,
@@ -82,7 +81,7 @@
     }
 }
 
-fn start(programs: &Programs, folder: &Folder) -> Result<Demo, String> {
+fn start(programs: &Programs, folder: &Folder) -> Result<Demo, Failure> {
     let mut processes = Vec::new();
     let mut standin = |arguments: &[&str]| {
         let (process, listens) = Process::start::<Listens>(&programs.standin, arguments, true);
@@ -132,7 +131,7 @@
     })
 }
 
-fn apply(programs: &Programs, folder: &Folder, platform: &str) -> Result<(), String> {
+fn apply(programs: &Programs, folder: &Folder, platform: &str) -> Result<(), Failure> {
     let status = Command::new(&programs.command)
         .arg("apply")
         .arg(folder.path())
@@ -146,16 +145,16 @@
 }
 
 /// Puts an entry host on the platform's list.
-fn list(platform: &str, name: &str, domain: &str, addresses: &Addresses) -> Result<(), String> {
+fn list(platform: &str, name: &str, domain: &str, addresses: &Addresses) -> Result<(), Failure> {
     let object = fleet::listed_host(name, domain, addresses);
     let url = format!("http://{platform}/api/v1/nodes");
     let sent = ureq::post(&url).send_json(object);
-    sent.map(drop)
-        .map_err(|cause| format!("can't list {name}: {cause}"))
+    sent.map_err(|cause| format!("can't list {name}: {cause}"))?;
+    Ok(())
 }
 
 /// Waits until the hosts are ready and each sees its peer, so that homes have settled.
-fn wait_until_ready(entries: &[Addresses]) -> Result<(), String> {
+fn wait_until_ready(entries: &[Addresses]) -> Result<(), Failure> {
     let until = Instant::now() + READY_LIMIT;
     while Instant::now() < until {
         let ready = |host: &Addresses| {
--- a/crates/alderglade-standin/src/command/experiment.rs
+++ b/crates/alderglade-standin/src/command/experiment.rs
@@ -1,10 +1,10 @@
 //! Runs an experiment file and shows what it gave.
 
-use super::Options;
+use super::{Failure, Options};
 use crate::experiment::{self, Experiment};
 use std::path::Path;
 
-pub(super) fn run(options: &Options) -> Result<(), String> {
+pub(super) fn run(options: &Options) -> Result<(), Failure> {
     let path = options.text("file", "");
     let text =
         std::fs::read_to_string(&path).map_err(|cause| format!("can't read `{path}`: {cause}"))?;
--- a/crates/alderglade-standin/src/command/fuzz.rs
+++ b/crates/alderglade-standin/src/command/fuzz.rs
@@ -1,6 +1,6 @@
 //! Runs random fault schedules and prints the scenario of each that breaks a promise.
 
-use super::Options;
+use super::{Failure, Options};
 use crate::{fuzz, scenario};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -9,7 +9,7 @@
 /// Seeds that run at once.
 const THREADS: usize = 4;
 
-pub(super) fn run(options: &Options) -> Result<(), String> {
+pub(super) fn run(options: &Options) -> Result<(), Failure> {
     let first = options.number("seed", 1.0)? as u64;
     let count = options.number("seeds", 100.0)? as u64;
     let next = AtomicU64::new(first);
@@ -68,5 +68,5 @@
     if failures.is_empty() {
         return Ok(());
     }
-    Err(format!("{} of {count} seeds failed", failures.len()))
+    Err(format!("{} of {count} seeds failed", failures.len()).into())
 }
--- a/crates/alderglade-standin/src/command/load.rs
+++ b/crates/alderglade-standin/src/command/load.rs
@@ -1,6 +1,6 @@
 //! Sends prompts at a steady rate and prints the times to the first token per length.
 
-use super::Options;
+use super::{Failure, Options};
 use crate::client::{self, Answer, Ask};
 use crate::fleet;
 use hdrhistogram::Histogram;
@@ -46,7 +46,7 @@
     }
 }
 
-pub(super) fn run(options: &Options) -> Result<(), String> {
+pub(super) fn run(options: &Options) -> Result<(), Failure> {
     let hosts = options.text("hosts", "");
     if hosts.is_empty() {
         return Err("`load` needs --hosts ADDRESS,ADDRESS".into());
--- a/crates/alderglade-standin/src/command/measure.rs
+++ b/crates/alderglade-standin/src/command/measure.rs
@@ -1,15 +1,15 @@
 //! Measures the slopes that the capacity page rests on.
 
-use super::Options;
+use super::{Failure, Options};
 use crate::measure::{self, Figure};
 
-pub(super) fn run(options: &Options) -> Result<(), String> {
+pub(super) fn run(options: &Options) -> Result<(), Failure> {
     let mut figures = measure::run();
     if options.text("processes", "no") == "yes" {
         let own = std::env::current_exe().map_err(|cause| cause.to_string())?;
         let entry = own.with_file_name("alderglade-entry");
         if !entry.exists() {
-            return Err(format!("no {}; build the workspace first", entry.display()));
+            return Err(format!("no {}; build the workspace first", entry.display()).into());
         }
         figures.extend(measure::idle::run(&entry));
     }
--- a/crates/alderglade-standin/src/command/run.rs
+++ b/crates/alderglade-standin/src/command/run.rs
@@ -1,6 +1,6 @@
 //! Runs one stand-in until the process is ended.
 
-use super::Options;
+use super::{Failure, Options};
 use crate::batch;
 use crate::engine::{Engine, Setup};
 use crate::platform::Platform;
@@ -10,12 +10,12 @@
 const ANY_PORT: &str = "127.0.0.1:0";
 const LAG: Duration = Duration::from_millis(300);
 
-pub(super) fn platform(options: &Options) -> Result<(), String> {
+pub(super) fn platform(options: &Options) -> Result<(), Failure> {
     let platform = Platform::start(&options.text("address", ANY_PORT));
     serve(&platform.address())
 }
 
-pub(super) fn engine(options: &Options) -> Result<(), String> {
+pub(super) fn engine(options: &Options) -> Result<(), Failure> {
     let defaults = batch::Config::default();
     let kv_tokens = options.number("kv-tokens", defaults.kv_tokens as f64)? as u64;
     let engine = Engine::start(&Setup {
@@ -32,12 +32,12 @@
     serve(&engine.address())
 }
 
-pub(super) fn service(options: &Options) -> Result<(), String> {
+pub(super) fn service(options: &Options) -> Result<(), Failure> {
     let service = Service::start(&options.text("address", ANY_PORT));
     serve(&service.address())
 }
 
-fn serve(address: &str) -> Result<(), String> {
+fn serve(address: &str) -> Result<(), Failure> {
     println!("{{\"address\": \"{address}\"}}");
     loop {
         std::thread::sleep(Duration::from_secs(3_600));
--- a/crates/alderglade-standin/src/world/engines.rs
+++ b/crates/alderglade-standin/src/world/engines.rs
@@ -114,14 +114,7 @@
             if running.stream.as_ref().is_some_and(here) {
                 let (request, attempt) = (*request, running.attempt);
                 let back = Back::Broke;
-                self.after(
-                    self.plan.near,
-                    Happening::Back {
-                        request,
-                        attempt,
-                        back,
-                    },
-                );
+                self.back_after(self.plan.near, request, attempt, back);
             }
         }
     }
@@ -191,37 +184,16 @@
         if shuffled {
             // A token of an earlier try first, then the right one late, and twice.
             let wrong = back(attempt.wrapping_sub(1));
-            self.after(
-                way,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back: wrong,
-                },
-            );
+            self.back_after(way, request, attempt, wrong);
             let late = way + Duration::from_millis(5 * (token.sequence % 3));
             for _ in 0..2 {
                 let back = back(attempt);
-                self.after(
-                    late,
-                    Happening::Back {
-                        request,
-                        attempt,
-                        back,
-                    },
-                );
+                self.back_after(late, request, attempt, back);
             }
             return;
         }
         let back = back(attempt);
-        self.after(
-            way,
-            Happening::Back {
-                request,
-                attempt,
-                back,
-            },
-        );
+        self.back_after(way, request, attempt, back);
     }
 
     /// Goes on with the next engine of a gang.
@@ -251,14 +223,7 @@
         let way = self.way(&host, &name);
         let reached = self.engines.get(&name).is_some_and(|engine| engine.alive) && way.is_some();
         if !reached {
-            self.after(
-                CALL_LIMIT / 4,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back: Back::Unreached,
-                },
-            );
+            self.back_after(CALL_LIMIT / 4, request, attempt, Back::Unreached);
             return;
         }
         let members = stream.engines.len();
@@ -308,14 +273,7 @@
         if engine.model.faults.frozen {
             // The call is accepted by the machine and answered by nobody.
             let limit = PAUSE_LIMIT + prefill * 4;
-            self.after(
-                limit,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back: Back::Broke,
-                },
-            );
+            self.back_after(limit, request, attempt, Back::Broke);
             return;
         }
         match engine.model.start(job, wish, now) {
@@ -327,14 +285,7 @@
             }
             Err(reason) => {
                 let back = Back::Refused(reason);
-                self.after(
-                    self.plan.near,
-                    Happening::Back {
-                        request,
-                        attempt,
-                        back,
-                    },
-                );
+                self.back_after(self.plan.near, request, attempt, back);
             }
         }
     }
--- a/crates/alderglade-standin/src/world/fault.rs
+++ b/crates/alderglade-standin/src/world/fault.rs
@@ -1,7 +1,7 @@
 //! Faults that a scenario or a seeded schedule brings about.
 
+use super::World;
 use super::network::PLATFORM;
-use super::{Happening, World};
 use alderglade_core::Name;
 use alderglade_core::node::Event;
 use alderglade_core::request::Id;
@@ -207,14 +207,7 @@
             let prefill = Duration::from_micros(tokens * 1_000_000 / self.plan.batch.rate);
             let limit = Duration::from_secs(5) + prefill * 4;
             let back = super::Back::Broke;
-            self.after(
-                limit,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back,
-                },
-            );
+            self.back_after(limit, request, attempt, back);
         }
     }
 
--- a/crates/alderglade-standin/src/world/requests.rs
+++ b/crates/alderglade-standin/src/world/requests.rs
@@ -220,14 +220,7 @@
     pub(crate) fn back(&mut self, request: Id, attempt: u32, back: Back) {
         let frozen = self.frozen_until(request);
         if frozen > self.now {
-            self.at(
-                frozen,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back,
-                },
-            );
+            self.back_at(frozen, request, attempt, back);
             return;
         }
         let Some(running) = self.running.get(&request) else {
@@ -425,14 +418,7 @@
             .collect();
         for (request, attempt) in broken {
             let back = Back::Broke;
-            self.after(
-                self.plan.near,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back,
-                },
-            );
+            self.back_after(self.plan.near, request, attempt, back);
         }
     }
 }
--- a/crates/alderglade-standin/src/world/services.rs
+++ b/crates/alderglade-standin/src/world/services.rs
@@ -51,14 +51,7 @@
             ),
             None => {
                 let back = Back::Unreached;
-                self.after(
-                    CALL,
-                    Happening::Back {
-                        request,
-                        attempt,
-                        back,
-                    },
-                );
+                self.back_after(CALL, request, attempt, back);
             }
         }
     }
@@ -71,26 +64,12 @@
         };
         if !at.alive {
             let back = Back::Broke;
-            self.after(
-                CALL,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back,
-                },
-            );
+            self.back_after(CALL, request, attempt, back);
             return;
         }
         if at.leaving_since.is_some() {
             let back = Back::ServerLeaving;
-            self.after(
-                self.plan.near,
-                Happening::Back {
-                    request,
-                    attempt,
-                    back,
-                },
-            );
+            self.back_after(self.plan.near, request, attempt, back);
             return;
         }
         let lost = at.lose_answers > 0;
@@ -104,13 +83,6 @@
             self.ledger.note_run(&key);
         }
         let back = if lost { Back::Broke } else { Back::Answered };
-        self.after(
-            CALL,
-            Happening::Back {
-                request,
-                attempt,
-                back,
-            },
-        );
+        self.back_after(CALL, request, attempt, back);
     }
 }
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -80,6 +80,8 @@
     id: Id,
     deadline: Instant,
     instructions: Receiver<Instruction>,
+    output_cap: u64,
+    priority: u8,
     usage: Usage,
     life: Option<Life>,
 }
@@ -158,10 +160,7 @@
         detail: Option<String>,
         usage: Usage,
     ) {
-        self.metrics
-            .answers
-            .with_label_values(&[refusal.kind.label()])
-            .inc();
+        self.metrics.count_answer(refusal.kind.label());
         event::write_failure(refusal.kind, &format!("{id} ran={}", refusal.ran.label()));
         let closing = Closing::failed(id, refusal, detail, usage);
         answer.close(refusal.kind.row().status, &closing);
@@ -191,6 +190,8 @@
             id,
             deadline,
             instructions,
+            output_cap: received.ticket.output_cap,
+            priority: received.ticket.lane.engine_priority(),
             usage,
             life: Some(Life::Unsent(received.admit())),
         }
--- a/src/entry/traffic/call.rs
+++ b/src/entry/traffic/call.rs
@@ -164,11 +164,7 @@
     let outcome = Outcome::Answered { status, body: kept };
     let tokens = 0;
     traffic.ended(pending.id, attempt, Ended::Finished { tokens, outcome });
-    traffic
-        .metrics
-        .answers
-        .with_label_values(&["finished"])
-        .inc();
+    traffic.metrics.count_answer("finished");
     answer.pass_on(pending.id, status, body);
 }
 
--- a/src/entry/traffic/generate.rs
+++ b/src/entry/traffic/generate.rs
@@ -14,7 +14,6 @@
 use alderglade_core::error::Kind;
 use alderglade_core::gang::RENEW_EVERY;
 use alderglade_core::inflight::Work;
-use alderglade_core::lane::Lane;
 use alderglade_core::ledger::Outcome;
 use alderglade_core::node::{Ended, Event};
 use alderglade_core::request::{Id, Prefix, Refusal};
@@ -111,8 +110,6 @@
     answer: Answer,
     pending: Pending,
     assembler: Assembler,
-    output_cap: u64,
-    priority: u8,
     began: Instant,
     text: String,
 }
@@ -120,13 +117,6 @@
 /// Serves a request for tokens.
 pub(super) fn serve(traffic: &Traffic, answer: Answer, ask: Ask) {
     let shape = ask.shape();
-    let resolved = ask
-        .snapshot
-        .tree
-        .resolve(&shape.workspace, &shape.class, &shape.model);
-    let output_cap = shape.output.unwrap_or(resolved.max_output_tokens);
-    let output_cap = output_cap.clamp(1, resolved.max_output_tokens);
-    let priority = Lane::of(resolved.priority, shape.prompt).engine_priority();
     let pending = traffic.submit(&ask.snapshot, shape);
     let run = Run {
         traffic,
@@ -134,8 +124,6 @@
         ask,
         answer,
         pending,
-        output_cap,
-        priority,
         began: Instant::now(),
         text: String::new(),
     };
@@ -174,11 +162,7 @@
             End::Finished(tokens) => return self.finish(attempt, tokens),
             End::Stopped => {
                 self.traffic.gone(id);
-                self.traffic
-                    .metrics
-                    .answers
-                    .with_label_values(&[Kind::CallerGone.label()])
-                    .inc();
+                self.traffic.metrics.count_answer(Kind::CallerGone.label());
                 return true;
             }
             End::Broke if late => Ended::Expired,
@@ -207,11 +191,7 @@
         self.pending.turn(Life::finish);
         self.answer
             .close(200, &Closing::finished(id, self.pending.usage));
-        self.traffic
-            .metrics
-            .answers
-            .with_label_values(&["finished"])
-            .inc();
+        self.traffic.metrics.count_answer("finished");
         true
     }
 
@@ -240,7 +220,10 @@
             holder: self.traffic.own.clone(),
             tokens: self.ask.body.tokens(),
         };
-        gang::prefill(clients, &prompt, || self.pending.left())
+        // A member that hangs is given up as soon as a hanging stream would be.
+        let part = gang::part_of(prompt.tokens, clients.len());
+        let longest = self.limits(part).pause;
+        gang::prefill(clients, &prompt, || self.pending.left().min(longest))
     }
 
     fn stream(
@@ -289,9 +272,9 @@
             model: body.model.as_str().into(),
             prompt: body.prompt.clone(),
             prompt_tokens: gang::last_part(body.tokens(), members),
-            max_tokens: self.output_cap,
+            max_tokens: self.pending.output_cap,
             resume_from: self.assembler.next(),
-            priority: self.priority,
+            priority: self.pending.priority,
             prefix: self.ask.shape().prefix,
             reserved: members > 1,
             import,
