--- a/crates/alderglade-core/src/admission.rs
+++ b/crates/alderglade-core/src/admission.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The share of the time allowed that the estimate may fill, in thousandths.
-pub const FILL_PER_MILLE: u64 = 950;
+pub const FILL_PER_MILLE: u64 = 970;
 /// The shortest time to come back after.
 const SOONEST: Duration = Duration::from_millis(200);
 /// The longest time to come back after.
