Keep one way from a token to its workspace, and only the packages that are used

Cause: read as a newcomer: the core had an authenticate that only its test called, beside the index that the daemon uses; five declared packages were used by nothing.

--- a/crates/alderglade-core/src/settings/policy.rs
+++ b/crates/alderglade-core/src/settings/policy.rs
@@ -1,7 +1,6 @@
 //! The values that a request inherits, and which branch each came from.
 
 use super::tree::Tree;
-use crate::Name;
 use crate::lane::Priority;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -167,21 +166,3 @@
         },
     }
 }
-
-/// Names the workspace that a bearer token belongs to.
-///
-/// Compares digests in constant time and looks at every workspace, so that the time taken tells
-/// nothing about the token.
-pub fn authenticate(tree: &Tree, token: &str) -> Option<Name> {
-    use sha2::{Digest, Sha256};
-    use subtle::ConstantTimeEq;
-    let digest = hex::encode(Sha256::digest(token.as_bytes()));
-    let mut found = None;
-    for (name, workspace) in &tree.workspaces {
-        let stored = workspace.token_sha256.as_bytes();
-        if bool::from(digest.as_bytes().ct_eq(stored)) {
-            found = Some(name.clone());
-        }
-    }
-    found
-}
--- /dev/null
+++ b/crates/alderglade-core/src/settings/tokens.rs
@@ -0,0 +1,35 @@
+//! Finding the workspace that a bearer token belongs to.
+
+use super::tree::Tree;
+use crate::Name;
+use sha2::{Digest, Sha256};
+use std::collections::HashMap;
+use subtle::ConstantTimeEq;
+
+/// The workspaces by the digest of their token.
+#[derive(Debug, Default)]
+pub struct Tokens {
+    by_digest: HashMap<Vec<u8>, Name>,
+}
+
+impl Tokens {
+    /// Indexes a tree's workspaces.
+    pub fn of(tree: &Tree) -> Tokens {
+        let digest = |text: &str| hex::decode(text).unwrap_or_default();
+        let workspaces = tree.workspaces.iter();
+        let by_digest = workspaces.map(|(name, w)| (digest(&w.token_sha256), name.clone()));
+        Tokens {
+            by_digest: by_digest.collect(),
+        }
+    }
+
+    /// Names the workspace that a token belongs to.
+    ///
+    /// Looking up by digest tells nothing of the token; the digests are then compared in constant
+    /// time all the same.
+    pub fn workspace(&self, token: &str) -> Option<Name> {
+        let digest = Sha256::digest(token.as_bytes());
+        let (stored, name) = self.by_digest.get_key_value(digest.as_slice())?;
+        bool::from(stored.as_slice().ct_eq(digest.as_slice())).then(|| name.clone())
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/settings.rs
+++ b/crates/alderglade-core/tests/testsuite/settings.rs
@@ -1,11 +1,10 @@
 //! The tree: inheritance, origins, and faults that name their place.
 
 use crate::each_seed;
-use alderglade_core::settings::Policy;
 use alderglade_core::settings::check::{check, read};
 use alderglade_core::settings::patch::Patch;
-use alderglade_core::settings::policy::authenticate;
 use alderglade_core::settings::tree::{Branch, Fleet, Tree, Workspace};
+use alderglade_core::settings::{Policy, Tokens};
 use sha2::{Digest, Sha256};
 
 fn policy(weight: Option<u32>) -> Policy {
@@ -125,8 +124,8 @@
     let mut tree = Tree::default();
     tree.workspaces.insert("a".into(), workspace.clone());
     assert!(check(&tree).is_empty());
-    assert_eq!(authenticate(&tree, "secret"), Some("a".into()));
-    assert_eq!(authenticate(&tree, "Secret"), None);
+    assert_eq!(Tokens::of(&tree).workspace("secret"), Some("a".into()));
+    assert_eq!(Tokens::of(&tree).workspace("Secret"), None);
     tree.workspaces.insert("b".into(), workspace);
     let faults = check(&tree);
     assert_eq!(faults.len(), 1);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -2,12 +2,13 @@
 
 use super::engines::Engines;
 use super::outside::Platform;
-use super::snapshot::{Published, Snapshot, Tokens};
+use super::snapshot::{Published, Snapshot};
 use alderglade_core::Name;
 use alderglade_core::inflight::Submission;
 use alderglade_core::ledger::Outcome;
 use alderglade_core::node::{Action, Event, Node};
 use alderglade_core::request::{Id, Refusal};
+use alderglade_core::settings::Tokens;
 use alderglade_core::slo::Log;
 use alderglade_core::time::Time;
 use alderglade_operator::event;
