Measure prefix reuse

Cause: placement counts an expected cache hit, but no experiment had shared beginnings. Conclusion: the rule is kept as it is; other weights for a hit were not tried. Other experiments are unchanged (their groups draw no further random numbers).

--- a/crates/alderglade-standin/src/experiment.rs
+++ b/crates/alderglade-standin/src/experiment.rs
@@ -91,6 +91,12 @@
     pub workspaces: u64,
     /// The time allowed.
     pub time_allowed_ms: u64,
+    /// Beginnings that prompts share, in turn; none where it is left out.
+    #[serde(default)]
+    pub prefixes: u64,
+    /// Tokens of such a beginning.
+    #[serde(default)]
+    pub prefix_tokens: u64,
     /// When they come.
     pub arrival: Arrival,
     /// Whether the slowdown is measured against a run of this group alone.
--- a/crates/alderglade-standin/src/experiment/arrivals.rs
+++ b/crates/alderglade-standin/src/experiment/arrivals.rs
@@ -5,6 +5,7 @@
 use crate::world::requests::Caller;
 use alderglade_core::Name;
 use alderglade_core::limit::Rate;
+use alderglade_core::request::Prefix;
 use alderglade_core::time::Time;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -63,7 +64,10 @@
             output: group.output,
             output_cap: group.output_cap,
             time_allowed: Duration::from_millis(group.time_allowed_ms),
-            prefix: None,
+            prefix: (group.prefixes > 0).then(|| Prefix {
+                key: random.random_range(0..group.prefixes),
+                tokens: group.prefix_tokens,
+            }),
             rate: Rate::new(None, None),
             booking: None,
         };
--- a/crates/alderglade-standin/src/fuzz.rs
+++ b/crates/alderglade-standin/src/fuzz.rs
@@ -113,6 +113,8 @@
             output_cap: 64,
             workspaces: 3,
             time_allowed_ms: allowed,
+            prefixes: 0,
+            prefix_tokens: 0,
             arrival,
             alone: false,
         };
