Say once which engines a request holds, and drop what nothing uses

Cause: reading the whole change again. Two functions of the node matched the same stages to find a request's engines (Entry::engines now); experiments and scenarios handed the same five numbers on one by one (arrivals::Site); each try built a whole request shape, claim included, for its prefix alone; admission could be switched off by a method that nothing called, a stand-in's line of the host list was made by nobody, and three functions took a time they ignored.

--- a/crates/alderglade-core/src/cell.rs
+++ b/crates/alderglade-core/src/cell.rs
@@ -158,7 +158,6 @@
     /// The cell.
     pub key: Key,
     config: placement::Config,
-    admits: bool,
     queue: Queue,
     engines: Pool,
     granted: HashMap<Id, Granted>,
@@ -200,7 +199,6 @@
         Cell {
             key,
             config,
-            admits: true,
             queue: Queue::default(),
             engines: Pool::new(config),
             granted: HashMap::new(),
@@ -215,12 +213,6 @@
         }
     }
 
-    /// Switches admission off, for the baselines of experiments.
-    pub fn without_admission(mut self) -> Cell {
-        self.admits = false;
-        self
-    }
-
     /// Takes the engines from settings; pages of engines that stay are kept.
     pub fn set_engines(&mut self, tree: &Tree, names: &[Name], now: Time) {
         self.engines.retain(names);
@@ -323,7 +315,7 @@
             return Err(Refusal::new(Kind::NoCapacity, later));
         }
         // A retry was admitted before; its place is kept, its deadline still holds.
-        if !self.admits || ticket.attempt > 1 {
+        if ticket.attempt > 1 {
             return Ok(());
         }
         let capacity = self.capacity(now);
@@ -360,10 +352,10 @@
     }
 
     /// Takes a request back that its entry host no longer wants.
-    pub fn withdraw(&mut self, request: Id, now: Time) {
+    pub fn withdraw(&mut self, request: Id) {
         self.queue.remove(request);
         if self.is_forming(request) {
-            self.break_up(now);
+            self.break_up();
             self.forming = None;
         }
     }
--- a/crates/alderglade-core/src/cell/forming.rs
+++ b/crates/alderglade-core/src/cell/forming.rs
@@ -42,7 +42,7 @@
             return;
         };
         if gang.entry.deadline <= now {
-            self.expire_forming(now);
+            self.expire_forming();
             return;
         }
         match gang.stage {
@@ -158,7 +158,7 @@
     /// Gives back whatever the gang holds, at the book and at the engines.
     ///
     /// The engine asked last may have agreed without its answer having come: it is told too.
-    pub(super) fn break_up(&mut self, _now: Time) {
+    pub(super) fn break_up(&mut self) {
         let Some(gang) = self.forming.clone() else {
             return;
         };
@@ -175,7 +175,7 @@
     }
 
     fn back_off(&mut self, now: Time) {
-        self.break_up(now);
+        self.break_up();
         if let Some(gang) = &mut self.forming {
             gang.stage = Stage::BackingOff {
                 until: now + BACK_OFF,
@@ -184,7 +184,7 @@
     }
 
     fn plan_again(&mut self, now: Time) {
-        self.break_up(now);
+        self.break_up();
         let Some(old) = self.forming.take() else {
             return;
         };
@@ -194,8 +194,8 @@
         }
     }
 
-    fn expire_forming(&mut self, now: Time) {
-        self.break_up(now);
+    fn expire_forming(&mut self) {
+        self.break_up();
         if let Some(gang) = self.forming.take() {
             self.refuse_expired(&gang.entry);
         }
--- a/crates/alderglade-core/src/cell/grants.rs
+++ b/crates/alderglade-core/src/cell/grants.rs
@@ -42,7 +42,7 @@
     /// start them would only take the time of those that can.
     fn refuse_hopeless(&mut self, lane: Lane, now: Time) {
         let capacity = self.summary(now).capacity;
-        if !self.admits || capacity.engines == 0 {
+        if capacity.engines == 0 {
             return;
         }
         while let Some(entry) = self.queue.peek(lane) {
--- a/crates/alderglade-core/src/inflight.rs
+++ b/crates/alderglade-core/src/inflight.rs
@@ -128,6 +128,20 @@
         ticket
     }
 
+    /// Gives the engines that it holds, sent or about to be; none while it waits.
+    pub fn engines(&self) -> &[Name] {
+        match &self.stage {
+            Stage::Running {
+                place: Place::Engines { engines, .. },
+            }
+            | Stage::Claiming {
+                place: Place::Engines { engines, .. },
+                ..
+            } => engines,
+            _ => &[],
+        }
+    }
+
     /// Moves the request to another stage.
     pub fn enter(&mut self, stage: Stage, now: Time) {
         self.stage = stage;
--- a/crates/alderglade-core/src/node/peers.rs
+++ b/crates/alderglade-core/src/node/peers.rs
@@ -286,7 +286,7 @@
                 refusal,
             } => self.refused(cell, request, attempt, refusal),
             Message::Withdraw { cell, request } => {
-                self.with_cell(&cell, |cell, now| cell.withdraw(request, now));
+                self.with_cell(&cell, |cell, _| cell.withdraw(request));
             }
             Message::FirstToken { cell, request } => {
                 self.with_cell(&cell, |cell, now| cell.first_token(request, now));
--- a/crates/alderglade-core/src/node/progress.rs
+++ b/crates/alderglade-core/src/node/progress.rs
@@ -39,7 +39,7 @@
         engines: Vec<Name>,
     ) {
         if !self.waits_for(request, attempt, &cell) {
-            let running = self.runs_at(request, &engines);
+            let running = self.engines_of(request) == engines;
             if !running {
                 let end = End::Declined;
                 self.send(from, Message::Done { cell, request, end });
@@ -62,20 +62,9 @@
         here && entry.submission.ticket.attempt == attempt && self.now < entry.deadline
     }
 
-    fn runs_at(&self, request: Id, granted: &[Name]) -> bool {
-        let Some(entry) = self.inflight.get(request) else {
-            return false;
-        };
-        match &entry.stage {
-            Stage::Running {
-                place: Place::Engines { engines, .. },
-            }
-            | Stage::Claiming {
-                place: Place::Engines { engines, .. },
-                ..
-            } => engines == granted,
-            _ => false,
-        }
+    /// Gives the engines that a request in hand holds.
+    fn engines_of(&self, request: Id) -> &[Name] {
+        self.inflight.get(request).map_or(&[], Entry::engines)
     }
 
     /// Goes on with a request that has its engines or its server.
@@ -331,22 +320,6 @@
 
     /// Says whether a holding at an engine is wanted by a request in hand here.
     pub(super) fn wants(&self, request: Id, engine: &Name) -> bool {
-        self.runs_engine(request, engine)
-    }
-
-    fn runs_engine(&self, request: Id, engine: &Name) -> bool {
-        let Some(entry) = self.inflight.get(request) else {
-            return false;
-        };
-        match &entry.stage {
-            Stage::Running {
-                place: Place::Engines { engines, .. },
-            }
-            | Stage::Claiming {
-                place: Place::Engines { engines, .. },
-                ..
-            } => engines.contains(engine),
-            _ => false,
-        }
+        self.engines_of(request).contains(engine)
     }
 }
--- a/crates/alderglade-core/tests/testsuite/cell.rs
+++ b/crates/alderglade-core/tests/testsuite/cell.rs
@@ -215,7 +215,7 @@
         .collect();
     assert_eq!(freed, asked.iter().cloned().collect());
     assert_eq!(cell.waiting(), 1, "it waits to try again");
-    cell.withdraw(wanted.id, now);
+    cell.withdraw(wanted.id);
     assert_eq!(cell.waiting(), 0);
     assert!(
         cell.engines()
--- a/crates/alderglade-standin/src/experiment.rs
+++ b/crates/alderglade-standin/src/experiment.rs
@@ -253,10 +253,12 @@
     world.run_until(Time(0) + settle);
     let arrivals = arrivals::of_groups(
         &experiment.groups,
-        &experiment.domains,
-        experiment.hosts_each,
-        experiment.engines_each,
-        experiment.seconds,
+        arrivals::Site {
+            domains: &experiment.domains,
+            hosts_each: experiment.hosts_each,
+            engines_each: experiment.engines_each,
+            seconds: experiment.seconds,
+        },
         experiment.seed,
     );
     let wanted = |caller: &Caller| only.is_none_or(|only| *only == caller.group);
--- a/crates/alderglade-standin/src/experiment/arrivals.rs
+++ b/crates/alderglade-standin/src/experiment/arrivals.rs
@@ -13,28 +13,19 @@
 
 /// Where requests come to, and for how long.
 #[derive(Debug, Clone, Copy)]
-struct Site<'a> {
-    domains: &'a [Name],
-    hosts_each: usize,
-    engines_each: usize,
-    seconds: u64,
+pub struct Site<'a> {
+    /// The failure domains.
+    pub domains: &'a [Name],
+    /// Entry hosts in each.
+    pub hosts_each: usize,
+    /// Engines in each.
+    pub engines_each: usize,
+    /// Requests come for this long.
+    pub seconds: u64,
 }
 
 /// Gives the arrivals of several groups in the order of their times.
-pub fn of_groups(
-    groups: &[Group],
-    domains: &[Name],
-    hosts_each: usize,
-    engines_each: usize,
-    seconds: u64,
-    seed: u64,
-) -> Vec<(Time, Caller)> {
-    let site = Site {
-        domains,
-        hosts_each,
-        engines_each,
-        seconds,
-    };
+pub fn of_groups(groups: &[Group], site: Site<'_>, seed: u64) -> Vec<(Time, Caller)> {
     let mut arrivals = Vec::new();
     for (number, group) in groups.iter().enumerate() {
         // Each group has random numbers of its own, so that it is the same alone.
--- a/crates/alderglade-standin/src/fleet.rs
+++ b/crates/alderglade-standin/src/fleet.rs
@@ -207,16 +207,6 @@
     object
 }
 
-/// Gives a backend server's line of the platform's list.
-pub fn listed_server(name: &str, domain: &str, leaving: bool) -> Object<Spec> {
-    let spec = Spec {
-        unschedulable: leaving,
-    };
-    let mut object = Object::new(NODE, name, spec);
-    object.metadata.labels.insert(DOMAIN.into(), domain.into());
-    object
-}
-
 /// An entry host's own settings.
 #[derive(Debug, Clone)]
 pub struct HostFile<'a> {
--- a/crates/alderglade-standin/src/scenario.rs
+++ b/crates/alderglade-standin/src/scenario.rs
@@ -147,10 +147,12 @@
     world.run_until(Time(0) + SETTLE);
     let asked = arrivals::of_groups(
         &scenario.groups,
-        &scenario.domains,
-        scenario.hosts_each,
-        scenario.engines_each,
-        scenario.load_seconds.unwrap_or(scenario.seconds),
+        arrivals::Site {
+            domains: &scenario.domains,
+            hosts_each: scenario.hosts_each,
+            engines_each: scenario.engines_each,
+            seconds: scenario.load_seconds.unwrap_or(scenario.seconds),
+        },
         scenario.seed,
     );
     for (at, mut caller) in asked {
--- a/crates/alderglade-standin/src/world/check.rs
+++ b/crates/alderglade-standin/src/world/check.rs
@@ -260,15 +260,15 @@
             .fates
             .iter()
             .filter(|(_, fate)| fate.answer == Some(None))
-            .filter(|(id, fate)| fate.next_token == 0 && !self.is_booking(**id, fate))
+            .filter(|(_, fate)| fate.next_token == 0 && !is_booking(fate))
             .map(|(id, _)| *id)
             .collect();
         for id in short {
             self.break_promise(format!("{id} finished without a token"));
         }
     }
+}
 
-    fn is_booking(&self, _: Id, fate: &Fate) -> bool {
-        &*fate.group == "booking"
-    }
+fn is_booking(fate: &Fate) -> bool {
+    &*fate.group == "booking"
 }
--- a/src/entry/traffic/generate.rs
+++ b/src/entry/traffic/generate.rs
@@ -83,8 +83,15 @@
         })
     }
 
+    fn prefix(&self) -> Option<Prefix> {
+        let prefix = self.body.prefix.as_ref()?;
+        Some(Prefix {
+            key: xxh3_64(prefix.key.as_bytes()),
+            tokens: prefix.tokens.min(self.body.tokens()),
+        })
+    }
+
     fn shape(&self) -> Shape {
-        let prefix = self.body.prefix.as_ref();
         Shape {
             work: Work::Generate,
             workspace: self.workspace.clone(),
@@ -93,10 +100,7 @@
             prompt: self.body.tokens(),
             output: self.body.max_tokens,
             time_allowed_ms: self.body.time_allowed_ms,
-            prefix: prefix.map(|prefix| Prefix {
-                key: xxh3_64(prefix.key.as_bytes()),
-                tokens: prefix.tokens.min(self.body.tokens()),
-            }),
+            prefix: self.prefix(),
             repeatable: self.body.repeatable && self.claim.is_none(),
             claim: self.claim.clone(),
         }
@@ -275,7 +279,7 @@
             max_tokens: self.pending.output_cap,
             resume_from: self.assembler.next(),
             priority: self.pending.priority,
-            prefix: self.ask.shape().prefix,
+            prefix: self.ask.prefix(),
             reserved: members > 1,
             import,
             time_left_ms: self.pending.left().as_millis() as u64,
