--- /dev/null
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -0,0 +1,213 @@
+//! The configuration in force: routes, services, limits and workspaces, with their look-ups.
+
+use super::pass::Figures;
+use crate::Name;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How often a request of a route may run, and how it is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once for each request.
+    NonIdempotent,
+    /// Answered by a series of events.
+    Stream {
+        /// Whether a broken stream may be taken up at another backend server.
+        resumable: bool,
+        /// The longest pause between events for which the answer is still in time.
+        longest_pause: Duration,
+    },
+}
+
+impl Kind {
+    /// Says whether a request of this kind may run again after it may have run once.
+    pub fn repeatable(self) -> bool {
+        match self {
+            Kind::Idempotent => true,
+            Kind::NonIdempotent => false,
+            Kind::Stream { resumable, .. } => resumable,
+        }
+    }
+}
+
+/// A service that a route leads to, with its share of the requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target {
+    /// The service's name.
+    pub service: Name,
+    /// The share, relative to the other targets of the route.
+    pub weight: f64,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name, for logs.
+    pub name: Name,
+    /// The `Host` that it answers to, in lower case.
+    pub host: Name,
+    /// The beginning of the paths that it answers to; begins and ends with a slash.
+    pub path_prefix: Name,
+    /// How often its requests may run.
+    pub kind: Kind,
+    /// The longest that a request is held.
+    pub time_limit: Duration,
+    /// The time within which an answer (of a stream: its first event) earns its full worth.
+    pub aim: Duration,
+    /// The rank of its requests; `0` comes first.
+    pub priority: u32,
+    /// The most backend servers that one request is sent to.
+    pub max_attempts: u32,
+    /// Whether it needs no key.
+    pub public: bool,
+    /// Where its requests go; at least one.
+    pub targets: Vec<Target>,
+}
+
+impl Route {
+    /// Picks the target for a number drawn evenly from `0.0..1.0`.
+    pub fn target(&self, draw: f64) -> Option<&Target> {
+        let total: f64 = self.targets.iter().map(|target| target.weight).sum();
+        let mut left = draw * total;
+        for target in &self.targets {
+            left -= target.weight;
+            if left < 0.0 {
+                return Some(target);
+            }
+        }
+        self.targets.last()
+    }
+}
+
+/// A service and how its backend servers work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: Name,
+    /// The timing of its engines, where its backend servers are model engines.
+    pub engine: Option<Figures>,
+    /// The connections that one backend server accepts from all callers together.
+    pub max_connections: u32,
+}
+
+/// Bounds on what a caller sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// The most bytes of a request's head.
+    pub header_bytes: usize,
+    /// The most bytes of a request's body.
+    pub body_bytes: usize,
+    /// The longest that a connection may be at rest.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    /// Gives bounds for a configuration that states none: those of common HTTP servers.
+    fn default() -> Limits {
+        Limits {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One workspace and the keys that open it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Workspace {
+    /// Its name.
+    pub name: Name,
+    /// Its keys.
+    pub keys: Vec<Name>,
+    /// Its rank; `0` comes first.
+    pub priority: u32,
+}
+
+/// Who a request is served for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Access {
+    /// The route or the configuration asks for no key.
+    Open,
+    /// The key belongs to this workspace.
+    Workspace(Name),
+    /// The key is missing or belongs to no workspace.
+    Denied,
+}
+
+/// A whole configuration, indexed for look-ups.
+#[derive(Debug, Clone, Default)]
+pub struct Config {
+    /// Its version; a higher one is newer.
+    pub version: u64,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+    routes: HashMap<Name, Vec<Route>>,
+    services: HashMap<Name, Service>,
+    keys: Option<HashMap<Name, Name>>,
+}
+
+impl Config {
+    /// Indexes a configuration. `workspaces` is `None` where keys aren't used at all.
+    pub fn new(
+        version: u64,
+        limits: Limits,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        workspaces: Option<Vec<Workspace>>,
+    ) -> Config {
+        let mut by_host: HashMap<Name, Vec<Route>> = HashMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(route);
+        }
+        for list in by_host.values_mut() {
+            list.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Config {
+            version,
+            limits,
+            routes: by_host,
+            services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
+            keys: workspaces.map(index_keys),
+        }
+    }
+
+    /// Finds the route of the host with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let lower = host.to_ascii_lowercase();
+        let name = lower.split(':').next().unwrap_or_default();
+        let list = self.routes.get(name)?;
+        list.iter()
+            .find(|route| path.starts_with(&*route.path_prefix))
+    }
+
+    /// Finds a service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Tells for whom a request with this key is served on a route.
+    pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
+        let Some(keys) = &self.keys else {
+            return Access::Open;
+        };
+        if route.public {
+            return Access::Open;
+        }
+        match key.and_then(|key| keys.get(key)) {
+            Some(workspace) => Access::Workspace(workspace.clone()),
+            None => Access::Denied,
+        }
+    }
+}
+
+fn index_keys(workspaces: Vec<Workspace>) -> HashMap<Name, Name> {
+    let mut index = HashMap::new();
+    for workspace in workspaces {
+        for key in workspace.keys {
+            index.insert(key, workspace.name.clone());
+        }
+    }
+    index
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -0,0 +1,171 @@
+//! The backend servers known: who lives, who leaves, who may only seem gone.
+//!
+//! The platform drops entries that weren't renewed, also while it was away itself. An entry missing
+//! right after such a time is kept for [`GRACE`]; if it isn't back by then, the server is gone.
+
+use crate::Name;
+use crate::time::Time;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an entry that lapsed while the store was away may take to come back; the users say
+/// about two seconds.
+pub const GRACE: Duration = Duration::from_millis(2_000);
+
+/// One backend server in one of its lifetimes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Server {
+    /// Its identity, new with each start.
+    pub id: Name,
+    /// The service that it serves.
+    pub service: Name,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Name,
+    /// The requests that it works on at once.
+    pub slots: u32,
+    /// Whether it has said that it leaves.
+    pub leaving: bool,
+}
+
+/// What changed about a server.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// It is new or its entry says something else.
+    Known(Server),
+    /// Its entry is gone.
+    Gone(Name),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    server: Server,
+    missing_until: Option<Time>,
+}
+
+/// The servers, as one host knows them.
+#[derive(Debug, Default)]
+pub struct Directory {
+    entries: BTreeMap<Name, Entry>,
+    doubtful_until: Option<Time>,
+}
+
+impl Directory {
+    /// Notes that the store gives no answer: entries that are missing from now on may have lapsed.
+    pub fn store_lost(&mut self) {
+        self.doubtful_until = Some(Time::NEVER);
+    }
+
+    /// Notes that the store answers again after a time without contact.
+    pub fn store_returned(&mut self, now: Time) {
+        let until = now + GRACE;
+        self.doubtful_until = Some(until);
+        for entry in self.entries.values_mut() {
+            entry.missing_until = entry.missing_until.map(|_| until);
+        }
+    }
+
+    /// Takes the whole list, as of `now`.
+    pub fn replace(&mut self, servers: Vec<Server>, now: Time) {
+        let fresh: BTreeMap<Name, Server> =
+            servers.into_iter().map(|s| (s.id.clone(), s)).collect();
+        let missing: Vec<Name> = self
+            .entries
+            .keys()
+            .filter(|id| !fresh.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.lose(&id, now);
+        }
+        for server in fresh.into_values() {
+            self.learn(server);
+        }
+    }
+
+    /// Takes one change.
+    pub fn apply(&mut self, change: Change, now: Time) {
+        match change {
+            Change::Known(server) => self.learn(server),
+            Change::Gone(id) => self.lose(&id, now),
+        }
+    }
+
+    /// Drops the servers whose time to come back has passed; says whether any was dropped.
+    pub fn expire(&mut self, now: Time) -> bool {
+        let before = self.entries.len();
+        self.entries
+            .retain(|_, entry| entry.missing_until.is_none_or(|until| until > now));
+        before != self.entries.len()
+    }
+
+    /// Marks a server as leaving on a peer's word.
+    pub fn mark_leaving(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.server.leaving = true;
+        }
+    }
+
+    /// Lists the ids of the servers that are leaving.
+    pub fn leaving(&self) -> Vec<Name> {
+        let leaving = self.entries.values().filter(|e| e.server.leaving);
+        leaving.map(|entry| entry.server.id.clone()).collect()
+    }
+
+    /// Gives a server that new work may go to.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        let entry = self.entries.get(id)?;
+        (!entry.server.leaving).then_some(&entry.server)
+    }
+
+    /// Lists the servers of a service that new work may go to, in the order of their ids.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.entries
+            .values()
+            .map(|entry| &entry.server)
+            .filter(move |server| !server.leaving && &*server.service == service)
+    }
+
+    /// Gives the number of servers known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Says whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn learn(&mut self, server: Server) {
+        // A server that once said that it leaves doesn't come back under the same identity.
+        let left = self
+            .entries
+            .get(&server.id)
+            .is_some_and(|old| old.server.leaving);
+        let server = Server {
+            leaving: server.leaving || left,
+            ..server
+        };
+        let entry = Entry {
+            server,
+            missing_until: None,
+        };
+        self.entries.insert(entry.server.id.clone(), entry);
+    }
+
+    fn lose(&mut self, id: &str, now: Time) {
+        let doubtful_until = self.doubtful_until.filter(|until| *until > now);
+        match doubtful_until {
+            None => {
+                self.entries.remove(id);
+            }
+            Some(until) => {
+                if let Some(entry) = self.entries.get_mut(id) {
+                    entry.missing_until.get_or_insert(until);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -0,0 +1,82 @@
+//! What a host has learnt of backend servers from its own calls.
+//!
+//! A server that refuses connections, stays silent or fails requests is passed over for a while that
+//! grows with each failure in a row. It is tried again by ordinary requests when the time is over, so
+//! that a few bad answers never empty a service: where all are doubted, all are used.
+
+use crate::Name;
+use crate::time::Time;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The first time out after a server could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// The longest time out; short enough to find a server that is back within two seconds.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// The weight of the newest answer in the share of failures.
+const NEWEST: f64 = 0.15;
+/// A share of failures above which a server counts as failing.
+const FAILING: f64 = 0.3;
+
+/// How a call to a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered as it should.
+    Sound,
+    /// It answered with a failure of its own, or broke its answer off.
+    Failed,
+    /// It could not be reached, or stayed silent.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    failures: f64,
+    silences: u32,
+    out_until: Time,
+}
+
+/// The records of all servers.
+#[derive(Debug, Default)]
+pub struct Health {
+    records: HashMap<Name, Record>,
+}
+
+impl Health {
+    /// Notes how a call to a server ended.
+    pub fn note(&mut self, id: &Name, outcome: Outcome, now: Time) {
+        let record = self.records.entry(id.clone()).or_default();
+        let failed = if outcome == Outcome::Sound { 0.0 } else { 1.0 };
+        record.failures += NEWEST * (failed - record.failures);
+        match outcome {
+            Outcome::Sound => record.silences = 0,
+            Outcome::Failed => {
+                if record.failures > FAILING {
+                    record.out_until = now + FIRST_PAUSE;
+                }
+            }
+            Outcome::Silent => {
+                record.silences += 1;
+                let pause = FIRST_PAUSE * record.silences.min(8);
+                record.out_until = now + pause.min(LONGEST_PAUSE);
+            }
+        }
+    }
+
+    /// Says whether a server should be passed over now where others can serve.
+    pub fn doubted(&self, id: &str, now: Time) -> bool {
+        self.records
+            .get(id)
+            .is_some_and(|record| record.out_until > now)
+    }
+
+    /// Gives the share of a server's recent calls that failed, from `0.0` to `1.0`.
+    pub fn failing(&self, id: &str) -> f64 {
+        self.records.get(id).map_or(0.0, |record| record.failures)
+    }
+
+    /// Forgets the servers that are not listed any more.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.records.retain(|id, _| known(id));
+    }
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -0,0 +1,16 @@
+//! Placement by every entry host on a shared view of the load, without homes that grant.
+//!
+//! Each entry host places its requests itself, on a [`book::Book`] of what every host holds at
+//! every backend server. Nothing waits for another host: a host that is stopped, killed or cut
+//! off makes the others' view less exact and never keeps them from serving.
+
+pub mod book;
+pub mod budget;
+pub mod config;
+pub mod directory;
+pub mod freshness;
+pub mod health;
+pub mod life;
+pub mod pass;
+pub mod placement;
+pub mod sse;
--- a/crates/alderglade-core/src/lib.rs
+++ b/crates/alderglade-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cell;
 pub mod error;
 pub mod estimate;
+pub mod fleet;
 pub mod gang;
 pub mod inflight;
 pub mod lane;
--- /dev/null
+++ b/crates/alderglade-serve/src/client.rs
@@ -0,0 +1,298 @@
+//! The one HTTP client: to backend servers and to the store.
+//!
+//! Connections are kept while the other side allows it. An exchange that isn't finished when its
+//! handle is dropped closes its connection, so that nobody works on for a caller that has left.
+
+use crate::clock;
+use alderglade_core::time::Time;
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// How long a connection may take to come up. A round trip between failure domains takes a few
+/// milliseconds; a lost first packet is sent again after a second, too late for short work.
+const CONNECT: Duration = Duration::from_millis(300);
+/// How long sent bytes may stay without an acknowledgement before the connection is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
+/// How long a silent connection is left alone before the other side's host is asked for a sign.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// The time between two such signs; the second one unanswered ends the connection.
+const PROBE_EACH: Duration = Duration::from_secs(1);
+/// How long a connection at rest is kept where the other side doesn't say.
+const REST: Duration = Duration::from_millis(2_500);
+/// How much sooner than the other side says a resting connection is given up.
+const REST_MARGIN: Duration = Duration::from_millis(800);
+/// The most bytes of an answer that is taken as a whole.
+const MOST_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why an exchange failed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// No connection came up; nothing was sent.
+    #[snafu(display("no connection: {reason}"))]
+    Unreachable {
+        /// What was seen.
+        reason: String,
+    },
+    /// A kept connection was closed before anything was sent on it.
+    #[snafu(display("the connection closed before the request was sent"))]
+    NotSent,
+    /// Contact was lost after the request, or a part of it, was sent.
+    #[snafu(display("contact lost: {reason}"))]
+    Lost {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+struct Idle {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    until: Time,
+}
+
+/// Kept connections by address.
+#[derive(Default)]
+pub struct Client {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    opened: Cell<u64>,
+}
+
+/// A connection in use; dropped before it is recycled, it is closed.
+pub struct Connection {
+    client: Rc<Client>,
+    address: SocketAddr,
+    sender: Option<http1::SendRequest<Full<Bytes>>>,
+    task: AbortHandle,
+    rest: Duration,
+    reusable: bool,
+}
+
+/// The head of an answer, with the rest still to come.
+pub struct Exchange {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// What is still to come.
+    pub body: Incoming,
+    /// The connection, to be recycled after the last byte.
+    pub connection: Connection,
+}
+
+impl Client {
+    /// Gives the number of connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.opened.get()
+    }
+
+    /// Sends a request and waits for the head of the answer. With `fresh`, no kept connection is
+    /// used: one that breaks as a request is sent leaves it unknown whether the request ran.
+    ///
+    /// # Errors
+    ///
+    /// Where there is no connection, or it breaks before the head has come.
+    pub async fn send(
+        self: &Rc<Client>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> Result<Exchange, Error> {
+        let mut request = request;
+        if !fresh && let Some(idle) = self.take(address) {
+            match self
+                .exchange(address, idle.sender, idle.task, request)
+                .await
+            {
+                Ok(exchange) => return Ok(exchange),
+                Err((error, None)) => return Err(error),
+                Err((_, Some(unsent))) => request = unsent,
+            }
+        }
+        let (sender, task) = self.connect(address).await?;
+        let result = self.exchange(address, sender, task, request).await;
+        result.map_err(|(error, _)| error)
+    }
+
+    async fn exchange(
+        self: &Rc<Client>,
+        address: SocketAddr,
+        mut sender: http1::SendRequest<Full<Bytes>>,
+        task: AbortHandle,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, (Error, Option<Request<Full<Bytes>>>)> {
+        let mut connection = Connection {
+            client: self.clone(),
+            address,
+            sender: None,
+            task,
+            rest: REST,
+            reusable: false,
+        };
+        if let Err(error) = sender.ready().await {
+            log::debug!("connection to {address} closed at rest: {error}");
+            return Err((Error::NotSent, Some(request)));
+        }
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut failed) => {
+                let unsent = failed.take_message();
+                let reason = failed.error().to_string();
+                let error = match &unsent {
+                    Some(_) => Error::NotSent,
+                    None => Error::Lost { reason },
+                };
+                return Err((error, unsent));
+            }
+        };
+        let (head, body) = response.into_parts();
+        connection.reusable = !says_close(&head.headers);
+        connection.rest = rest_time(&head.headers);
+        connection.sender = Some(sender);
+        Ok(Exchange {
+            head,
+            body,
+            connection,
+        })
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Idle> {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&address)?;
+        while let Some(entry) = list.pop() {
+            if entry.until > now && entry.sender.is_ready() {
+                return Some(entry);
+            }
+            entry.task.abort();
+        }
+        None
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(http1::SendRequest<Full<Bytes>>, AbortHandle), Error> {
+        let unreachable = |reason: String| Error::Unreachable { reason };
+        let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
+            .await
+            .map_err(|_| unreachable(format!("none within {} ms", CONNECT.as_millis())))?
+            .map_err(|error| unreachable(error.to_string()))?;
+        tune(&stream);
+        self.opened.set(self.opened.get() + 1);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unreachable(error.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address}: {error}");
+            }
+        });
+        Ok((sender, task.abort_handle()))
+    }
+}
+
+impl Connection {
+    /// Keeps the connection for another request, if the other side allows it.
+    pub fn recycle(mut self) {
+        if !self.reusable {
+            return;
+        }
+        let Some(mut sender) = self.sender.take() else {
+            return;
+        };
+        let (client, address) = (self.client.clone(), self.address);
+        let (task, rest) = (self.task.clone(), self.rest);
+        self.reusable = false;
+        std::mem::forget(self);
+        tokio::task::spawn_local(async move {
+            if sender.ready().await.is_err() {
+                return;
+            }
+            let until = clock::now() + rest;
+            let entry = Idle {
+                sender,
+                task,
+                until,
+            };
+            client
+                .idle
+                .borrow_mut()
+                .entry(address)
+                .or_default()
+                .push(entry);
+        });
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Exchange {
+    /// Takes the rest of the answer as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Where the answer breaks off or is too long.
+    pub async fn collect(self) -> Result<Response<Bytes>, Error> {
+        let collected = Limited::new(self.body, MOST_BYTES).collect().await;
+        let body = collected.map_err(|error| Error::Lost {
+            reason: error.to_string(),
+        })?;
+        self.connection.recycle();
+        Ok(Response::from_parts(self.head, body.to_bytes()))
+    }
+}
+
+/// Sets the socket so that a silent peer is noticed in seconds.
+fn tune(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_EACH)
+        .with_retries(2);
+    let results = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)),
+        socket.set_tcp_keepalive(&keepalive),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!("socket option refused: {error}");
+    }
+}
+
+fn says_close(head: &HeaderMap) -> bool {
+    let values = head.get_all(http::header::CONNECTION);
+    values
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// Gives how long a connection may rest, from the `Keep-Alive` header if there is one.
+fn rest_time(head: &HeaderMap) -> Duration {
+    let stated = head
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| {
+            text.split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|seconds| seconds.parse::<u64>().ok());
+    match stated {
+        Some(seconds) => Duration::from_secs(seconds).saturating_sub(REST_MARGIN),
+        None => REST,
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/forward.rs
@@ -0,0 +1,168 @@
+//! Takes one request from a caller's connection: who it is for, what it may do, who serves it.
+
+use crate::answer::{self, Content};
+use crate::attempt::Job;
+use crate::clock;
+use crate::event::{self, Record};
+use crate::node::Node;
+use crate::translate::Ask;
+use crate::{generate, unary};
+use alderglade_core::error::Kind as ErrorKind;
+use alderglade_core::fleet::config::{Access, Config, Kind, Route};
+use alderglade_core::request::Refusal;
+use alderglade_core::time::Time;
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When a caller should come back to a host that can't serve yet or is cut off: about when the
+/// balancer has noticed and sends it elsewhere.
+const ELSEWHERE: Duration = Duration::from_millis(300);
+
+/// Answers one request.
+pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Content> {
+    let arrived = clock::now();
+    let (head, body) = request.into_parts();
+    let in_flight = node.enter();
+    let ask = match node.translator.ask(&head.headers) {
+        Ok(ask) => ask,
+        Err(problem) => {
+            log::debug!("a head can't be read: {problem}");
+            let refusal = answer::fail(ErrorKind::BadRequest, Duration::ZERO);
+            return refuse(&node, "", &refusal, arrived);
+        }
+    };
+    let id = ask.id.clone();
+    let mut guard = Watch {
+        id: id.to_string(),
+        done: false,
+    };
+    let result = let_in(&node, head, body, ask, arrived).await;
+    let mut response = match result {
+        Err(refusal) => refuse(&node, &id, &refusal, arrived),
+        Ok(job) => match job.route.kind {
+            Kind::Stream { .. } => generate::serve(&node, job, in_flight).await,
+            Kind::Idempotent | Kind::NonIdempotent => unary::serve(&node, job).await,
+        },
+    };
+    guard.done = true;
+    if node.stopping_for().is_some() {
+        let close = HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+/// Tells when a request is dropped because its caller has left.
+struct Watch {
+    id: String,
+    done: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.done {
+            event::write(&Record::CallerLeft { id: &self.id });
+        }
+    }
+}
+
+/// Writes down a refusal and makes its answer.
+pub fn refuse(node: &Node, id: &str, refusal: &Refusal, arrived: Time) -> Response<Content> {
+    let row = refusal.kind.row();
+    let now = clock::now();
+    let age = node.state.borrow().freshness.age(now);
+    node.metrics.answers.with_label_values(&[row.label]).inc();
+    event::write(&Record::Refused {
+        id,
+        kind: row.label,
+        number: row.event,
+        ran: refusal.ran.label(),
+        took_ms: now.since(arrived).as_millis() as u64,
+        store_age_ms: age.map(|age| age.as_millis() as u64),
+    });
+    answer::refusal(refusal)
+}
+
+async fn let_in(
+    node: &Rc<Node>,
+    head: Parts,
+    body: Incoming,
+    ask: Ask,
+    arrived: Time,
+) -> Result<Job, Refusal> {
+    let config = node.state.borrow().config.clone();
+    let config = config.ok_or_else(|| answer::fail(ErrorKind::NotReady, ELSEWHERE))?;
+    let (route, workspace) = admit(node, &config, &head, &ask)?;
+    let time_limit = match ask.time_limit {
+        Some(limit) => limit.min(route.time_limit),
+        None => route.time_limit,
+    };
+    let ends = arrived + time_limit;
+    let body = read(body, config.limits.body_bytes, ends).await?;
+    let draw = rand::rng().random::<f64>();
+    let service = route.target(draw).map(|target| target.service.clone());
+    let service = service.ok_or_else(|| answer::fail(ErrorKind::NoCapacity, ELSEWHERE))?;
+    Ok(Job {
+        ask,
+        method: head.method,
+        target: head.uri,
+        headers: head.headers,
+        body,
+        route,
+        service,
+        workspace,
+        config: config.version,
+        arrived,
+        ends,
+    })
+}
+
+/// Finds the route and checks the key. A host whose word of the store is too old to trust keys
+/// refuses what it would have to judge by them, and denies nothing.
+fn admit(
+    node: &Node,
+    config: &Config,
+    head: &Parts,
+    ask: &Ask,
+) -> Result<(Route, Option<alderglade_core::Name>), Refusal> {
+    let trusted = node.trusts_keys();
+    let cut_off = || answer::fail(ErrorKind::PlatformUnavailable, ELSEWHERE);
+    let host = head.headers.get(http::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let Some(route) = config.route(host, head.uri.path()) else {
+        return Err(if trusted {
+            answer::fail(ErrorKind::NotFound, Duration::ZERO)
+        } else {
+            cut_off()
+        });
+    };
+    match config.access(route, ask.key.as_deref()) {
+        Access::Open => Ok((route.clone(), None)),
+        _ if !trusted => Err(cut_off()),
+        Access::Workspace(name) => Ok((route.clone(), Some(name))),
+        Access::Denied => Err(answer::fail(ErrorKind::Unauthorized, Duration::ZERO)),
+    }
+}
+
+async fn read(body: Incoming, most: usize, ends: Time) -> Result<Bytes, Refusal> {
+    let collect = Limited::new(body, most).collect();
+    match tokio::time::timeout_at(clock::instant(ends), collect).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(answer::fail(ErrorKind::TooLarge, Duration::ZERO))
+        }
+        Ok(Err(error)) => {
+            log::debug!("a body broke off: {error}");
+            Err(answer::fail(ErrorKind::BadRequest, Duration::ZERO))
+        }
+        Err(_) => Err(answer::fail(ErrorKind::ExpiredWaiting, ELSEWHERE)),
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/generate.rs
@@ -0,0 +1,383 @@
+//! Generations: places a prompt, sends it, and starts to pass its stream on.
+
+use crate::answer::{self, Content};
+use crate::attempt::{self, Job, Miss};
+use crate::client::Exchange;
+use crate::event::{self, Record};
+use crate::forward;
+use crate::node::{Held, InFlight, Node};
+use crate::relay;
+use crate::ticket::Tickets;
+use crate::translate::{Helper, Prompt};
+use alderglade_core::Name;
+use alderglade_core::error::Kind as ErrorKind;
+use alderglade_core::fleet::book::{Hold, Holding, Load, PauseClass};
+use alderglade_core::fleet::config::Kind;
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::health::Outcome;
+use alderglade_core::fleet::life::{Life, Waiting};
+use alderglade_core::fleet::placement::{self, Decision, Plan, Work};
+use alderglade_core::request::Refusal;
+use http::{Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When a caller should come back if its stream could not be started.
+const COME_BACK: Duration = Duration::from_millis(300);
+/// Sends that are tried for one request where servers disclaim it or can't be reached, at most.
+const MOST_SENDS: u32 = 5;
+/// How long a first event may be late, beside a multiple of the time expected, before a stream that
+/// may be resumed is taken elsewhere; over the time that a dead server's work stands still.
+const LATE: Duration = Duration::from_millis(2_000);
+/// The multiple of the time expected.
+const LATE_FACTOR: u32 = 3;
+
+/// A stream that has begun at a server.
+pub struct Open {
+    /// The answer as it comes.
+    pub exchange: Exchange,
+    /// The server.
+    pub server: Server,
+    /// The placement in the book.
+    pub held: Held,
+    /// Memory that was set aside.
+    pub tickets: Option<Tickets>,
+    /// How long the stream may stay silent before it is taken elsewhere.
+    pub silence: Duration,
+}
+
+/// What is kept over the tries of one generation.
+pub struct Tries {
+    /// Sends that reached a server, or may have.
+    pub sends: u32,
+    /// Sends of any kind.
+    pub all: u32,
+    /// Servers that have failed the request.
+    pub avoid: Vec<Name>,
+}
+
+/// Serves a generation. `in_flight` goes with the stream.
+pub async fn serve(node: &Rc<Node>, job: Job, in_flight: InFlight) -> Response<Content> {
+    node.first_send(&job.service);
+    let mut tries = Tries {
+        sends: 0,
+        all: 0,
+        avoid: Vec::new(),
+    };
+    let last_event = job.ask.last_event.clone();
+    match open(node, &job, &mut tries, last_event).await {
+        Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived),
+        Ok(opened) => relay::start(node, job, tries, opened, in_flight).await,
+    }
+}
+
+/// Places and sends a generation until a server begins to answer it.
+///
+/// # Errors
+///
+/// Gives the refusal to be answered where no server does.
+pub async fn open(
+    node: &Rc<Node>,
+    job: &Job,
+    tries: &mut Tries,
+    last_event: Option<String>,
+) -> Result<Open, Refusal> {
+    let mut life: Life<Waiting> = Life::new();
+    loop {
+        let plan = place(node, job, tries, &life).await?;
+        if tries.all > 0 && !node.spend_repeat(&job.service) {
+            return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
+        }
+        let Some(server) = node.server(&plan.first) else {
+            tries.avoid.push(plan.first.clone());
+            continue;
+        };
+        let hold = hold(job, &plan);
+        let held = node.hold(hold);
+        let tickets = match set_aside(node, job, &plan, tries).await {
+            Ok(tickets) => tickets,
+            Err(NoMemory) => {
+                drop(held);
+                tokio::time::sleep(NO_MEMORY_PAUSE).await;
+                continue;
+            }
+        };
+        let helpers = helpers(node, &plan, tickets.as_ref());
+        tries.all += 1;
+        tell_placed(job, &plan, tries.all, node);
+        let sent = life.send();
+        let silence = plan.first_event * LATE_FACTOR + LATE;
+        let more = tries.sends + 1 < job.route.max_attempts && job.route.kind.repeatable();
+        let patience = if more {
+            silence.min(job.left())
+        } else {
+            job.left()
+        };
+        let send = attempt::send(node, job, &server, helpers, last_event.clone(), tries.all);
+        let answer = tokio::time::timeout(patience, send).await;
+        match answer {
+            Ok(Ok((exchange, reply))) => {
+                let status = exchange.head.status;
+                if status.is_success() && reply.genuine {
+                    tries.sends += 1;
+                    return Ok(Open {
+                        exchange,
+                        server,
+                        held,
+                        tickets,
+                        silence,
+                    });
+                }
+                tries.sends += 1;
+                node.note(&server.id, Outcome::Failed);
+                attempt::tell(job, &server, tries.all, status.as_str());
+                life = sent.lost();
+            }
+            Ok(Err(Miss::NotSent)) => life = sent.never_sent(),
+            Ok(Err(Miss::Disclaimed(at_fault))) => {
+                if let Some(other) = at_fault {
+                    node.note(&other, Outcome::Silent);
+                    tries.avoid.push(other);
+                }
+                life = sent.disclaimed();
+            }
+            Ok(Err(Miss::Lost)) => {
+                tries.sends += 1;
+                life = sent.lost();
+            }
+            Err(_) => {
+                attempt::tell(job, &server, tries.all, "no answer in the time allowed");
+                node.note(&server.id, Outcome::Silent);
+                tries.sends += 1;
+                life = sent.lost();
+            }
+        }
+        tries.avoid.push(server.id.clone());
+        give_up(job, tries, &life)?;
+    }
+}
+
+/// How long a prompt waits after memory could not be set aside for it; a few events' time.
+const NO_MEMORY_PAUSE: Duration = Duration::from_millis(120);
+
+/// Memory could not be set aside.
+struct NoMemory;
+
+async fn set_aside(
+    node: &Rc<Node>,
+    job: &Job,
+    plan: &Plan,
+    tries: &Tries,
+) -> Result<Option<Tickets>, NoMemory> {
+    if plan.shares.is_empty() {
+        return Ok(None);
+    }
+    let name = format!("{}-{}", job.ask.id, tries.all);
+    match Tickets::take(node, &name, &plan.shares).await {
+        Some(tickets) => Ok(Some(tickets)),
+        None => Err(NoMemory),
+    }
+}
+
+/// Says no where the request may not be sent again.
+fn give_up(job: &Job, tries: &Tries, life: &Life<Waiting>) -> Result<(), Refusal> {
+    if job.left().is_zero() {
+        return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
+    }
+    let again = !life.may_have_run() || job.route.kind.repeatable();
+    let sends_left = tries.sends < job.route.max_attempts && tries.all < MOST_SENDS;
+    if again && sends_left {
+        return Ok(());
+    }
+    let kind = if life.may_have_run() {
+        ErrorKind::ContactLost
+    } else {
+        ErrorKind::Overloaded
+    };
+    Err(life.refuse(kind, COME_BACK))
+}
+
+/// Waits until the prompt should be sent.
+async fn place(
+    node: &Rc<Node>,
+    job: &Job,
+    tries: &Tries,
+    life: &Life<Waiting>,
+) -> Result<Plan, Refusal> {
+    loop {
+        if job.left().is_zero() {
+            return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
+        }
+        match decide(node, job, tries) {
+            Decision::Send(plan) => return Ok(plan),
+            Decision::Refuse(after) => return Err(life.refuse(ErrorKind::Overloaded, after)),
+            Decision::Wait(pause) => tokio::time::sleep(pause).await,
+        }
+    }
+}
+
+fn decide(node: &Node, job: &Job, tries: &Tries) -> Decision {
+    let config = node.state.borrow().config.clone();
+    let service = config
+        .as_ref()
+        .and_then(|config| config.service(&job.service));
+    let figures = service.and_then(|service| service.engine);
+    let Some(figures) = figures else {
+        return without_figures(node, job, tries);
+    };
+    let work = work(job, tries, figures.stride);
+    let engines = node.engines(&job.service, figures);
+    let giants = node.state.borrow().book.giants();
+    placement::choose(&work, &engines, giants)
+}
+
+/// Places a stream of a service that states no figures for its engines: least own calls first.
+fn without_figures(node: &Node, job: &Job, tries: &Tries) -> Decision {
+    match node.pick(&job.service, &tries.avoid) {
+        None => Decision::Refuse(COME_BACK),
+        Some(server) => Decision::Send(Plan {
+            first: server.id,
+            helpers: Vec::new(),
+            shares: Vec::new(),
+            part: 0.0,
+            first_event: job.route.aim,
+            giant: false,
+        }),
+    }
+}
+
+fn work(job: &Job, tries: &Tries, stride: u32) -> Work {
+    let prompt = prompt(job);
+    let expected = prompt.expected_out.unwrap_or(prompt.most_out);
+    let out = expected.max(u64::from(stride)).min(prompt.most_out.max(1));
+    Work {
+        prompt: prompt.tokens,
+        memory: prompt.tokens + out,
+        aim: job.route.aim,
+        waited: job.waited(),
+        left: job.left(),
+        worth: placement::worth(prompt.tokens),
+        pauses: pauses(job),
+        avoid: tries.avoid.clone(),
+    }
+}
+
+/// Gives what the caller says of the prompt; one that says nothing counts as an ordinary short one.
+fn prompt(job: &Job) -> Prompt {
+    job.ask.prompt.unwrap_or(Prompt {
+        tokens: 5_000,
+        most_out: 1_000,
+        expected_out: None,
+    })
+}
+
+fn pauses(job: &Job) -> PauseClass {
+    match job.route.kind {
+        Kind::Stream { longest_pause, .. } => PauseClass::of(longest_pause),
+        Kind::Idempotent | Kind::NonIdempotent => PauseClass::Long,
+    }
+}
+
+/// Gives what a plan takes at each engine.
+fn hold(job: &Job, plan: &Plan) -> Hold {
+    let prompt = prompt(job);
+    let reading = (plan.part * 1_000.0) as i64;
+    let expected = prompt.expected_out.unwrap_or(prompt.most_out);
+    let shared: u64 = plan.shares.iter().map(|share| share.tokens).sum();
+    let memory = (prompt.tokens + expected).saturating_sub(shared);
+    let mut at_risk = [0; 3];
+    at_risk[pauses(job) as usize] = (placement::worth(prompt.tokens) * 1_000.0) as i64;
+    let own_share = share_at(plan, &plan.first);
+    let load = Load {
+        reading,
+        memory: memory as i64 + own_share,
+        running: 1,
+        at_risk,
+    };
+    let others = plan
+        .helpers
+        .iter()
+        .chain(plan.shares.iter().map(|share| &share.server));
+    let mut helpers: Vec<Holding> = Vec::new();
+    for server in others {
+        let known = helpers.iter().any(|holding| holding.server == *server);
+        if known || *server == plan.first {
+            continue;
+        }
+        helpers.push(Holding {
+            server: server.clone(),
+            load: Load {
+                reading: if plan.helpers.contains(server) {
+                    reading
+                } else {
+                    0
+                },
+                memory: share_at(plan, server),
+                ..Load::default()
+            },
+        });
+    }
+    Hold {
+        first: plan.first.clone(),
+        load,
+        helpers,
+        giant: plan.giant,
+    }
+}
+
+fn share_at(plan: &Plan, server: &Name) -> i64 {
+    let share = plan.shares.iter().find(|share| share.server == *server);
+    share.map_or(0, |share| share.tokens as i64)
+}
+
+/// Lists the servers that read a part or hold memory; the answering server's own ticket goes first.
+fn helpers(node: &Node, plan: &Plan, tickets: Option<&Tickets>) -> Vec<Helper> {
+    let taken = tickets.map(Tickets::taken).unwrap_or_default();
+    let mut list: Vec<Helper> = taken
+        .iter()
+        .filter(|one| one.server == plan.first)
+        .chain(taken.iter().filter(|one| one.server != plan.first))
+        .map(|one| Helper {
+            address: one.address,
+            ticket: Some(one.name.clone()),
+        })
+        .collect();
+    for id in &plan.helpers {
+        if taken.iter().any(|one| one.server == *id) {
+            continue;
+        }
+        if let Some(server) = node.server(id) {
+            list.push(Helper {
+                address: server.address,
+                ticket: None,
+            });
+        }
+    }
+    list.truncate(placement::MOST_PARTS - 1);
+    list
+}
+
+fn tell_placed(job: &Job, plan: &Plan, attempt: u32, node: &Node) {
+    let waited = job.waited();
+    node.metrics.waited.observe(waited.as_secs_f64());
+    event::write(&Record::Placed {
+        id: &job.ask.id,
+        server: &plan.first,
+        attempt,
+        helpers: plan.helpers.len(),
+        shares: plan.shares.len(),
+        waited_ms: waited.as_millis() as u64,
+        expected_ms: plan.first_event.as_millis() as u64,
+        config: job.config,
+    });
+}
+
+/// Says whether a head begins an event stream that can be passed on.
+pub fn begins_stream(status: StatusCode) -> bool {
+    status == StatusCode::OK
+}
+
+/// Makes the refusal of a stream that was cut before its head went out.
+pub fn cut() -> Refusal {
+    answer::fail(ErrorKind::ContactLost, COME_BACK)
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Counters, gauges and latency histograms of an entry host.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the latency buckets, in seconds, around the usual aims of 0.15 to 2.5 s.
+const BUCKETS: [f64; 12] = [
+    0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// The figures of one process.
+pub struct Metrics {
+    registry: Registry,
+    /// Answers by status class or error kind.
+    pub answers: IntCounterVec,
+    /// Requests that were answered within their route's aim, and those that were not.
+    pub aims: IntCounterVec,
+    /// Time to the first event or whole answer.
+    pub first: Histogram,
+    /// Time that prompts wait at the host before they are sent.
+    pub waited: Histogram,
+    /// Sends beyond the first of a request.
+    pub repeats: IntCounter,
+    /// Calls to the store.
+    pub store_calls: IntCounter,
+    /// Age of the last word of the store, in milliseconds.
+    pub store_age: IntGauge,
+    /// The configuration's version.
+    pub config: IntGauge,
+    /// Backend servers known.
+    pub servers: IntGauge,
+    /// Entry hosts heard of, with this one.
+    pub hosts: IntGauge,
+    /// Requests in hand.
+    pub in_flight: IntGauge,
+    /// Sets of memory set aside.
+    pub tickets: IntGauge,
+    /// Connections opened to backend servers and the store.
+    pub connections: IntGauge,
+}
+
+impl Metrics {
+    /// Makes and registers all figures.
+    ///
+    /// # Errors
+    ///
+    /// Where two figures have the same name.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let metrics = Metrics {
+            answers: counters("alderglade_answers_total", "Answers by outcome.", "outcome")?,
+            aims: counters(
+                "alderglade_objective_total",
+                "Answers by whether they met the latency objective.",
+                "met",
+            )?,
+            first: histogram(
+                "alderglade_first_event_seconds",
+                "Time to the first event or whole answer.",
+            )?,
+            waited: histogram(
+                "alderglade_waited_seconds",
+                "Time that prompts wait at the host.",
+            )?,
+            repeats: IntCounter::new("alderglade_repeats_total", "Sends beyond the first.")?,
+            store_calls: IntCounter::new("alderglade_store_calls_total", "Calls to the store.")?,
+            store_age: IntGauge::new("alderglade_store_age_ms", "Age of the store's last word.")?,
+            config: IntGauge::new("alderglade_config_version", "Configuration in force.")?,
+            servers: IntGauge::new("alderglade_servers", "Backend servers known.")?,
+            hosts: IntGauge::new("alderglade_hosts", "Entry hosts heard of.")?,
+            in_flight: IntGauge::new("alderglade_in_flight", "Requests in hand.")?,
+            tickets: IntGauge::new("alderglade_tickets", "Prompts with memory set aside.")?,
+            connections: IntGauge::new("alderglade_connections_opened", "Connections opened.")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    /// Gives all figures as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("metrics can't be written: {error}");
+        }
+        text
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        let all: [Box<dyn prometheus::core::Collector>; 13] = [
+            Box::new(self.answers.clone()),
+            Box::new(self.aims.clone()),
+            Box::new(self.first.clone()),
+            Box::new(self.waited.clone()),
+            Box::new(self.repeats.clone()),
+            Box::new(self.store_calls.clone()),
+            Box::new(self.store_age.clone()),
+            Box::new(self.config.clone()),
+            Box::new(self.servers.clone()),
+            Box::new(self.hosts.clone()),
+            Box::new(self.in_flight.clone()),
+            Box::new(self.tickets.clone()),
+            Box::new(self.connections.clone()),
+        ];
+        for figure in all {
+            self.registry.register(figure)?;
+        }
+        Ok(())
+    }
+}
+
+fn counters(name: &str, help: &str, label: &str) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(name, help), &[label])
+}
+
+fn histogram(name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+    let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+    Histogram::with_opts(options)
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/relay.rs
@@ -0,0 +1,211 @@
+//! Passes a stream on, event by event, and takes it up elsewhere when its server fails.
+
+use crate::answer::{BrokenOff, Content};
+use crate::attempt::{self, Job};
+use crate::clock;
+use crate::event::{self, Record};
+use crate::generate::{self, Open, Tries};
+use crate::node::{InFlight, Node};
+use alderglade_core::fleet::config::Kind;
+use alderglade_core::fleet::health::Outcome;
+use alderglade_core::fleet::sse::Splitter;
+use alderglade_core::time::Time;
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Pieces that wait for a slow caller before the server is slowed down.
+const PIECES: usize = 8;
+/// How long a stream that runs may stay silent before it is taken elsewhere. Callers give a stream up
+/// after two seconds at least; a dead server's work stands still for one and a half.
+const SILENCE: Duration = Duration::from_millis(1_900);
+
+/// How a server's part of a stream ended.
+enum End {
+    /// All of it was passed on.
+    Whole,
+    /// The server failed.
+    Failed(String),
+    /// The request's time is over.
+    Expired,
+    /// The caller has left.
+    CallerLeft,
+}
+
+struct Relay {
+    node: Rc<Node>,
+    job: Job,
+    tries: Tries,
+    pieces: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    last_event: Option<String>,
+    first_at: Option<Time>,
+    _in_flight: InFlight,
+}
+
+/// Starts passing a stream on and gives the head of the answer.
+pub async fn start(
+    node: &Rc<Node>,
+    job: Job,
+    tries: Tries,
+    open: Open,
+    in_flight: InFlight,
+) -> Response<Content> {
+    let (pieces, receiver) = mpsc::channel(PIECES);
+    let mut response = Response::new(Content::Stream(receiver));
+    *response.status_mut() = open.exchange.head.status;
+    *response.headers_mut() = node.translator.give_back(&open.exchange.head.headers);
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    let relay = Relay {
+        node: node.clone(),
+        last_event: job.ask.last_event.clone(),
+        job,
+        tries,
+        pieces,
+        first_at: None,
+        _in_flight: in_flight,
+    };
+    tokio::task::spawn_local(relay.run(open));
+    response
+}
+
+impl Relay {
+    async fn run(mut self, mut open: Open) {
+        loop {
+            let server = open.server.clone();
+            let problem = match self.pass_on(open).await {
+                End::Whole => {
+                    self.node.note(&server.id, Outcome::Sound);
+                    return self.tell_answered();
+                }
+                End::CallerLeft => {
+                    let id = &self.job.ask.id;
+                    return event::write(&Record::CallerLeft { id });
+                }
+                End::Expired => return self.break_off("the time is over").await,
+                End::Failed(problem) => problem,
+            };
+            attempt::tell(&self.job, &server, self.tries.all, &problem);
+            self.node.note(&server.id, Outcome::Failed);
+            self.tries.avoid.push(server.id.clone());
+            if !self.may_resume() {
+                return self.break_off(&problem).await;
+            }
+            let last_event = self.last_event.clone();
+            let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
+            let reopened = tokio::select! {
+                reopened = reopen => reopened,
+                () = self.pieces.closed() => {
+                    let id = &self.job.ask.id;
+                    return event::write(&Record::CallerLeft { id });
+                }
+            };
+            match reopened {
+                Ok(next) => open = next,
+                Err(refusal) => return self.break_off(refusal.kind.label()).await,
+            }
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        let resumable = matches!(
+            self.job.route.kind,
+            Kind::Stream {
+                resumable: true,
+                ..
+            }
+        );
+        resumable && self.tries.sends < self.job.route.max_attempts
+    }
+
+    /// Passes on what one server sends.
+    async fn pass_on(&mut self, open: Open) -> End {
+        let Open {
+            exchange,
+            held,
+            tickets: _tickets,
+            mut silence,
+            ..
+        } = open;
+        let mut body = exchange.body;
+        let mut splitter = Splitter::default();
+        let ends = clock::instant(self.job.ends);
+        loop {
+            let may_resume = self.may_resume();
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(silence, body.frame()) => frame,
+                () = self.pieces.closed() => return End::CallerLeft,
+                () = tokio::time::sleep_until(ends) => return End::Expired,
+            };
+            let frame = match frame {
+                Err(_) if may_resume => return End::Failed("silence".to_string()),
+                Err(_) => continue,
+                Ok(None) => break,
+                Ok(Some(Err(error))) => return End::Failed(error.to_string()),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let mut ready = Vec::new();
+            for event in splitter.push(&data) {
+                if event.id.is_some() {
+                    self.last_event = event.id;
+                }
+                ready.extend_from_slice(&event.bytes);
+            }
+            if ready.is_empty() {
+                continue;
+            }
+            silence = SILENCE;
+            if self.first_at.is_none() {
+                self.first_at = Some(clock::now());
+            }
+            held.read();
+            if self.pieces.send(Ok(ready.into())).await.is_err() {
+                return End::CallerLeft;
+            }
+        }
+        let rest = splitter.rest();
+        if !rest.is_empty() && self.pieces.send(Ok(rest.to_vec().into())).await.is_err() {
+            return End::CallerLeft;
+        }
+        exchange.connection.recycle();
+        End::Whole
+    }
+
+    async fn break_off(&self, problem: &str) {
+        event::write(&Record::BrokenOff {
+            id: &self.job.ask.id,
+            problem,
+            took_ms: self.job.waited().as_millis() as u64,
+        });
+        let answers = &self.node.metrics.answers;
+        answers.with_label_values(&["broken_off"]).inc();
+        if self.pieces.send(Err(BrokenOff)).await.is_err() {
+            log::debug!("the caller of {} left as it was told", self.job.ask.id);
+        }
+    }
+
+    fn tell_answered(&self) {
+        let first = self.first_at.unwrap_or_else(clock::now);
+        let first = first.since(self.job.arrived);
+        let met = if first <= self.job.route.aim {
+            "yes"
+        } else {
+            "no"
+        };
+        let metrics = &self.node.metrics;
+        metrics.aims.with_label_values(&[met]).inc();
+        metrics.first.observe(first.as_secs_f64());
+        metrics.answers.with_label_values(&["served"]).inc();
+        event::write(&Record::Answered {
+            id: &self.job.ask.id,
+            status: 200,
+            took_ms: self.job.waited().as_millis() as u64,
+            first_ms: first.as_millis() as u64,
+        });
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/ticket.rs
@@ -0,0 +1,194 @@
+//! Memory set aside at several engines for a prompt that fits none of them.
+//!
+//! All shares are taken or none. They are renewed while the prompt is served and given back on every
+//! path; after a kill of this process they lapse by themselves, because each is held only briefly.
+
+use crate::client::Client;
+use crate::event::{self, Record};
+use crate::node::Node;
+use crate::translate::Order;
+use alderglade_core::Name;
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::placement::Share;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+
+/// How long an order to an engine may take. Engines answer at once; the rest is the way.
+const ORDER: Duration = Duration::from_millis(800);
+/// What is taken off the time that memory may stay unused, so that it lapses before.
+const LAPSE_MARGIN: Duration = Duration::from_millis(600);
+/// How often memory is renewed within the time that it is held for.
+const RENEWALS: u32 = 3;
+/// How often a release is tried; after that the memory lapses.
+const RELEASE_TRIES: u32 = 3;
+/// The pause between two tries to release.
+const RELEASE_PAUSE: Duration = Duration::from_millis(300);
+
+/// One share that was set aside.
+#[derive(Debug, Clone)]
+pub struct Taken {
+    /// The engine's identity.
+    pub server: Name,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// The ticket's name.
+    pub name: Name,
+    share: Share,
+}
+
+/// All shares of one prompt; dropped, they are given back.
+pub struct Tickets {
+    node: Rc<Node>,
+    taken: Vec<Taken>,
+    renewal: Option<AbortHandle>,
+}
+
+impl Tickets {
+    /// Sets all shares aside, or none.
+    ///
+    /// Returns `None` where one of the engines has not got the memory or doesn't answer.
+    pub async fn take(node: &Rc<Node>, request: &str, shares: &[Share]) -> Option<Tickets> {
+        let hold = node.settings.memory_idle.saturating_sub(LAPSE_MARGIN);
+        let mut tickets = Tickets {
+            node: node.clone(),
+            taken: Vec::new(),
+            renewal: None,
+        };
+        let mut orders = Vec::new();
+        for share in shares {
+            let server = node.server(&share.server)?;
+            let taken = Taken {
+                server: server.id.clone(),
+                address: server.address,
+                name: ticket_name(request, &server),
+                share: share.clone(),
+            };
+            // Also a share whose answer is lost may be held: it is given back with the others.
+            tickets.taken.push(taken.clone());
+            let order = node.translator.reserve(&taken.name, share, hold);
+            let client = node.client.clone();
+            orders.push(tokio::task::spawn_local(async move {
+                (call(&client, taken.address, order).await, taken)
+            }));
+        }
+        let mut all = true;
+        for order in orders {
+            let Ok((result, taken)) = order.await else {
+                all = false;
+                continue;
+            };
+            all &= granted(request, &taken, result);
+        }
+        if !all {
+            return None;
+        }
+        tickets.renewal = Some(tickets.renew(hold));
+        node.metrics.tickets.inc();
+        Some(tickets)
+    }
+
+    /// Gives the shares.
+    pub fn taken(&self) -> &[Taken] {
+        &self.taken
+    }
+
+    fn renew(&self, hold: Duration) -> AbortHandle {
+        let node = self.node.clone();
+        let taken = self.taken.clone();
+        let task = tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(hold / RENEWALS).await;
+                for one in &taken {
+                    let order = node.translator.reserve(&one.name, &one.share, hold);
+                    if let Err(problem) = call(&node.client, one.address, order).await {
+                        log::debug!("memory at {} not renewed: {problem}", one.server);
+                    }
+                }
+            }
+        });
+        task.abort_handle()
+    }
+}
+
+impl Drop for Tickets {
+    fn drop(&mut self) {
+        if let Some(renewal) = self.renewal.take() {
+            renewal.abort();
+            self.node.metrics.tickets.dec();
+        }
+        for taken in std::mem::take(&mut self.taken) {
+            let node = self.node.clone();
+            tokio::task::spawn_local(async move { release(&node, &taken).await });
+        }
+    }
+}
+
+fn ticket_name(request: &str, server: &Server) -> Name {
+    format!("{request}-{}", server.id).into()
+}
+
+fn granted(request: &str, taken: &Taken, result: Result<StatusCode, String>) -> bool {
+    let problem = match result {
+        Ok(StatusCode::OK) => return true,
+        Ok(status) => status.to_string(),
+        Err(problem) => problem,
+    };
+    event::write(&Record::MemoryRefused {
+        id: request,
+        server: &taken.server,
+        problem: &problem,
+    });
+    false
+}
+
+async fn release(node: &Rc<Node>, taken: &Taken) {
+    let mut problem = String::new();
+    for _ in 0..RELEASE_TRIES {
+        let order = node.translator.release(&taken.name);
+        match call(&node.client, taken.address, order).await {
+            Ok(_) => return,
+            Err(seen) => problem = seen,
+        }
+        tokio::time::sleep(RELEASE_PAUSE).await;
+    }
+    event::write(&Record::MemoryNotReleased {
+        server: &taken.server,
+        problem: &problem,
+    });
+}
+
+async fn call(
+    client: &Rc<Client>,
+    address: SocketAddr,
+    order: Order,
+) -> Result<StatusCode, String> {
+    let mut request = Request::new(Full::new(order.body));
+    *request.method_mut() = order.method;
+    *request.uri_mut() = order
+        .path
+        .parse()
+        .map_err(|error| format!("path of the order: {error}"))?;
+    let headers = request.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static(order.content_type),
+    );
+    let host = http::HeaderValue::from_str(&address.to_string());
+    headers.insert(
+        http::header::HOST,
+        host.map_err(|error| format!("host of the order: {error}"))?,
+    );
+    let exchange = async {
+        let exchange = client.send(address, request, false).await?;
+        exchange.collect().await
+    };
+    match tokio::time::timeout(ORDER, exchange).await {
+        Err(_) => Err("no answer in time".to_string()),
+        Ok(Err(error)) => Err(error.to_string()),
+        Ok(Ok(response)) => Ok(response.status()),
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/unary.rs
@@ -0,0 +1,212 @@
+//! Requests that are answered at once by plain backend servers.
+
+use crate::answer::{self, Content};
+use crate::attempt::{self, Job, Miss};
+use crate::client::Exchange;
+use crate::clock;
+use crate::event::{self, Record};
+use crate::forward;
+use crate::node::Node;
+use crate::translate::Reply;
+use alderglade_core::Name;
+use alderglade_core::error::{Kind as ErrorKind, Ran};
+use alderglade_core::fleet::config::Kind;
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::health::Outcome;
+use alderglade_core::fleet::life::{Life, Waiting};
+use alderglade_core::request::Refusal;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// When a caller should come back if no server took its request.
+const COME_BACK: Duration = Duration::from_millis(250);
+/// Servers that are tried where nothing could be sent, beside the attempts that a route allows.
+const MOST_CONNECTS: usize = 4;
+/// The part of its time that a repeatable request gives one server while others are left.
+const FIRST_TRY: f64 = 0.4;
+
+/// How one try ended.
+enum Try {
+    Whole(Response<Bytes>),
+    Again(Life<Waiting>, Option<Refusal>),
+    Expired(Life<Waiting>),
+}
+
+/// Serves a request whose answer is taken as a whole.
+pub async fn serve(node: &Rc<Node>, job: Job) -> Response<Content> {
+    let result = run(node, &job).await;
+    match result {
+        Ok(response) => finish(node, &job, response),
+        Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived),
+    }
+}
+
+async fn run(node: &Rc<Node>, job: &Job) -> Result<Response<Bytes>, Refusal> {
+    let mut life = Life::new();
+    let mut tried: Vec<Name> = Vec::new();
+    let mut sends = 0;
+    let mut failed: Option<Response<Bytes>> = None;
+    node.first_send(&job.service);
+    loop {
+        let Some(server) = node.pick(&job.service, &tried) else {
+            break Err(life.refuse(ErrorKind::NoCapacity, COME_BACK));
+        };
+        let used_up = sends >= job.route.max_attempts.max(1) || tried.len() >= MOST_CONNECTS;
+        if used_up || (sends > 0 && !node.spend_repeat(&job.service)) {
+            break Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
+        }
+        tried.push(server.id.clone());
+        sends += 1;
+        let more = sends < job.route.max_attempts;
+        match one_try(node, job, &server, life, sends, more).await {
+            Try::Whole(response) if more && worth_repeating(job, &response) => {
+                life = Life::new().send().lost();
+                failed = Some(response);
+            }
+            Try::Whole(response) => return Ok(response),
+            Try::Again(waiting, None) => {
+                life = waiting;
+                sends -= 1;
+            }
+            Try::Again(waiting, Some(_)) if waiting.may_have_run() && !repeatable(job) => {
+                break Err(waiting.refuse(ErrorKind::ContactLost, COME_BACK));
+            }
+            Try::Again(waiting, Some(_)) => life = waiting,
+            Try::Expired(waiting) => {
+                break Err(waiting.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
+            }
+        }
+    }
+    .or_else(|refusal| failed.ok_or(refusal))
+}
+
+async fn one_try(
+    node: &Rc<Node>,
+    job: &Job,
+    server: &Server,
+    life: Life<Waiting>,
+    number: u32,
+    more: bool,
+) -> Try {
+    let _call = node.call(&server.id);
+    event::write(&Record::Placed {
+        id: &job.ask.id,
+        server: &server.id,
+        attempt: number,
+        helpers: 0,
+        shares: 0,
+        waited_ms: job.waited().as_millis() as u64,
+        expected_ms: job.route.aim.as_millis() as u64,
+        config: job.config,
+    });
+    let left = job.left();
+    let patience = if more && repeatable(job) {
+        left.mul_f64(FIRST_TRY)
+    } else {
+        left
+    };
+    let sent = life.send();
+    let exchange = attempt::send(node, job, server, Vec::new(), None, number);
+    let whole = async {
+        let (exchange, reply) = exchange.await?;
+        collect(node, job, server, number, exchange, &reply).await
+    };
+    match tokio::time::timeout(patience, whole).await {
+        Err(_) => {
+            attempt::tell(job, server, number, "no answer in the time allowed");
+            node.note(&server.id, Outcome::Silent);
+            let waiting = sent.lost();
+            if patience < left {
+                Try::Again(waiting, Some(answer::expired(Ran::Unknown)))
+            } else {
+                Try::Expired(waiting)
+            }
+        }
+        Ok(Ok(response)) => Try::Whole(response),
+        Ok(Err(Miss::NotSent)) => Try::Again(sent.never_sent(), None),
+        Ok(Err(Miss::Disclaimed(_))) => {
+            let waiting = sent.disclaimed();
+            let refusal = waiting.refuse(ErrorKind::Overloaded, COME_BACK);
+            Try::Again(waiting, Some(refusal))
+        }
+        Ok(Err(Miss::Lost)) => {
+            let refusal = answer::fail(ErrorKind::ContactLost, COME_BACK);
+            Try::Again(sent.lost(), Some(refusal))
+        }
+    }
+}
+
+async fn collect(
+    node: &Rc<Node>,
+    job: &Job,
+    server: &Server,
+    number: u32,
+    exchange: Exchange,
+    reply: &Reply,
+) -> Result<Response<Bytes>, Miss> {
+    let genuine = reply.genuine;
+    let response = match exchange.collect().await {
+        Ok(response) => response,
+        Err(error) => {
+            attempt::tell(job, server, number, &error.to_string());
+            node.note(&server.id, Outcome::Failed);
+            return Err(Miss::Lost);
+        }
+    };
+    let status = response.status();
+    // A refusal without the server's word that it did not run promises nothing, whatever its status.
+    let promises = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    if promises || (status.is_success() && !genuine) {
+        attempt::tell(job, server, number, "the answer can't be trusted");
+        node.note(&server.id, Outcome::Failed);
+        return Err(Miss::Lost);
+    }
+    let failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
+    let outcome = if failed {
+        Outcome::Failed
+    } else {
+        Outcome::Sound
+    };
+    node.note(&server.id, outcome);
+    Ok(response)
+}
+
+fn repeatable(job: &Job) -> bool {
+    job.route.kind == Kind::Idempotent
+}
+
+/// Says whether a server's failure may be tried again elsewhere.
+fn worth_repeating(job: &Job, response: &Response<Bytes>) -> bool {
+    repeatable(job) && response.status().is_server_error()
+}
+
+fn finish(node: &Node, job: &Job, response: Response<Bytes>) -> Response<Content> {
+    let took = clock::now().since(job.arrived);
+    let status = response.status();
+    let met = if took <= job.route.aim && status.is_success() {
+        "yes"
+    } else {
+        "no"
+    };
+    node.metrics.aims.with_label_values(&[met]).inc();
+    node.metrics.first.observe(took.as_secs_f64());
+    let class = if status.is_success() {
+        "served"
+    } else {
+        "server_failed"
+    };
+    node.metrics.answers.with_label_values(&[class]).inc();
+    event::write(&Record::Answered {
+        id: &job.ask.id,
+        status: status.as_u16(),
+        took_ms: took.as_millis() as u64,
+        first_ms: took.as_millis() as u64,
+    });
+    let (head, body) = response.into_parts();
+    let mut answer = Response::new(Content::Whole(Some(body)));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = node.translator.give_back(&head.headers);
+    answer
+}
