--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -58,8 +58,13 @@
         self.doubtful_until = Some(Time::NEVER);
     }
 
-    /// Notes that the store answers again after a time without contact.
-    pub fn store_returned(&mut self, now: Time) {
+    /// Notes that the store answers again after a time without contact; `lapsed` says whether it was
+    /// away for so long that entries may have lapsed meanwhile.
+    pub fn store_returned(&mut self, now: Time, lapsed: bool) {
+        if !lapsed {
+            self.doubtful_until = None;
+            return;
+        }
         let until = now + GRACE;
         self.doubtful_until = Some(until);
         for entry in self.entries.values_mut() {
--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -244,24 +244,37 @@
     const AT_FIRST: f64 = 0.08;
     /// The cost that is borne at the end.
     const AT_LAST: f64 = 3.0;
-    /// What an answer takes after its first event, at most, in milliseconds.
-    const WRITING: f64 = 3_000.0;
     let first_event = millis(plan.first_event);
     let waited = millis(work.waited);
     let in_time = millis(work.aim) * 0.9 - first_event;
+    let last_start = waited + first_event_left(work) - first_event;
     let spent = if waited < in_time {
         waited / in_time.max(1.0)
     } else {
-        let last = waited + millis(work.left) - first_event - WRITING;
         let from = in_time.max(0.0);
-        ((waited - from) / (last - from).max(1.0)).clamp(0.0, 1.0)
+        ((waited - from) / (last_start - from).max(1.0)).clamp(0.0, 1.0)
     };
     let worth = if waited < in_time { 1.0 } else { LATE_WORTH };
     worth * (AT_FIRST + (AT_LAST - AT_FIRST) * spent * spent)
 }
 
+/// Gives the time within which the first event must come, in milliseconds: before the answer has no
+/// time left to be written, and before the caller gives up.
+fn first_event_left(work: &Work) -> f64 {
+    /// What an answer takes after its first event, at most, in milliseconds.
+    const WRITING: f64 = 2_000.0;
+    /// Callers leave when they have waited this many times the aim. From the users' pages.
+    const AIMS: f64 = 4.0;
+    /// They wait at least this long, in milliseconds.
+    const LEAST: f64 = 2_000.0;
+    /// What is kept for estimates that are too low, in milliseconds.
+    const MARGIN: f64 = 300.0;
+    let caller = (AIMS * millis(work.aim)).max(LEAST) - millis(work.waited);
+    caller.min(millis(work.left) - WRITING) - MARGIN
+}
+
 fn wait_or_refuse(work: &Work, reading: f64) -> Decision {
-    if millis(work.left) < reading + 500.0 {
+    if first_event_left(work) < reading {
         return Decision::Refuse(Duration::from_millis(2_000));
     }
     Decision::Wait(LOOK_AGAIN)
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -13,8 +13,6 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// The least time between the request to stop and the end, so that the balancer sends nobody here.
 const LEAST: Duration = Duration::from_millis(3_300);
-/// What is left of the time allowed for stopping when the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(400);
 
 /// Why a host can't start.
 #[derive(Debug, Snafu)]
@@ -53,10 +51,9 @@
 /// end.
 pub async fn stop(node: &Rc<Node>) {
     node.stop();
-    let most = node.settings.grace.saturating_sub(END_MARGIN);
-    while let Some(passed) = node.stopping_for() {
+    while let (Some(passed), Some(left)) = (node.stopping_for(), node.ends_in()) {
         let done = node.in_flight() == 0 && passed >= LEAST;
-        if done || passed >= most {
+        if done || left.is_zero() {
             break;
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -71,7 +71,7 @@
     /// The store answers again.
     StoreBack {
         /// How old the last word of the store was, in milliseconds.
-        age_ms: u128,
+        age_ms: u64,
     },
     /// Another entry host came, or came back.
     PeerJoined {
@@ -93,6 +93,8 @@
         server: &'a str,
         /// Which try it is, from `1`.
         attempt: u32,
+        /// The length of its prompt in tokens; `0` where it is no generation.
+        prompt: u64,
         /// Servers that read a part of the prompt.
         helpers: usize,
         /// Servers that hold a part of its memory.
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -32,6 +32,12 @@
 /// The multiple of the time expected.
 const LATE_FACTOR: u32 = 3;
 
+/// What an answer takes after its first event, at most: the longest answers of the users' sheets.
+const WRITING: Duration = Duration::from_millis(2_000);
+/// A host that stops hands prompts that still wait back to their callers when it has less time left
+/// than this, which is about what reading and answering a long prompt takes.
+const STOP_PATIENCE: Duration = Duration::from_millis(5_000);
+
 /// A stream that has begun at a server.
 pub struct Open {
     /// The answer as it comes.
@@ -208,8 +214,15 @@
         if job.left().is_zero() {
             return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
         }
+        let ends_in = node.ends_in();
         match decide(node, job, tries) {
+            Decision::Send(plan) if ends_in.is_some_and(|left| plan.first_event + WRITING > left) => {
+                return Err(life.refuse(ErrorKind::Draining, COME_BACK));
+            }
             Decision::Send(plan) => return Ok(plan),
+            Decision::Wait(_) if ends_in.is_some_and(|left| left < STOP_PATIENCE) => {
+                return Err(life.refuse(ErrorKind::Draining, COME_BACK));
+            }
             Decision::Refuse(after) => return Err(life.refuse(ErrorKind::Overloaded, after)),
             Decision::Wait(pause) => tokio::time::sleep(pause).await,
         }
@@ -364,6 +377,7 @@
         id: &job.ask.id,
         server: &plan.first,
         attempt,
+        prompt: prompt(job).tokens,
         helpers: plan.helpers.len(),
         shares: plan.shares.len(),
         waited_ms: waited.as_millis() as u64,
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -24,6 +24,12 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// What is left of the time allowed for stopping when the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// The store was away for so long that entries of servers may have lapsed: they go after three missed
+/// heartbeats of 1.2 s, the first of which may have been due at once.
+const LAPSED_AFTER: Duration = Duration::from_millis(2_000);
+
 /// Another entry host, as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Host {
@@ -50,8 +56,8 @@
     Confirmed(Time),
     /// The store gives no answer.
     Lost(String),
-    /// The store answers again.
-    Returned,
+    /// The store has answered a call.
+    Answered,
 }
 
 /// What changes while the host serves.
@@ -73,6 +79,14 @@
     calls: HashMap<Name, u32>,
 }
 
+/// Whether the store answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Contact {
+    lost: bool,
+    /// When it last did.
+    answered: Time,
+}
+
 /// One entry host.
 pub struct Node {
     /// Its settings.
@@ -85,6 +99,9 @@
     pub state: RefCell<State>,
     /// Figures for operators.
     pub metrics: Metrics,
+    /// Wakes calls to the store that may hang since before it came back.
+    pub store_back: Notify,
+    store: Cell<Contact>,
     /// Wakes whoever tells peers what has changed.
     pub book_changed: Notify,
     /// This lifetime of the process; `0` until the store has given it a number.
@@ -109,6 +126,8 @@
             client: Rc::default(),
             state: RefCell::default(),
             metrics: Metrics::new()?,
+            store_back: Notify::new(),
+            store: Cell::default(),
             book_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
@@ -135,11 +154,8 @@
             }
             News::Hosts(hosts) => self.state.borrow_mut().hosts = hosts,
             News::Confirmed(at) => self.state.borrow_mut().freshness.confirm(at),
-            News::Lost(problem) => {
-                self.state.borrow_mut().directory.store_lost();
-                event::write(&Record::StoreLost { problem: &problem });
-            }
-            News::Returned => self.store_returned(now),
+            News::Lost(problem) => self.store_lost(&problem),
+            News::Answered => self.store_answered(now),
         }
     }
 
@@ -158,6 +174,13 @@
         Some(clock::now().since(since))
     }
 
+    /// Gives the time until the process ends, once it was asked to stop.
+    pub fn ends_in(&self) -> Option<Duration> {
+        let passed = self.stopping_for()?;
+        let most = self.settings.grace.saturating_sub(END_MARGIN);
+        Some(most.saturating_sub(passed))
+    }
+
     /// Waits until the host has been stopping for `span`.
     pub async fn stopped_for(&self, span: Duration) {
         let mut since = self.stopping_since.subscribe();
@@ -335,11 +358,36 @@
         event::write(&Record::ServersChanged { known, leaving });
     }
 
-    fn store_returned(&self, now: Time) {
+    fn store_lost(&self, problem: &str) {
+        if self.store.get().lost {
+            return;
+        }
+        let answered = self.store.get().answered;
+        self.store.set(Contact {
+            lost: true,
+            answered,
+        });
+        self.state.borrow_mut().directory.store_lost();
+        event::write(&Record::StoreLost { problem });
+    }
+
+    fn store_answered(&self, now: Time) {
+        let Contact { lost, answered } = self.store.get();
+        self.store.set(Contact {
+            lost: false,
+            answered: now,
+        });
+        if !lost {
+            return;
+        }
+        let away = now.since(answered);
         let mut state = self.state.borrow_mut();
-        state.directory.store_returned(now);
-        let age_ms = state.freshness.age(now).map_or(0, |age| age.as_millis());
-        event::write(&Record::StoreBack { age_ms });
+        state.directory.store_returned(now, away >= LAPSED_AFTER);
+        drop(state);
+        event::write(&Record::StoreBack {
+            age_ms: away.as_millis() as u64,
+        });
+        self.store_back.notify_waiters();
     }
 
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget, Time, usize) -> T) -> T {
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -95,6 +95,7 @@
         id: &job.ask.id,
         server: &server.id,
         attempt: number,
+        prompt: 0,
         helpers: 0,
         shares: 0,
         waited_ms: job.waited().as_millis() as u64,
