Pack short prompts onto few engines and spread long ones by what they cost

Ruled out: first events of short prompts (p90 under 165 ms until the giant). Change: short prompts fill engines from the end of the order; a long prompt takes the count of engines with the least expected loss, counting short prompts that the rest couldn't take.

--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -18,10 +18,11 @@
 pub const MOST_PARTS: usize = 17;
 /// Prompts below this many tokens are short: they are read in one part and prefer quiet engines.
 const SHORT_PROMPT: u64 = 12_000;
-/// The share of the engines that read long prompts; the rest is left to short ones. From the trial.
-const LONG_SHARE: f64 = 0.7;
-/// How much longer a short prompt waits to stay away from the engines of long ones, in ms.
-const AWAY: f64 = 30.0;
+/// How much longer a short prompt waits to be at an engine one place further back in the order, in ms.
+/// It packs short prompts onto the last engines, so that long ones find engines without them.
+const PACK: f64 = 8.0;
+/// Running answers at an engine above which short prompts go to the next one.
+const PACKED: i64 = 10;
 /// A part longer than this takes up its engines for so long that few such prompts may be read at a
 /// time, in milliseconds: about the pause that short replies bear.
 const GIANT_PART: f64 = 190.0;
@@ -31,6 +32,8 @@
 const FILL: f64 = 0.92;
 /// What a late answer still earns, as a part of its worth. From the users' sheets.
 const LATE_WORTH: f64 = 0.25;
+/// What it costs to be answered as late as the aim, as a part of the worth; prefers what is sooner.
+const DELAY: f64 = 0.05;
 /// What an engine in another failure domain costs, in milliseconds.
 const OTHER_DOMAIN: f64 = 2.0;
 /// What a doubted engine costs, in milliseconds, so that it is taken when there is no other.
@@ -141,19 +144,16 @@
     if work.prompt < SHORT_PROMPT {
         return choose_short(work, engines, &usable);
     }
-    choose_long(work, engines, &usable, giants)
-}
-
-/// Gives the position up to which engines read long prompts.
-fn long_engines(count: usize) -> usize {
-    ((count as f64 * LONG_SHARE).ceil() as usize).clamp(1, count)
+    choose_long(work, &usable, giants)
 }
 
 fn choose_short(work: &Work, engines: &[Engine], usable: &[&Engine]) -> Decision {
-    let long = long_engines(engines.len());
-    let reads_long = |id: &Name| engines[..long].iter().any(|engine| engine.id == *id);
+    let from_end = |id: &Name| {
+        let position = engines.iter().position(|engine| engine.id == *id);
+        (engines.len() - 1 - position.unwrap_or(0)) as f64
+    };
     let cost = |engine: &Engine| {
-        let away = if reads_long(&engine.id) { AWAY } else { 0.0 };
+        let away = PACK * from_end(&engine.id);
         first_event(engine, read_time(engine, work.prompt)) + away + burden(work, engine)
     };
     let best = usable
@@ -184,7 +184,9 @@
     const NO_PLACE: f64 = 150.0;
     /// What an engine short of memory costs: a preempted answer is read anew.
     const NO_MEMORY: f64 = 1_000.0;
-    let mut burden = 0.0;
+    /// What each running answer above [`PACKED`] costs.
+    const CROWDED: f64 = 15.0;
+    let mut burden = CROWDED * (engine.load.running - PACKED).max(0) as f64;
     let over = engine.load.running + 1 - i64::from(engine.figures.slots);
     burden += NO_PLACE * over.max(0) as f64;
     if free(engine) < work.memory as i64 {
@@ -199,27 +201,14 @@
     burden
 }
 
-fn choose_long(work: &Work, engines: &[Engine], usable: &[&Engine], giants: u32) -> Decision {
-    let long = long_engines(engines.len());
-    let pool: Vec<&Engine> = usable
-        .iter()
-        .copied()
-        .filter(|engine| engines[..long].iter().any(|other| other.id == engine.id))
-        .filter(|engine| !engine.doubted)
-        .collect();
-    let pool = if pool.is_empty() {
-        usable.to_vec()
-    } else {
-        pool
-    };
+fn choose_long(work: &Work, usable: &[&Engine], giants: u32) -> Decision {
+    let sound: Vec<&Engine> = usable.iter().copied().filter(|engine| !engine.doubted).collect();
+    let pool = if sound.is_empty() { usable.to_vec() } else { sound };
     let whole = read_time(pool[0], work.prompt);
+    let widest = ((whole / PART).ceil() as usize).clamp(1, pool.len().min(MOST_PARTS));
     let mut best: Option<(f64, Plan)> = None;
-    for count in PART_COUNTS {
+    for count in PART_COUNTS.into_iter().filter(|count| *count < widest).chain([widest]) {
         let part = whole / count as f64;
-        let too_many = count > pool.len() || (count > 1 && part < PART / 2.0);
-        if too_many {
-            break;
-        }
         if let Some((cost, plan)) = plan_parts(work, &pool, count, part)
             && best.as_ref().is_none_or(|(least, _)| cost < *least)
         {
@@ -306,7 +295,9 @@
         .iter()
         .map(|engine| first_event(engine, part))
         .fold(0.0, f64::max);
-    let own = lateness(work, first_event) * work.worth * (1.0 - LATE_WORTH);
+    let late = lateness(work, first_event) * (1.0 - LATE_WORTH);
+    let own = work.worth * (late + DELAY * first_event / millis(work.aim));
+    let harmed = harmed + crowding(pool, count, part);
     let helpers = chosen.iter().filter(|engine| engine.id != first.id);
     let helpers: Vec<Name> = helpers
         .take(MOST_PARTS - 1)
@@ -348,6 +339,21 @@
     None
 }
 
+/// Gives the worth of short prompts that will come while `count` engines are taken up for the time of a
+/// part, and that the other engines can't take.
+fn crowding(pool: &[&Engine], count: usize, part: f64) -> f64 {
+    /// How long a short answer runs, in milliseconds; what runs now came in this time.
+    const LASTS: f64 = 1_700.0;
+    /// Parts up to this long leave room for short prompts in the same pass, in milliseconds.
+    const ROOM: f64 = 100.0;
+    let short = pool.iter().map(|engine| engine.load.at_risk[PauseClass::Short as usize]);
+    let running = short.sum::<i64>() as f64 / 1_000.0;
+    let needed = running / PACKED as f64;
+    let rest = (pool.len() - count) as f64;
+    let unserved = (1.0 - rest / needed.max(0.1)).clamp(0.0, 1.0);
+    running / LASTS * (part - ROOM).max(0.0) * unserved
+}
+
 /// Gives the worth of running answers that a part read at an engine makes late.
 fn harm(engine: &Engine, part: f64) -> f64 {
     let before = pause(engine, 0.0);
