--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -32,6 +32,9 @@
 const FILL: f64 = 0.92;
 /// What a late answer still earns, as a part of its worth. From the users' sheets.
 const LATE_WORTH: f64 = 0.25;
+/// What a second of reading on one engine is worth to others when the engines read all the time; an
+/// ordinary long prompt is worth about eight for each second that reading it takes.
+const ENGINE_SECOND: f64 = 5.0;
 /// What it costs to be answered as late as the aim, as a part of the worth; prefers what is sooner.
 const DELAY: f64 = 0.05;
 /// What an engine in another failure domain costs, in milliseconds.
@@ -116,6 +119,29 @@
     Refuse(Duration),
 }
 
+/// What concerns all engines of a service together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shared {
+    /// Prompts being read that take up many engines.
+    pub giants: u32,
+    /// How much the engines have to read, from `0.0` (nothing) to `1.0` (all the time).
+    pub pressure: f64,
+}
+
+/// Gives how much engines have to read now, on the scale of [`Shared::pressure`].
+pub fn pressure(engines: &[Engine]) -> f64 {
+    /// The mean reading that waits at engines that read nearly all the time, in milliseconds.
+    const FULL: f64 = 120.0;
+    if engines.is_empty() {
+        return 0.0;
+    }
+    let reading = engines
+        .iter()
+        .map(|engine| engine.load.reading.max(0) as f64);
+    let mean = reading.sum::<f64>() / 1_000.0 / engines.len() as f64;
+    (mean / FULL).min(1.0)
+}
+
 /// Estimates what a prompt is worth from its length, on the scale of [`Work::worth`].
 pub fn worth(prompt: u64) -> f64 {
     /// The length of an ordinary short prompt, in tokens.
@@ -127,8 +153,8 @@
 }
 
 /// Chooses the engines for a prompt, given all engines of its service in a stable order and the
-/// number of prompts being read that take up many engines.
-pub fn choose(work: &Work, engines: &[Engine], giants: u32) -> Decision {
+/// state of the service as a whole.
+pub fn choose(work: &Work, engines: &[Engine], state: &Shared) -> Decision {
     if engines.is_empty() {
         return Decision::Refuse(Duration::from_millis(1_000));
     }
@@ -144,7 +170,7 @@
     if work.prompt < SHORT_PROMPT {
         return choose_short(work, engines, &usable);
     }
-    choose_long(work, &usable, giants)
+    choose_long(work, &usable, state)
 }
 
 fn choose_short(work: &Work, engines: &[Engine], usable: &[&Engine]) -> Decision {
@@ -201,38 +227,84 @@
     burden
 }
 
-fn choose_long(work: &Work, usable: &[&Engine], giants: u32) -> Decision {
-    let sound: Vec<&Engine> = usable.iter().copied().filter(|engine| !engine.doubted).collect();
-    let pool = if sound.is_empty() { usable.to_vec() } else { sound };
+fn choose_long(work: &Work, usable: &[&Engine], state: &Shared) -> Decision {
+    let sound: Vec<&Engine> = usable
+        .iter()
+        .copied()
+        .filter(|engine| !engine.doubted)
+        .collect();
+    let pool = if sound.is_empty() {
+        usable.to_vec()
+    } else {
+        sound
+    };
     let whole = read_time(pool[0], work.prompt);
     let widest = ((whole / PART).ceil() as usize).clamp(1, pool.len().min(MOST_PARTS));
-    let mut best: Option<(f64, Plan)> = None;
-    for count in PART_COUNTS.into_iter().filter(|count| *count < widest).chain([widest]) {
+    let mut best: Option<Costed> = None;
+    for count in PART_COUNTS
+        .into_iter()
+        .filter(|count| *count < widest)
+        .chain([widest])
+    {
         let part = whole / count as f64;
-        if let Some((cost, plan)) = plan_parts(work, &pool, count, part)
-            && best.as_ref().is_none_or(|(least, _)| cost < *least)
+        if let Some(costed) = plan_parts(work, &pool, count, part)
+            && best
+                .as_ref()
+                .is_none_or(|least| costed.cost() < least.cost())
         {
-            best = Some((cost, plan));
+            best = Some(costed);
         }
     }
-    let Some((cost, plan)) = best else {
-        return wait_or_refuse(work, whole / pool.len() as f64);
-    };
-    let patience = patience(work, &plan);
-    let crowded = plan.giant && giants >= MOST_GIANTS && patience < 1.0;
-    if crowded || cost > patience * work.worth {
-        return Decision::Wait(LOOK_AGAIN);
+    let quickest = whole / widest as f64 + idle_pass(pool[0]);
+    match best {
+        None => wait_or_refuse(work, quickest),
+        Some(costed) if should_wait(work, &costed, quickest, whole, state) => {
+            Decision::Wait(LOOK_AGAIN)
+        }
+        Some(costed) => Decision::Send(costed.plan),
+    }
+}
+
+/// A plan with what it costs, in worth.
+struct Costed {
+    plan: Plan,
+    /// What other answers lose.
+    harm: f64,
+    /// What the prompt's own answer loses.
+    own: f64,
+}
+
+impl Costed {
+    fn cost(&self) -> f64 {
+        self.harm + self.own
     }
-    Decision::Send(plan)
+}
+
+/// Says whether a prompt should wait for better conditions than those of its best plan.
+fn should_wait(work: &Work, costed: &Costed, quickest: f64, whole: f64, state: &Shared) -> bool {
+    /// A chance of being late above which a plan counts as late.
+    const LATE: f64 = 0.5;
+    let patience = patience(work, &costed.plan);
+    let Shared { giants, pressure } = *state;
+    if costed.plan.giant && giants >= MOST_GIANTS && patience < 1.0 {
+        return true;
+    }
+    let late = lateness(work, millis(costed.plan.first_event)) > LATE;
+    let may_be_in_time = lateness(work, quickest) < LATE;
+    if late && may_be_in_time {
+        return true;
+    }
+    let price = ENGINE_SECOND * pressure * whole / 1_000.0;
+    costed.harm + price > patience * work.worth
 }
 
 /// Gives the cost, as a part of the prompt's own worth, at which it is sent: little while it can
 /// wait, much when its time runs out.
 fn patience(work: &Work, plan: &Plan) -> f64 {
     /// The cost that is always borne.
-    const AT_FIRST: f64 = 0.08;
+    const AT_FIRST: f64 = 0.3;
     /// The cost that is borne at the end.
-    const AT_LAST: f64 = 3.0;
+    const AT_LAST: f64 = 1.2;
     let first_event = millis(plan.first_event);
     let waited = millis(work.waited);
     let in_time = millis(work.aim) * 0.9 - first_event;
@@ -244,7 +316,7 @@
         ((waited - from) / (last_start - from).max(1.0)).clamp(0.0, 1.0)
     };
     let worth = if waited < in_time { 1.0 } else { LATE_WORTH };
-    worth * (AT_FIRST + (AT_LAST - AT_FIRST) * spent * spent)
+    worth * (AT_FIRST + (AT_LAST - AT_FIRST) * spent)
 }
 
 /// Gives the time within which the first event must come, in milliseconds: before the answer has no
@@ -270,7 +342,7 @@
 }
 
 /// Plans a prompt on `count` engines of the pool and gives the cost, in worth.
-fn plan_parts(work: &Work, pool: &[&Engine], count: usize, part: f64) -> Option<(f64, Plan)> {
+fn plan_parts(work: &Work, pool: &[&Engine], count: usize, part: f64) -> Option<Costed> {
     let mut ranked: Vec<(f64, &Engine)> = pool
         .iter()
         .map(|engine| (harm(engine, part) + slowness(engine, part), *engine))
@@ -311,7 +383,11 @@
         first_event: Duration::from_secs_f64(first_event / 1_000.0),
         giant: part > GIANT_PART,
     };
-    Some((harmed + own, plan))
+    Some(Costed {
+        plan,
+        harm: harmed,
+        own,
+    })
 }
 
 /// Spreads the memory of a prompt that fits no single engine over the engines that read it.
@@ -346,7 +422,9 @@
     const LASTS: f64 = 1_700.0;
     /// Parts up to this long leave room for short prompts in the same pass, in milliseconds.
     const ROOM: f64 = 100.0;
-    let short = pool.iter().map(|engine| engine.load.at_risk[PauseClass::Short as usize]);
+    let short = pool
+        .iter()
+        .map(|engine| engine.load.at_risk[PauseClass::Short as usize]);
     let running = short.sum::<i64>() as f64 / 1_000.0;
     let needed = running / PACKED as f64;
     let rest = (pool.len() - count) as f64;
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -16,7 +16,7 @@
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::life::{Life, Waiting};
-use alderglade_core::fleet::placement::{self, Decision, Plan, Work};
+use alderglade_core::fleet::placement::{self, Decision, Plan, Shared, Work};
 use alderglade_core::request::Refusal;
 use http::{Response, StatusCode};
 use std::rc::Rc;
@@ -216,7 +216,9 @@
         }
         let ends_in = node.ends_in();
         match decide(node, job, tries) {
-            Decision::Send(plan) if ends_in.is_some_and(|left| plan.first_event + WRITING > left) => {
+            Decision::Send(plan)
+                if ends_in.is_some_and(|left| plan.first_event + WRITING > left) =>
+            {
                 return Err(life.refuse(ErrorKind::Draining, COME_BACK));
             }
             Decision::Send(plan) => return Ok(plan),
@@ -240,8 +242,11 @@
     };
     let work = work(job, tries, figures.stride);
     let engines = node.engines(&job.service, figures);
-    let giants = node.state.borrow().book.giants();
-    placement::choose(&work, &engines, giants)
+    let shared = Shared {
+        giants: node.state.borrow().book.giants(),
+        pressure: node.pressure(placement::pressure(&engines)),
+    };
+    placement::choose(&work, &engines, &shared)
 }
 
 /// Places a stream of a service that states no figures for its engines: least own calls first.
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -87,6 +87,13 @@
     answered: Time,
 }
 
+/// How much the engines have had to read lately.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pressure {
+    mean: f64,
+    at: Time,
+}
+
 /// One entry host.
 pub struct Node {
     /// Its settings.
@@ -102,6 +109,7 @@
     /// Wakes calls to the store that may hang since before it came back.
     pub store_back: Notify,
     store: Cell<Contact>,
+    pressure: Cell<Pressure>,
     /// Wakes whoever tells peers what has changed.
     pub book_changed: Notify,
     /// This lifetime of the process; `0` until the store has given it a number.
@@ -128,6 +136,7 @@
             metrics: Metrics::new()?,
             store_back: Notify::new(),
             store: Cell::default(),
+            pressure: Cell::default(),
             book_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
@@ -286,6 +295,18 @@
             .collect()
     }
 
+    /// Smooths the pressure on the engines: takes what it is now and gives its recent mean.
+    pub fn pressure(&self, now_is: f64) -> f64 {
+        /// The time over which the mean is taken; about as long as a long prompt is read.
+        const OVER: f64 = 0.7;
+        let now = clock::now();
+        let Pressure { mean, at } = self.pressure.get();
+        let weight = 1.0 - (-now.since(at).as_secs_f64() / OVER).exp();
+        let mean = mean + weight * (now_is - mean);
+        self.pressure.set(Pressure { mean, at: now });
+        mean
+    }
+
     /// Picks the plain backend server with the fewest own calls that hasn't been tried.
     pub fn pick(&self, service: &str, tried: &[Name]) -> Option<Server> {
         let now = clock::now();
