--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -188,6 +188,19 @@
         self.holds.insert(id, hold);
     }
 
+    /// Notes that one server has read its part of a prompt whose first token has not come yet.
+    pub fn part_read(&mut self, id: HoldId, server: &Name) {
+        let Some(hold) = self.holds.get_mut(&id) else {
+            return;
+        };
+        let part = hold.helpers.iter_mut().find(|part| part.server == *server);
+        let Some(part) = part else {
+            return;
+        };
+        let reading = std::mem::take(&mut part.load.reading);
+        self.change(server, |own| own.reading -= reading);
+    }
+
     /// Notes that a request is over.
     pub fn release(&mut self, id: HoldId) {
         let Some(hold) = self.holds.remove(&id) else {
--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -91,13 +91,22 @@
     pub tokens: u64,
 }
 
+/// A part of a prompt read by an engine that does not answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Part {
+    /// The engine.
+    pub server: Name,
+    /// When the part is expected to have been read, counted from now.
+    pub done: Duration,
+}
+
 /// A choice of engines.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
     /// The engine that answers.
     pub first: Name,
     /// The others that read a part.
-    pub helpers: Vec<Name>,
+    pub helpers: Vec<Part>,
     /// Memory to be set aside before the prompt is sent; empty where it fits the first engine.
     pub shares: Vec<Share>,
     /// The reading time of a part, in milliseconds.
@@ -371,9 +380,12 @@
     let own = work.worth * (late + DELAY * first_event / millis(work.aim));
     let harmed = harmed + crowding(pool, count, part);
     let helpers = chosen.iter().filter(|engine| engine.id != first.id);
-    let helpers: Vec<Name> = helpers
+    let helpers: Vec<Part> = helpers
         .take(MOST_PARTS - 1)
-        .map(|engine| engine.id.clone())
+        .map(|engine| Part {
+            server: engine.id.clone(),
+            done: expected(engine, part),
+        })
         .collect();
     let plan = Plan {
         first: first.id.clone(),
@@ -415,6 +427,10 @@
     None
 }
 
+fn expected(engine: &Engine, part: f64) -> Duration {
+    Duration::from_secs_f64(first_event(engine, part) / 1_000.0)
+}
+
 /// Gives the worth of short prompts that will come while `count` engines are taken up for the time of a
 /// part, and that the other engines can't take.
 fn crowding(pool: &[&Engine], count: usize, part: f64) -> f64 {
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -99,7 +99,8 @@
             continue;
         };
         let hold = hold(job, &plan);
-        let held = node.hold(hold);
+        let mut held = node.hold(hold);
+        held.expect_parts(&plan.helpers);
         let tickets = match set_aside(node, job, &plan, tries).await {
             Ok(tickets) => tickets,
             Err(NoMemory) => {
@@ -315,6 +316,7 @@
     let others = plan
         .helpers
         .iter()
+        .map(|part| &part.server)
         .chain(plan.shares.iter().map(|share| &share.server));
     let mut helpers: Vec<Holding> = Vec::new();
     for server in others {
@@ -325,7 +327,7 @@
         helpers.push(Holding {
             server: server.clone(),
             load: Load {
-                reading: if plan.helpers.contains(server) {
+                reading: if plan.helpers.iter().any(|part| part.server == *server) {
                     reading
                 } else {
                     0
@@ -360,11 +362,11 @@
             ticket: Some(one.name.clone()),
         })
         .collect();
-    for id in &plan.helpers {
-        if taken.iter().any(|one| one.server == *id) {
+    for part in &plan.helpers {
+        if taken.iter().any(|one| one.server == part.server) {
             continue;
         }
-        if let Some(server) = node.server(id) {
+        if let Some(server) = node.server(&part.server) {
             list.push(Helper {
                 address: server.address,
                 ticket: None,
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -14,7 +14,7 @@
 use alderglade_core::fleet::freshness::Freshness;
 use alderglade_core::fleet::health::{Health, Outcome};
 use alderglade_core::fleet::pass::Figures;
-use alderglade_core::fleet::placement::Engine;
+use alderglade_core::fleet::placement::{Engine, Part};
 use alderglade_core::time::Time;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
@@ -23,6 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
 
 /// What is left of the time allowed for stopping when the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
@@ -30,6 +31,9 @@
 /// heartbeats of 1.2 s, the first of which may have been due at once.
 const LAPSED_AFTER: Duration = Duration::from_millis(2_000);
 
+/// How long after the expected time a part of a prompt counts as read; about half a pass.
+const PART_GRACE: Duration = Duration::from_millis(25);
+
 /// Another entry host, as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Host {
@@ -242,6 +246,7 @@
         Held {
             node: self.clone(),
             id,
+            parts: None,
         }
     }
 
@@ -439,11 +444,36 @@
 pub struct Held {
     node: Rc<Node>,
     id: HoldId,
+    parts: Option<AbortHandle>,
 }
 
 impl Held {
+    /// Notes each part as read when it is expected to be, but for the last ones, which the first event
+    /// tells of.
+    pub fn expect_parts(&mut self, parts: &[Part]) {
+        let mut parts = parts.to_vec();
+        parts.sort_by_key(|part| part.done);
+        parts.truncate(parts.len().saturating_sub(1));
+        let (node, id) = (self.node.clone(), self.id);
+        let began = clock::now();
+        let task = tokio::task::spawn_local(async move {
+            for part in parts {
+                let due = began + part.done + PART_GRACE;
+                if due > clock::now() {
+                    tokio::time::sleep_until(clock::instant(due)).await;
+                }
+                node.state.borrow_mut().book.part_read(id, &part.server);
+                node.book_changed.notify_one();
+            }
+        });
+        self.parts = Some(task.abort_handle());
+    }
+
     /// Notes that the prompt has been read.
-    pub fn read(&self) {
+    pub fn read(&mut self) {
+        if let Some(parts) = self.parts.take() {
+            parts.abort();
+        }
         self.node.state.borrow_mut().book.read(self.id);
         self.node.book_changed.notify_one();
     }
@@ -451,6 +481,9 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
+        if let Some(parts) = self.parts.take() {
+            parts.abort();
+        }
         self.node.state.borrow_mut().book.release(self.id);
         self.node.book_changed.notify_one();
     }
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -124,7 +124,7 @@
     async fn pass_on(&mut self, open: Open) -> End {
         let Open {
             exchange,
-            held,
+            mut held,
             tickets: _tickets,
             mut silence,
             ..
@@ -132,6 +132,7 @@
         let mut body = exchange.body;
         let mut splitter = Splitter::default();
         let ends = clock::instant(self.job.ends);
+        let mut read = false;
         loop {
             let may_resume = self.may_resume();
             let frame = tokio::select! {
@@ -159,11 +160,14 @@
             if ready.is_empty() {
                 continue;
             }
-            silence = SILENCE;
             if self.first_at.is_none() {
                 self.first_at = Some(clock::now());
             }
-            held.read();
+            if !read {
+                read = true;
+                silence = SILENCE;
+                held.read();
+            }
             if self.pieces.send(Ok(ready.into())).await.is_err() {
                 return End::CallerLeft;
             }
