--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -34,7 +34,7 @@
 const LATE_WORTH: f64 = 0.25;
 /// What a second of reading on one engine is worth to others when the engines read all the time; an
 /// ordinary long prompt is worth about eight for each second that reading it takes.
-const ENGINE_SECOND: f64 = 5.0;
+const ENGINE_SECOND: f64 = 2.0;
 /// What it costs to be answered as late as the aim, as a part of the worth; prefers what is sooner.
 const DELAY: f64 = 0.05;
 /// What an engine in another failure domain costs, in milliseconds.
