--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -35,6 +35,8 @@
 /// What a second of reading on one engine is worth to others when the engines read all the time; an
 /// ordinary long prompt is worth about eight for each second that reading it takes.
 const ENGINE_SECOND: f64 = 2.0;
+/// First events come up to this much later than expected when other prompts follow.
+const MISS_FACTOR: f64 = 1.4;
 /// What it costs to be answered as late as the aim, as a part of the worth; prefers what is sooner.
 const DELAY: f64 = 0.05;
 /// What an engine in another failure domain costs, in milliseconds.
@@ -153,12 +155,12 @@
 
 /// Estimates what a prompt is worth from its length, on the scale of [`Work::worth`].
 pub fn worth(prompt: u64) -> f64 {
-    /// The length of an ordinary short prompt, in tokens.
-    const ORDINARY: f64 = 5_000.0;
-    /// How worth grows with length; fitted to both users' sheets (1.3, 3.9 and 15 for 5, 45 and 133
-    /// thousand tokens).
-    const EXPONENT: f64 = 0.7;
-    1.3 * (prompt.max(500) as f64 / ORDINARY).powf(EXPONENT)
+    /// What any prompt is worth.
+    const ANY: f64 = 1.0;
+    /// What a thousand tokens add. Both fit the users' sheets, where prompts of 5, 45 and 133 thousand
+    /// tokens are worth 1.3, 3.9 and 15, and within a kind the worth grows with the length.
+    const PER_THOUSAND: f64 = 0.086;
+    ANY + PER_THOUSAND * prompt as f64 / 1_000.0
 }
 
 /// Chooses the engines for a prompt, given all engines of its service in a stable order and the
@@ -377,7 +379,8 @@
         .map(|engine| first_event(engine, part))
         .fold(0.0, f64::max);
     let late = lateness(work, first_event) * (1.0 - LATE_WORTH);
-    let own = work.worth * (late + DELAY * first_event / millis(work.aim));
+    let missed = over(first_event * MISS_FACTOR, first_event_left(work).max(1.0)) * LATE_WORTH;
+    let own = work.worth * (late + missed + DELAY * first_event / millis(work.aim));
     let harmed = harmed + crowding(pool, count, part);
     let helpers = chosen.iter().filter(|engine| engine.id != first.id);
     let helpers: Vec<Part> = helpers
