--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -12,6 +12,9 @@
 /// A host not heard of for this long holds nothing any more: four heartbeats of 250 ms, and one more
 /// for a notice on its way.
 pub const LAPSE: Duration = Duration::from_millis(1_250);
+/// A failure domain none of whose hosts was heard of for this long may be cut off: two heartbeats of
+/// 250 ms, and one more for a notice on its way.
+pub const CUT_OFF: Duration = Duration::from_millis(650);
 /// Classes of pauses that running answers bear; see [`PauseClass`].
 pub const PAUSE_CLASSES: usize = 3;
 
@@ -106,6 +109,8 @@
 pub struct Notice {
     /// The sender's name.
     pub host: Name,
+    /// The sender's failure domain.
+    pub domain: Name,
     /// The sender's lifetime.
     pub incarnation: u64,
     /// Rises with each notice of the lifetime.
@@ -156,6 +161,7 @@
     changed: BTreeSet<Name>,
     peers: HashMap<Name, Peer>,
     totals: HashMap<Name, Load>,
+    domains: HashMap<Name, Time>,
 }
 
 impl Book {
@@ -278,6 +284,7 @@
             giants: 0,
             loads: HashMap::new(),
         });
+        self.domains.insert(notice.domain.clone(), now);
         peer.sequence = notice.sequence;
         peer.heard = now;
         peer.giants = notice.giants;
@@ -305,6 +312,13 @@
         silent
     }
 
+    /// Says whether a failure domain seems cut off: its hosts were heard of before, and none is now.
+    pub fn is_cut_off(&self, domain: &str, now: Time) -> bool {
+        self.domains
+            .get(domain)
+            .is_some_and(|heard| now.since(*heard) > CUT_OFF)
+    }
+
     /// Gives the number of hosts heard of, with this one.
     pub fn hosts(&self) -> usize {
         self.peers.len() + 1
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -51,7 +51,8 @@
         },
     };
     guard.done = true;
-    if node.stopping_for().is_some() {
+    // A caller whose connection stays here would come back to a host that is about to refuse it.
+    if !node.ready() {
         let close = HeaderValue::from_static("close");
         response
             .headers_mut()
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -83,6 +83,16 @@
     calls: HashMap<Name, u32>,
 }
 
+impl State {
+    /// Says whether a server should be passed over where others can serve: it has failed, or it lies in
+    /// another failure domain that seems cut off from this one.
+    fn doubts(&self, own_domain: &Name, server: &Server, now: Time) -> bool {
+        let elsewhere = server.domain != *own_domain;
+        let cut_off = elsewhere && self.book.is_cut_off(&server.domain, now);
+        cut_off || self.health.doubted(&server.id, now)
+    }
+}
+
 /// Whether the store answers.
 #[derive(Debug, Clone, Copy, Default)]
 struct Contact {
@@ -295,7 +305,7 @@
                 load: state.book.total(&server.id),
                 figures,
                 near: server.domain == self.settings.domain,
-                doubted: state.health.doubted(&server.id, now),
+                doubted: state.doubts(&self.settings.domain, server, now),
             })
             .collect()
     }
@@ -321,7 +331,8 @@
             let calls = state.calls.get(&server.id).copied().unwrap_or(0);
             let busy = f64::from(calls) / f64::from(server.slots.max(1));
             let far = f64::from(u8::from(server.domain != self.settings.domain)) * 0.05;
-            let doubted = f64::from(u8::from(state.health.doubted(&server.id, now))) * 100.0;
+            let doubted =
+                f64::from(u8::from(state.doubts(&self.settings.domain, server, now))) * 100.0;
             let tried = f64::from(u8::from(tried.contains(&server.id))) * 1_000.0;
             busy + far + doubted + tried + state.health.failing(&server.id) + 0.1 * draw
         };
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -72,6 +72,7 @@
     let state = node.state.borrow();
     Notice {
         host: node.settings.host.clone(),
+        domain: node.settings.domain.clone(),
         incarnation: node.incarnation.get(),
         sequence,
         whole,
