Stopping: take only streams whose longest answer ends in time

Cause: LOST (rinpu mix): a host asked to stop 3.4 s before took a stream whose answer of 79 events runs four seconds, with four seconds left. Change: the time of an answer follows from the most tokens that it may have.

--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -1,6 +1,6 @@
 //! Generations: places a prompt, sends it, and starts to pass its stream on.
 
-use crate::answer::{self, Content};
+use crate::answer::Content;
 use crate::attempt::{self, Job, Miss};
 use crate::client::Exchange;
 use crate::event::{self, Record};
@@ -16,9 +16,10 @@
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::life::{Life, Waiting};
+use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::{self, Decision, Plan, Shared, Work};
 use alderglade_core::request::Refusal;
-use http::{Response, StatusCode};
+use http::Response;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +33,8 @@
 /// The multiple of the time expected.
 const LATE_FACTOR: u32 = 3;
 
-/// What an answer takes after its first event, at most: the longest answers of the users' sheets.
-const WRITING: Duration = Duration::from_millis(2_000);
+/// What a stride of an answer's tokens takes, at most, where engines are busy.
+const STRIDE: Duration = Duration::from_millis(75);
 /// A host that stops hands prompts that still wait back to their callers when it has less time left
 /// than this, which is about what reading and answering a long prompt takes.
 const STOP_PATIENCE: Duration = Duration::from_millis(5_000);
@@ -218,7 +219,7 @@
         let ends_in = node.ends_in();
         match decide(node, job, tries) {
             Decision::Send(plan)
-                if ends_in.is_some_and(|left| plan.first_event + WRITING > left) =>
+                if ends_in.is_some_and(|left| answer_time(node, job, &plan) > left) =>
             {
                 return Err(life.refuse(ErrorKind::Draining, COME_BACK));
             }
@@ -232,13 +233,21 @@
     }
 }
 
+/// Gives the longest that an answer is expected to take from now to its end.
+fn answer_time(node: &Node, job: &Job, plan: &Plan) -> Duration {
+    let stride = figures(node, job).map_or(1, |figures| u64::from(figures.stride.max(1)));
+    let strides = prompt(job).most_out / stride + 1;
+    plan.first_event + STRIDE * u32::try_from(strides).unwrap_or(u32::MAX)
+}
+
+/// Gives the timing of the engines that serve a job, if its service states it.
+fn figures(node: &Node, job: &Job) -> Option<Figures> {
+    let config = node.state.borrow().config.clone()?;
+    config.service(&job.service)?.engine
+}
+
 fn decide(node: &Node, job: &Job, tries: &Tries) -> Decision {
-    let config = node.state.borrow().config.clone();
-    let service = config
-        .as_ref()
-        .and_then(|config| config.service(&job.service));
-    let figures = service.and_then(|service| service.engine);
-    let Some(figures) = figures else {
+    let Some(figures) = figures(node, job) else {
         return without_figures(node, job, tries);
     };
     let work = work(job, tries, figures.stride);
@@ -392,13 +401,3 @@
         config: job.config,
     });
 }
-
-/// Says whether a head begins an event stream that can be passed on.
-pub fn begins_stream(status: StatusCode) -> bool {
-    status == StatusCode::OK
-}
-
-/// Makes the refusal of a stream that was cut before its head went out.
-pub fn cut() -> Refusal {
-    answer::fail(ErrorKind::ContactLost, COME_BACK)
-}
