--- a/crates/alderglade-core/src/fleet/placement.rs
+++ b/crates/alderglade-core/src/fleet/placement.rs
@@ -261,7 +261,7 @@
         .chain([widest])
     {
         let part = whole / count as f64;
-        if let Some(costed) = plan_parts(work, &pool, count, part)
+        if let Some(costed) = plan_parts(work, &pool, count, part, state.pressure)
             && best
                 .as_ref()
                 .is_none_or(|least| costed.cost() < least.cost())
@@ -356,12 +356,19 @@
 }
 
 /// Plans a prompt on `count` engines of the pool and gives the cost, in worth.
-fn plan_parts(work: &Work, pool: &[&Engine], count: usize, part: f64) -> Option<Costed> {
+fn plan_parts(
+    work: &Work,
+    pool: &[&Engine],
+    count: usize,
+    part: f64,
+    pressure: f64,
+) -> Option<Costed> {
     let mut ranked: Vec<(f64, &Engine)> = pool
         .iter()
         .map(|engine| (harm(engine, part) + slowness(engine, part), *engine))
         .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    // Parts of prompts that follow are read first, as much as there is to read.
     let chosen: Vec<&Engine> = ranked[..count].iter().map(|(_, engine)| *engine).collect();
     let roomiest = chosen.iter().max_by_key(|engine| free(engine)).copied()?;
     let (first, shares) = if free(roomiest) >= work.memory as i64 {
@@ -379,7 +386,7 @@
     let harmed: f64 = chosen.iter().map(|engine| harm(engine, part)).sum();
     let first_event = chosen
         .iter()
-        .map(|engine| first_event(engine, part))
+        .map(|engine| first_event(engine, part * (1.0 + pressure)))
         .fold(0.0, f64::max);
     let late = lateness(work, first_event) * (1.0 - LATE_WORTH);
     let missed = over(first_event * MISS_FACTOR, first_event_left(work).max(1.0)) * LATE_WORTH;
