--- a/crates/alderglade-core/src/error.rs
+++ b/crates/alderglade-core/src/error.rs
@@ -146,7 +146,7 @@
     row(
         Kind::ExpiredWaiting,
         "expired_waiting",
-        504,
+        503,
         Ran::No,
         true,
         2012,
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -3,11 +3,12 @@
 use crate::event::{self, Record};
 use crate::node::Node;
 use crate::{listen, peer};
+use serde::Serialize;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// How often a stopping host looks whether its work is done.
 const LOOK: Duration = Duration::from_millis(50);
@@ -22,20 +23,41 @@
     source: std::io::Error,
 }
 
+/// Where a host really listens; differs from its settings where those leave the port to the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question.
+    pub ready: SocketAddr,
+    /// For notices of other hosts, over UDP.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub metrics: Option<SocketAddr>,
+}
+
 /// Opens all sockets and starts to serve.
 ///
 /// # Errors
 ///
 /// Where an address can't be had.
-pub async fn start(node: &Rc<Node>) -> Result<(), Error> {
+pub async fn start(node: &Rc<Node>) -> Result<Addresses, Error> {
     let settings = &node.settings;
-    let open = |address| listen::open(address).context(Snafu { address });
-    let ready = open(settings.ready)?;
-    let callers = open(settings.callers)?;
+    let ready = listener(settings.ready)?;
+    let callers = listener(settings.callers)?;
+    let metrics = settings.metrics.map(listener).transpose()?;
     let address = settings.peers;
     let peers = UdpSocket::bind(address).await.context(Snafu { address })?;
-    if let Some(address) = settings.metrics {
-        tokio::task::spawn_local(listen::metrics(node.clone(), open(address)?));
+    let addresses = Addresses {
+        callers: callers.local_addr().unwrap_or(settings.callers),
+        ready: ready.local_addr().unwrap_or(settings.ready),
+        peers: peers.local_addr().unwrap_or(settings.peers),
+        metrics: metrics
+            .as_ref()
+            .and_then(|listener| listener.local_addr().ok()),
+    };
+    if let Some(metrics) = metrics {
+        tokio::task::spawn_local(listen::metrics(node.clone(), metrics));
     }
     tokio::task::spawn_local(listen::ready(node.clone(), ready));
     tokio::task::spawn_local(listen::callers(node.clone(), callers));
@@ -43,8 +65,13 @@
     event::write(&Record::Started {
         host: &settings.host,
         domain: &settings.domain,
+        addresses,
     });
-    Ok(())
+    Ok(addresses)
+}
+
+fn listener(address: SocketAddr) -> Result<TcpListener, Error> {
+    listen::open(address).context(Snafu { address })
 }
 
 /// Stops a host: takes no new connections, finishes what it has, and returns when the process should
--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -4,6 +4,7 @@
 //! lines go through a bounded queue to a thread of their own, and lines over the budget of a second
 //! are counted and told instead of written.
 
+use crate::daemon::Addresses;
 use log4rs::append::Append;
 use log4rs::config::{Appender, Config, Root};
 use serde::Serialize;
@@ -28,6 +29,9 @@
         host: &'a str,
         /// Its failure domain.
         domain: &'a str,
+        /// Where it listens.
+        #[serde(flatten)]
+        addresses: Addresses,
     },
     /// The process was asked to stop.
     Stopping {
