Explain a request from the logs of entry hosts; a catalogue of log events held against the code

alderglade explain REQUEST-ID [LOG...]: the request's lines in order with the host's standing before it; exit code 1 where nothing is found. Each log event is one constant with number, level and name.

--- a/crates/alderglade-operator/src/command.rs
+++ b/crates/alderglade-operator/src/command.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod drain;
+pub mod explain;
 mod plan;
 mod report;
 mod show;
@@ -38,6 +39,7 @@
   show                  show the settings in force
   status                show each entry host and its settings revision
   drain HOST            have an entry host finish its work and stop
+  explain ID [LOG...]   tell the story of a request from hosts' logs
   report                show how fast service-level budgets burn
 
 Options:
@@ -100,6 +102,20 @@
         /// What was waited for.
         detail: String,
     },
+    /// No log speaks of a request.
+    #[snafu(display("no line speaks of request `{id}`"))]
+    NotFound {
+        /// The request.
+        id: String,
+    },
+    /// A log can't be read.
+    #[snafu(display("can't read the log {file}: {cause}"))]
+    Log {
+        /// The file.
+        file: String,
+        /// What the system said.
+        cause: String,
+    },
     /// A picture can't be drawn.
     #[snafu(transparent)]
     Plot {
@@ -116,6 +132,8 @@
             Error::Platform { .. }
             | Error::Host { .. }
             | Error::Waited { .. }
+            | Error::NotFound { .. }
+            | Error::Log { .. }
             | Error::Plot { .. } => FAILED,
         }
     }
@@ -127,6 +145,8 @@
             Error::Platform { .. } => Some("is --platform right, and is the platform in service?"),
             Error::Outrun { .. } => Some("run `alderglade plan` again and look at what changed"),
             Error::Host { .. } => Some("`alderglade status` shows which hosts answer"),
+            Error::NotFound { .. } => Some("is the id whole, and are these the logs of its hosts?"),
+            Error::Log { .. } => Some("logs are files of entry hosts' standard output"),
             Error::Waited { .. } | Error::Plot { .. } => None,
         }
     }
@@ -255,6 +275,7 @@
         "show" => Command::new(show::HELP, show::run),
         "status" => Command::new(status::HELP, status::run),
         "drain" => Command::new(drain::HELP, drain::run),
+        "explain" => Command::new(explain::HELP, explain::run),
         "report" => Command::new(report::HELP, report::run),
         other => return Err(usage(format!("no command `{other}`"))),
     };
--- /dev/null
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -0,0 +1,147 @@
+//! `alderglade explain`: the story of one request, from the structured logs of entry hosts.
+
+use super::{Arguments, Error, usage};
+use crate::shell::Shell;
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::io::BufRead;
+
+pub(super) const HELP: &str = "\
+Tell the story of one request from the logs of entry hosts.
+
+Usage: alderglade explain REQUEST-ID [LOG...] [--json]
+
+Reads the files, or standard input where none is named. What stands before the `{` of a line, such as a
+time and a host, is kept; a line without it is told under the name of its file. Lines that say how the
+host stood before the request (configuration, store, servers, peers) are told too, the last of each kind.
+
+Exit codes: 0 told, 1 nothing found or a file can't be read, 2 wrong usage
+";
+
+/// Fields of a line that every line has.
+const COMMON: [&str; 5] = ["at_ms", "n", "level", "event", "id"];
+/// Events that say how a host stands, beside any request.
+const STANDING: [&str; 7] = [
+    "config_in_force",
+    "servers_changed",
+    "store_lost",
+    "store_back",
+    "peer_joined",
+    "peer_lost",
+    "stopping",
+];
+
+/// One line of a log, understood.
+#[derive(Debug, Clone, Serialize)]
+pub struct Line {
+    /// Where it comes from: what stood before it, or its file.
+    pub source: String,
+    /// The time on the host's steady clock, in milliseconds since its start.
+    pub at_ms: u64,
+    /// The number of the event.
+    pub number: u64,
+    /// The event.
+    pub event: String,
+    /// The request that it speaks of, if any.
+    pub id: Option<String>,
+    /// What else it says.
+    pub details: Map<String, Value>,
+}
+
+impl Line {
+    /// Understands a line of the log; `None` where it is no event.
+    pub fn read(file: &str, text: &str) -> Option<Line> {
+        let start = text.find('{')?;
+        let (before, object) = text.split_at(start);
+        let mut object: Map<String, Value> = serde_json::from_str(object.trim()).ok()?;
+        let event = object.get("event")?.as_str()?.to_string();
+        let at_ms = object.get("at_ms")?.as_u64()?;
+        let number = object.get("n")?.as_u64()?;
+        let id = object.get("id").and_then(Value::as_str).map(str::to_string);
+        object.retain(|name, _| !COMMON.contains(&name.as_str()));
+        let before = before.trim();
+        Some(Line {
+            source: if before.is_empty() { file } else { before }.to_string(),
+            at_ms,
+            number,
+            event,
+            id,
+            details: object,
+        })
+    }
+
+    fn text(&self) -> String {
+        let details: Vec<String> = self
+            .details
+            .iter()
+            .map(|(name, value)| format!("{name} {value}"))
+            .collect();
+        let details = details.join(", ");
+        format!(
+            "{:>9} ms  [{}] {:<16} {details}  ({})\n",
+            self.at_ms, self.number, self.event, self.source
+        )
+    }
+}
+
+/// The lines that tell a request's story: for each file, the host's standing before it and its own lines.
+pub fn story(lines: &[Line], id: &str) -> Vec<Line> {
+    let Some(first) = lines.iter().position(|line| line.id.as_deref() == Some(id)) else {
+        return Vec::new();
+    };
+    let host = host_of(&lines[first]);
+    let mut standing: Vec<Line> = Vec::new();
+    for line in &lines[..first] {
+        let own = STANDING.contains(&line.event.as_str()) && host_of(line) == host;
+        if own {
+            standing.retain(|known| known.event != line.event);
+            standing.push(line.clone());
+        }
+    }
+    let own = lines[first..].iter();
+    let own = own.filter(|line| line.id.as_deref() == Some(id));
+    standing.into_iter().chain(own.cloned()).collect()
+}
+
+/// Gives the part of a line's source that names its host: the last word, after a time.
+fn host_of(line: &Line) -> &str {
+    line.source.split_whitespace().last().unwrap_or("")
+}
+
+pub(super) fn run(arguments: &Arguments, shell: &Shell) -> Result<(), Error> {
+    let [id, files @ ..] = arguments.operands.as_slice() else {
+        return Err(usage("`alderglade explain` needs a request id"));
+    };
+    let mut told = Vec::new();
+    if files.is_empty() {
+        let lines = read("standard input", std::io::stdin().lock())?;
+        told.extend(story(&lines, id));
+    }
+    for file in files {
+        let opened = std::fs::File::open(file).map_err(|cause| log_error(file, &cause))?;
+        let lines = read(file, std::io::BufReader::new(opened))?;
+        told.extend(story(&lines, id));
+    }
+    if told.is_empty() {
+        return Err(Error::NotFound { id: id.clone() });
+    }
+    let text: String = told.iter().map(Line::text).collect();
+    shell.result(&told, &text);
+    Ok(())
+}
+
+fn read(file: &str, reader: impl BufRead) -> Result<Vec<Line>, Error> {
+    let mut lines = Vec::new();
+    for text in reader.lines() {
+        let text = text.map_err(|cause| log_error(file, &cause))?;
+        lines.extend(Line::read(file, &text));
+    }
+    Ok(lines)
+}
+
+fn log_error(file: &str, cause: &std::io::Error) -> Error {
+    Error::Log {
+        file: file.to_string(),
+        cause: cause.to_string(),
+    }
+}
--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -19,9 +19,107 @@
 /// Lines that are written in a second; three lines for each of a busy host's requests.
 const LINES_PER_SECOND: u64 = 300;
 
+/// One kind of log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kind {
+    /// The number, never used for another kind.
+    pub number: u16,
+    /// How grave it is.
+    pub level: log::Level,
+    /// The name in the log.
+    pub name: &'static str,
+}
+
+const fn info(number: u16, name: &'static str) -> Kind {
+    Kind {
+        number,
+        level: log::Level::Info,
+        name,
+    }
+}
+
+const fn warn(number: u16, name: &'static str) -> Kind {
+    Kind {
+        number,
+        level: log::Level::Warn,
+        name,
+    }
+}
+
+/// The process serves.
+pub const STARTED: Kind = info(3001, "started");
+/// The process was asked to stop.
+pub const STOPPING: Kind = info(3002, "stopping");
+/// The process ends.
+pub const STOPPED: Kind = info(3003, "stopped");
+/// The settings were read again.
+pub const RELOADED: Kind = info(3004, "reloaded");
+/// Lines were left out.
+pub const LINES_DROPPED: Kind = warn(3005, "lines_dropped");
+/// A newer configuration is in force.
+pub const CONFIG_IN_FORCE: Kind = info(3101, "config_in_force");
+/// A configuration could not be read and is passed over.
+pub const CONFIG_UNREADABLE: Kind = warn(3102, "config_unreadable");
+/// The list of backend servers changed.
+pub const SERVERS_CHANGED: Kind = info(3103, "servers_changed");
+/// The store gives no answer.
+pub const STORE_LOST: Kind = warn(3201, "store_lost");
+/// The store answers again.
+pub const STORE_BACK: Kind = info(3202, "store_back");
+/// Another entry host came, or came back.
+pub const PEER_JOINED: Kind = info(3301, "peer_joined");
+/// Another entry host is silent; what it held lapses.
+pub const PEER_LOST: Kind = warn(3302, "peer_lost");
+/// Something could not be sent or read between hosts.
+pub const PEER_FAULT: Kind = warn(3303, "peer_fault");
+/// A listener could not take a connection.
+pub const LISTEN_FAULT: Kind = warn(3304, "listen_fault");
+/// A request goes to a backend server.
+pub const PLACED: Kind = info(3401, "placed");
+/// A try failed.
+pub const ATTEMPT_FAILED: Kind = warn(3402, "attempt_failed");
+/// A request was answered by a backend server.
+pub const ANSWERED: Kind = info(3403, "answered");
+/// A request was answered with an error kind of the product.
+pub const REFUSED: Kind = info(3404, "refused");
+/// A stream was broken off before its end.
+pub const BROKEN_OFF: Kind = warn(3405, "broken_off");
+/// The caller left before its answer was whole.
+pub const CALLER_LEFT: Kind = info(3406, "caller_left");
+/// Memory could not be set aside for a prompt.
+pub const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
+/// Memory was not given back; it lapses by itself.
+pub const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
+
+/// All kinds, in the order of their numbers.
+pub const ALL: [Kind; 22] = [
+    STARTED,
+    STOPPING,
+    STOPPED,
+    RELOADED,
+    LINES_DROPPED,
+    CONFIG_IN_FORCE,
+    CONFIG_UNREADABLE,
+    SERVERS_CHANGED,
+    STORE_LOST,
+    STORE_BACK,
+    PEER_JOINED,
+    PEER_LOST,
+    PEER_FAULT,
+    LISTEN_FAULT,
+    PLACED,
+    ATTEMPT_FAILED,
+    ANSWERED,
+    REFUSED,
+    BROKEN_OFF,
+    CALLER_LEFT,
+    MEMORY_REFUSED,
+    MEMORY_NOT_RELEASED,
+];
+
 /// One log line.
 #[derive(Debug, Serialize)]
-#[serde(tag = "event", rename_all = "snake_case")]
+#[serde(untagged)]
 pub enum Record<'a> {
     /// The process serves.
     Started {
@@ -197,47 +295,31 @@
 }
 
 impl Record<'_> {
-    /// Gives the number of the event, never used for another one.
-    pub fn number(&self) -> u16 {
-        match self {
-            Record::Started { .. } => 3001,
-            Record::Stopping { .. } => 3002,
-            Record::Stopped { .. } => 3003,
-            Record::Reloaded { .. } => 3004,
-            Record::LinesDropped { .. } => 3005,
-            Record::ConfigInForce { .. } => 3101,
-            Record::ConfigUnreadable { .. } => 3102,
-            Record::ServersChanged { .. } => 3103,
-            Record::StoreLost { .. } => 3201,
-            Record::StoreBack { .. } => 3202,
-            Record::PeerJoined { .. } => 3301,
-            Record::PeerLost { .. } => 3302,
-            Record::PeerFault { .. } => 3303,
-            Record::ListenFault { .. } => 3304,
-            Record::Placed { .. } => 3401,
-            Record::AttemptFailed { .. } => 3402,
-            Record::Answered { .. } => 3403,
-            Record::Refused { .. } => 3404,
-            Record::BrokenOff { .. } => 3405,
-            Record::CallerLeft { .. } => 3406,
-            Record::MemoryRefused { .. } => 3501,
-            Record::MemoryNotReleased { .. } => 3502,
-        }
-    }
-
-    /// Gives how grave it is.
-    pub fn level(&self) -> log::Level {
+    /// Gives the kind of the line.
+    pub fn kind(&self) -> &'static Kind {
         match self {
-            Record::ConfigUnreadable { .. }
-            | Record::StoreLost { .. }
-            | Record::PeerLost { .. }
-            | Record::PeerFault { .. }
-            | Record::ListenFault { .. }
-            | Record::AttemptFailed { .. }
-            | Record::BrokenOff { .. }
-            | Record::MemoryNotReleased { .. }
-            | Record::LinesDropped { .. } => log::Level::Warn,
-            _ => log::Level::Info,
+            Record::Started { .. } => &STARTED,
+            Record::Stopping { .. } => &STOPPING,
+            Record::Stopped { .. } => &STOPPED,
+            Record::Reloaded { .. } => &RELOADED,
+            Record::LinesDropped { .. } => &LINES_DROPPED,
+            Record::ConfigInForce { .. } => &CONFIG_IN_FORCE,
+            Record::ConfigUnreadable { .. } => &CONFIG_UNREADABLE,
+            Record::ServersChanged { .. } => &SERVERS_CHANGED,
+            Record::StoreLost { .. } => &STORE_LOST,
+            Record::StoreBack { .. } => &STORE_BACK,
+            Record::PeerJoined { .. } => &PEER_JOINED,
+            Record::PeerLost { .. } => &PEER_LOST,
+            Record::PeerFault { .. } => &PEER_FAULT,
+            Record::ListenFault { .. } => &LISTEN_FAULT,
+            Record::Placed { .. } => &PLACED,
+            Record::AttemptFailed { .. } => &ATTEMPT_FAILED,
+            Record::Answered { .. } => &ANSWERED,
+            Record::Refused { .. } => &REFUSED,
+            Record::BrokenOff { .. } => &BROKEN_OFF,
+            Record::CallerLeft { .. } => &CALLER_LEFT,
+            Record::MemoryRefused { .. } => &MEMORY_REFUSED,
+            Record::MemoryNotReleased { .. } => &MEMORY_NOT_RELEASED,
         }
     }
 }
@@ -247,20 +329,23 @@
     at_ms: u64,
     n: u16,
     level: &'a str,
+    event: &'a str,
     #[serde(flatten)]
     record: &'a Record<'a>,
 }
 
 /// Writes a record. Its time is that of the process's steady clock.
 pub fn write(record: &Record<'_>) {
-    let level = record.level();
+    let kind = record.kind();
+    let level = kind.level;
     if !log::log_enabled!(level) {
         return;
     }
     let line = Line {
         at_ms: crate::clock::now().as_millis(),
-        n: record.number(),
+        n: kind.number,
         level: level.as_str(),
+        event: kind.name,
         record,
     };
     match serde_json::to_string(&line) {
@@ -352,10 +437,12 @@
 
     fn tell_dropped(&self, count: u64, second: u64) {
         let record = Record::LinesDropped { count };
+        let kind = record.kind();
         let line = Line {
             at_ms: second * 1_000,
-            n: record.number(),
-            level: record.level().as_str(),
+            n: kind.number,
+            level: kind.level.as_str(),
+            event: kind.name,
             record: &record,
         };
         let sent = serde_json::to_string(&line)
--- /dev/null
+++ b/crates/alderglade-serve/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the serving library that need no sockets.
+
+mod answer;
+mod event;
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -56,6 +56,19 @@
         );
     }
     let kinds: Vec<&Vec<String>> = events.skip(event::ALL.len()).collect();
+    let (kinds, serving) = kinds.split_at(TABLE.len().min(kinds.len()));
+    assert_eq!(
+        serving.len(),
+        alderglade_serve::event::ALL.len() + 2,
+        "with the table's head"
+    );
+    for (row, kind) in serving[2..].iter().zip(alderglade_serve::event::ALL) {
+        let level = kind.level.as_str().to_lowercase();
+        assert_eq!(
+            row[..3],
+            [kind.number.to_string(), level, kind.name.to_string()]
+        );
+    }
     assert_eq!(kinds.len(), TABLE.len());
     for (row, kind) in kinds.iter().zip(&TABLE) {
         assert_eq!(row[0], kind.event.to_string());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests by feature.
 
 mod docs;
+mod explain;
 mod faults;
 mod fleet;
 mod operators;
--- a/tests/testsuite/operators.rs
+++ b/tests/testsuite/operators.rs
@@ -19,7 +19,7 @@
     let (code, help, _) = text(&command(&["--help"]));
     assert_eq!(code, Some(0));
     for name in [
-        "check", "plan", "apply", "show", "status", "drain", "report",
+        "check", "plan", "apply", "show", "status", "drain", "explain", "report",
     ] {
         assert!(help.contains(name), "{name}");
         let (code, own, _) = text(&command(&[name, "--help"]));
