Serve the product's own callers on hyper; a burst of dawdlers holds up nobody

Cause: a_dawdling_caller_holds_up_nobody took 245.8 s once. tiny_http's pool hands a connection to its queue while any idle thread counts as waiting, and a thread counts until it has woken: fifty connections in a burst share four threads, fifty dawdlers at 20 s for each four are 250 s. Ruled out: the control thread and the engines (nothing had reached them). Shown: 1 of 60 runs of the test alone took over 10 s. Test: ten bursts of forty dawdlers in heads and bodies.

--- a/crates/alderglade-caller/src/answer.rs
+++ b/crates/alderglade-caller/src/answer.rs
@@ -1,10 +1,14 @@
 //! Writes answers: a line for each token as it comes, and a closing line.
 
+use crate::listen::Request;
 use alderglade_core::request::{Id, Refusal};
+use alderglade_serve::answer::{BrokenOff, Content};
+use bytes::Bytes;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use serde::Serialize;
-use std::io::Write;
 use std::time::Duration;
-use tiny_http::{Request, Response};
+use tokio::sync::{mpsc, oneshot};
 
 /// One token of an answer.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -76,22 +80,29 @@
     }
 }
 
+/// Lines that wait for a slow caller before the answer's thread is held up.
+const LINES: usize = 64;
+/// The type of a streamed answer: one JSON object a line.
+const LINES_TYPE: HeaderValue = HeaderValue::from_static("application/x-ndjson");
+/// The type of a whole answer.
+const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
+
 /// An answer that is being written.
 pub struct Answer {
     state: State,
 }
 
 enum State {
-    Fresh(Request),
-    Streaming(Box<dyn Write + Send>),
+    Fresh(oneshot::Sender<Response<Content>>),
+    Streaming(mpsc::Sender<Result<Bytes, BrokenOff>>),
     Over,
 }
 
 impl Answer {
-    /// Starts an answer; nothing is sent yet.
+    /// Starts the answer of a request; nothing is sent yet.
     pub fn new(request: Request) -> Answer {
         Answer {
-            state: State::Fresh(request),
+            state: State::Fresh(request.answer),
         }
     }
 
@@ -106,10 +117,10 @@
     /// Says whether the caller took it.
     pub fn close(&mut self, status: u16, closing: &Closing) -> bool {
         match std::mem::replace(&mut self.state, State::Over) {
-            State::Fresh(request) => respond(request, status, closing),
-            State::Streaming(writer) => {
-                self.state = State::Streaming(writer);
-                let sent = self.line(closing) && self.raw(b"0\r\n\r\n");
+            State::Fresh(answer) => answer.send(whole(status, closing)).is_ok(),
+            State::Streaming(lines) => {
+                self.state = State::Streaming(lines);
+                let sent = self.line(closing);
                 self.state = State::Over;
                 sent
             }
@@ -119,68 +130,81 @@
 
     /// Sends the answer of a plain service as it is.
     pub fn pass_on(&mut self, request_id: Id, status: u16, body: &str) -> bool {
-        let State::Fresh(request) = std::mem::replace(&mut self.state, State::Over) else {
+        let State::Fresh(answer) = std::mem::replace(&mut self.state, State::Over) else {
             return false;
         };
-        let response = Response::from_string(body).with_status_code(status);
-        let response = with(response, "content-type", "application/json");
-        let response = with(response, "x-alderglade-request", &request_id.to_string());
-        let response = with(response, "x-alderglade-ran", "yes");
-        request.respond(response).is_ok()
+        let mut response = json(status, body.to_string());
+        let headers = response.headers_mut();
+        headers.insert("x-alderglade-ran", HeaderValue::from_static("yes"));
+        set(headers, "x-alderglade-request", &request_id.to_string());
+        answer.send(response).is_ok()
     }
 
     fn open(&mut self) {
         match std::mem::replace(&mut self.state, State::Over) {
-            State::Fresh(request) => {
-                self.state = State::Streaming(request.into_writer());
-                self.raw(HEAD);
+            State::Fresh(answer) => {
+                let (lines, body) = mpsc::channel(LINES);
+                let mut response = Response::new(Content::Stream(body));
+                let headers = response.headers_mut();
+                headers.insert(CONTENT_TYPE, LINES_TYPE);
+                headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+                if answer.send(response).is_ok() {
+                    self.state = State::Streaming(lines);
+                }
             }
             state => self.state = state,
         }
     }
 
     fn line(&mut self, line: &impl Serialize) -> bool {
+        let State::Streaming(lines) = &self.state else {
+            return false;
+        };
         let Ok(mut text) = serde_json::to_vec(line) else {
             return false;
         };
         text.push(b'\n');
-        let mut chunk = format!("{:x}\r\n", text.len()).into_bytes();
-        chunk.extend_from_slice(&text);
-        chunk.extend_from_slice(b"\r\n");
-        self.raw(&chunk)
+        lines.blocking_send(Ok(text.into())).is_ok()
     }
+}
 
-    fn raw(&mut self, bytes: &[u8]) -> bool {
-        let State::Streaming(writer) = &mut self.state else {
-            return false;
-        };
-        writer
-            .write_all(bytes)
-            .and_then(|()| writer.flush())
-            .is_ok()
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let State::Streaming(lines) = &self.state {
+            // Without its closing line an answer must not look whole; the caller may have left.
+            let _ = lines.try_send(Err(BrokenOff));
+        }
     }
 }
 
-const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n\
-    Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-fn respond(request: Request, status: u16, closing: &Closing) -> bool {
+fn whole(status: u16, closing: &Closing) -> Response<Content> {
     let text = serde_json::to_string(closing).unwrap_or_default();
-    let response = Response::from_string(text + "\n").with_status_code(status);
-    let mut response = with(response, "content-type", "application/json");
+    let mut response = json(status, text + "\n");
     if let Some(after) = closing.retry_after_ms {
         let seconds = Duration::from_millis(after).as_secs_f64().ceil();
-        response = with(response, "retry-after", &format!("{seconds:.0}"));
+        set(
+            response.headers_mut(),
+            "retry-after",
+            &format!("{seconds:.0}"),
+        );
     }
-    request.respond(response).is_ok()
+    response
 }
 
-/// Adds a header, unless its value can't stand in one.
-fn with(response: Text, name: &str, value: &str) -> Text {
-    match tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()) {
-        Ok(header) => response.with_header(header),
-        Err(()) => response,
-    }
+fn json(status: u16, body: String) -> Response<Content> {
+    let mut response = Response::new(Content::Whole(Some(body.into())));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(CONTENT_TYPE, JSON_TYPE);
+    response
 }
 
-type Text = Response<std::io::Cursor<Vec<u8>>>;
+/// Sets a header, unless its value can't stand in one.
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(cause) => log::warn!("header {name} is left out: {cause}"),
+    }
+}
--- a/crates/alderglade-caller/src/ask.rs
+++ b/crates/alderglade-caller/src/ask.rs
@@ -1,14 +1,11 @@
-//! Reads what a caller asks for: headers, a bounded body, JSON.
+//! Understands what a caller asks for: headers and JSON.
 
 use alderglade_core::error::Kind;
+use http::HeaderMap;
 use serde::Deserialize;
-use std::time::{Duration, Instant};
-use tiny_http::Request;
 
 /// The largest body: a prompt of a million tokens and some room.
 pub const MOST_BYTES: usize = 12 << 20;
-/// The whole body has to come within this time.
-const BODY_LIMIT: Duration = Duration::from_secs(30);
 /// Bytes of a token where the caller doesn't count: a cautious average.
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -112,11 +109,13 @@
 /// # Errors
 ///
 /// Where a number isn't one or a key is too long.
-pub fn headers(request: &Request) -> Result<Headers, Fault> {
+pub fn headers(headers: &HeaderMap) -> Result<Headers, Fault> {
     let mut found = Headers::default();
-    for header in request.headers() {
-        let value = header.value.as_str();
-        let name = header.field.as_str().as_str().to_ascii_lowercase();
+    for (name, value) in headers {
+        let Ok(value) = value.to_str() else {
+            let detail = format!("header {name} holds what is no text");
+            return Err(Fault::new(Kind::BadRequest, detail));
+        };
         match name.as_str() {
             "authorization" => {
                 found.token = value.strip_prefix("Bearer ").map(str::to_string);
@@ -149,41 +148,8 @@
     Ok(value.to_string())
 }
 
-/// Reads the body, within its size and time.
-///
-/// # Errors
-///
-/// Where it is too large, too slow or breaks off.
-pub fn body(request: &mut Request) -> Result<Vec<u8>, Fault> {
-    if request
-        .body_length()
-        .is_some_and(|length| length > MOST_BYTES)
-    {
-        return Err(too_large());
-    }
-    let until = Instant::now() + BODY_LIMIT;
-    let mut body = Vec::new();
-    let mut chunk = vec![0; 64 * 1_024];
-    let reader = request.as_reader();
-    loop {
-        let read = reader.read(&mut chunk).map_err(|cause| {
-            Fault::new(Kind::BadRequest, format!("the body broke off: {cause}"))
-        })?;
-        if read == 0 {
-            return Ok(body);
-        }
-        body.extend_from_slice(&chunk[..read]);
-        if body.len() > MOST_BYTES {
-            return Err(too_large());
-        }
-        if Instant::now() > until {
-            let detail = format!("the body took longer than {} s", BODY_LIMIT.as_secs());
-            return Err(Fault::new(Kind::BadRequest, detail));
-        }
-    }
-}
-
-fn too_large() -> Fault {
+/// Makes the fault of a body that is too large.
+pub fn too_large() -> Fault {
     let detail = format!("the body is larger than {MOST_BYTES} bytes");
     Fault::new(Kind::TooLarge, detail)
 }
--- a/crates/alderglade-caller/src/listen.rs
+++ b/crates/alderglade-caller/src/listen.rs
@@ -1,24 +1,36 @@
 //! Takes connections, bounds them, and gives each request a thread of its own.
 //!
-//! `tiny_http` sets no time limits, but sockets inherit them from the listener: a caller that
-//! sends or takes nothing for a while loses its connection. The limit makes an idle listener's
-//! `accept` return as well, which ends the library's server; a new one is then started on the
-//! same socket, while the old one still serves the connections it has.
+//! One thread runs all connections on the stack that the platform's adapter uses too; a caller that
+//! dawdles in its head or its body holds up a few bytes of memory and nobody. Only a request that has
+//! come whole gets a thread.
 
+use crate::ask::{self, Fault};
+use alderglade_core::error::Kind;
+use alderglade_serve::answer::Content;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use snafu::{ResultExt, Snafu};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
-use tiny_http::{Request, Server};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
 
-/// A caller that sends or takes nothing for this long loses its connection.
+/// A caller that takes longer over its head, or rests longer, loses its connection.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// A server that no longer accepts still serves its connections for this long.
-const OLD_SERVER: Duration = Duration::from_secs(1_200);
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1_024;
+/// The whole body has to come within this time.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+/// The pause after a connection could not be accepted, so that a lack of descriptors isn't a busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Stack of a thread that handles one request.
+const STACK: usize = 256 * 1_024;
 
 /// Why the door can't open.
 #[derive(Debug, Snafu)]
@@ -33,6 +45,20 @@
     },
 }
 
+/// A request that has come whole, or as much of it as was taken.
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body, or why it wasn't taken.
+    pub body: Result<Bytes, Fault>,
+    /// Where the answer goes; closed when the caller has left.
+    pub answer: oneshot::Sender<Response<Content>>,
+}
+
 /// What is done with each request.
 pub trait Handler: Send + Sync + 'static {
     /// Answers a request, on a thread of its own.
@@ -46,7 +72,7 @@
 #[derive(Debug)]
 pub struct Door {
     address: SocketAddr,
-    closed: Arc<AtomicBool>,
+    closed: watch::Sender<bool>,
     busy: Arc<AtomicUsize>,
 }
 
@@ -61,21 +87,32 @@
         most: usize,
         handler: Arc<dyn Handler>,
     ) -> Result<Door, Error> {
-        let listener = bind(address).context(ListenSnafu { address })?;
-        let address = listener.local_addr().context(ListenSnafu { address })?;
-        let door = Door {
-            address,
-            closed: Arc::default(),
-            busy: Arc::default(),
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(ListenSnafu { address })?;
+        let listener = {
+            let _entered = runtime.enter();
+            alderglade_serve::listen::open(address).context(ListenSnafu { address })?
         };
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let (closed, until) = watch::channel(false);
         let hall = Hall {
             handler,
-            busy: door.busy.clone(),
+            busy: Arc::default(),
             most,
         };
-        let closed = door.closed.clone();
-        thread::spawn(move || accept(&listener, &hall, &closed));
-        Ok(door)
+        let busy = hall.busy.clone();
+        let run = move || runtime.block_on(accept(listener, hall, until));
+        thread::Builder::new()
+            .name("callers".into())
+            .spawn(run)
+            .context(ListenSnafu { address })?;
+        Ok(Door {
+            address,
+            closed,
+            busy,
+        })
     }
 
     /// Gives the address that callers reach.
@@ -90,47 +127,46 @@
 
     /// Takes no further connections; what is in hand goes on.
     pub fn close(&self) {
-        self.closed.store(true, Ordering::Relaxed);
+        self.closed.send_replace(true);
     }
 }
 
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = socket2::Socket::new(
-        socket2::Domain::for_address(address),
-        socket2::Type::STREAM,
-        None,
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_read_timeout(Some(IDLE_LIMIT))?;
-    socket.set_write_timeout(Some(IDLE_LIMIT))?;
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
-/// Starts a server on the socket, and another one whenever the last stops accepting.
-fn accept(listener: &TcpListener, hall: &Hall, closed: &AtomicBool) {
-    while !closed.load(Ordering::Relaxed) {
-        let server = listener
-            .try_clone()
-            .ok()
-            .and_then(|socket| Server::from_listener(socket, None).ok());
-        let Some(server) = server else {
-            thread::sleep(Duration::from_millis(100));
-            continue;
+/// Accepts connections until the door is closed, and serves the open ones until the process ends.
+async fn accept(listener: TcpListener, hall: Hall, mut closed: watch::Receiver<bool>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.wait_for(|closed| *closed) => break,
         };
-        while let Ok(request) = server.recv() {
-            hall.admit(request);
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(stream, hall.clone()));
+            }
+            Err(cause) => {
+                log::warn!("a connection can't be accepted: {cause}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
-        let hall = hall.clone();
-        thread::spawn(move || serve_old(&server, &hall));
     }
+    drop(listener);
+    std::future::pending().await
 }
 
-fn serve_old(server: &Server, hall: &Hall) {
-    while let Ok(Some(request)) = server.recv_timeout(OLD_SERVER) {
-        hall.admit(request);
+async fn connection(stream: TcpStream, hall: Hall) {
+    if let Err(cause) = stream.set_nodelay(true) {
+        log::debug!("socket option refused: {cause}");
+    }
+    let service = service_fn(move |request| {
+        let hall = hall.clone();
+        async move { hall.answer(request).await }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_LIMIT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(cause) = served {
+        log::debug!("a caller's connection: {cause}");
     }
 }
 
@@ -142,26 +178,87 @@
     most: usize,
 }
 
+/// The place of one request among those that are handled at once.
+struct Place {
+    busy: Arc<AtomicUsize>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.busy.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The handler has dropped a request without an answer; the caller's connection is closed.
+#[derive(Debug, Snafu)]
+#[snafu(display("the request was dropped without an answer"))]
+struct Dropped;
+
 impl Hall {
-    fn admit(&self, request: Request) {
-        if self.busy.load(Ordering::Relaxed) >= self.most {
-            self.handler.turn_away(request);
-            return;
+    async fn answer(
+        &self,
+        request: hyper::Request<Incoming>,
+    ) -> Result<Response<Content>, Dropped> {
+        let (head, body) = request.into_parts();
+        let place = self.place();
+        let body = match &place {
+            Some(_) => read(body).await,
+            None => Ok(Bytes::new()),
+        };
+        let (sender, answer) = oneshot::channel();
+        let request = Request {
+            method: head.method,
+            target: head.uri.to_string(),
+            headers: head.headers,
+            body,
+            answer: sender,
+        };
+        match place {
+            Some(place) => self.handle(request, place),
+            None => self.handler.turn_away(request),
         }
-        self.busy.fetch_add(1, Ordering::Relaxed);
-        let hall = self.clone();
+        answer.await.map_err(|_| Dropped)
+    }
+
+    fn place(&self) -> Option<Place> {
+        let busy = self.busy.fetch_add(1, Ordering::Relaxed);
+        let place = Place {
+            busy: self.busy.clone(),
+        };
+        (busy < self.most).then_some(place)
+    }
+
+    fn handle(&self, request: Request, place: Place) {
+        let handler = self.handler.clone();
         let spawned = thread::Builder::new()
             .name("caller".into())
             .stack_size(STACK)
             .spawn(move || {
-                hall.handler.handle(request);
-                hall.busy.fetch_sub(1, Ordering::Relaxed);
+                let _place = place;
+                handler.handle(request);
             });
-        if spawned.is_err() {
-            self.busy.fetch_sub(1, Ordering::Relaxed);
+        if let Err(cause) = spawned {
+            log::warn!("a request gets no thread: {cause}");
         }
     }
 }
 
-/// Stack of a thread that handles one request.
-const STACK: usize = 256 * 1_024;
+/// Reads the body, within its size and time.
+async fn read(body: Incoming) -> Result<Bytes, Fault> {
+    if body.size_hint().lower() > ask::MOST_BYTES as u64 {
+        return Err(ask::too_large());
+    }
+    let collect = Limited::new(body, ask::MOST_BYTES).collect();
+    match tokio::time::timeout(BODY_LIMIT, collect).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(ask::too_large()),
+        Ok(Err(cause)) => {
+            let detail = format!("the body broke off: {cause}");
+            Err(Fault::new(Kind::BadRequest, detail))
+        }
+        Err(_) => {
+            let detail = format!("the body took longer than {} s", BODY_LIMIT.as_secs());
+            Err(Fault::new(Kind::BadRequest, detail))
+        }
+    }
+}
--- a/crates/alderglade-operator/src/logging.rs
+++ b/crates/alderglade-operator/src/logging.rs
@@ -24,7 +24,7 @@
 }
 
 /// Libraries whose own lines say nothing that a numbered event doesn't.
-const TALKATIVE: [&str; 2] = ["tarpc", "tiny_http"];
+const TALKATIVE: [&str; 2] = ["tarpc", "hyper"];
 
 /// Starts logging under a host's name.
 ///
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -13,7 +13,7 @@
 use alderglade_backend::service;
 use alderglade_caller::answer::{Answer, Closing, Usage};
 use alderglade_caller::ask::{self, Fault, Headers};
-use alderglade_caller::listen::Handler;
+use alderglade_caller::listen::{Handler, Request};
 use alderglade_core::Name;
 use alderglade_core::error::Kind;
 use alderglade_core::inflight::{Submission, Work};
@@ -25,12 +25,12 @@
 use alderglade_core::time::Time;
 use alderglade_operator::event;
 use alderglade_operator::metrics::Metrics;
+use http::Method;
 use life::Life;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::time::{Duration, Instant};
-use tiny_http::{Method, Request};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The control thread answers a request at its deadline; only if it doesn't does the request's
@@ -87,11 +87,8 @@
 }
 
 impl Handler for Traffic {
-    fn handle(&self, mut request: Request) {
-        let path = request.url().to_string();
-        let method = request.method().clone();
-        let served = self.read(&mut request, &method, &path);
-        match served {
+    fn handle(&self, request: Request) {
+        match self.read(&request) {
             Ok(Asked::Generate(ask)) => generate::serve(self, Answer::new(request), *ask),
             Ok(Asked::Call(ask)) => call::serve(self, Answer::new(request), *ask),
             Err(fault) => self.fault(request, fault),
@@ -111,22 +108,23 @@
 }
 
 impl Traffic {
-    fn read(&self, request: &mut Request, method: &Method, path: &str) -> Result<Asked, Fault> {
+    fn read(&self, request: &Request) -> Result<Asked, Fault> {
         let snapshot = self.published.load_full();
         if !snapshot.ready {
             return Err(not_ready(&snapshot));
         }
-        let headers = ask::headers(request)?;
+        let headers = ask::headers(&request.headers)?;
         let workspace = authenticate(&snapshot, &headers)?;
+        let (method, path) = (&request.method, request.target.as_str());
         let service = path.strip_prefix("/v1/services/");
         match (method, path, service) {
-            (Method::Post, "/v1/generate", _) => {
-                let body = ask::generate(&ask::body(request)?)?;
+            (&Method::POST, "/v1/generate", _) => {
+                let body = ask::generate(&request.body.clone()?)?;
                 let ask = generate::Ask::check(&snapshot, workspace, headers, body)?;
                 Ok(Asked::Generate(Box::new(ask)))
             }
-            (Method::Post, _, Some(rest)) => {
-                let body = ask::body(request)?;
+            (&Method::POST, _, Some(rest)) => {
+                let body = request.body.clone()?.to_vec();
                 let ask = call::Ask::check(&snapshot, workspace, headers, rest, body)?;
                 Ok(Asked::Call(Box::new(ask)))
             }
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -146,6 +146,40 @@
     assert_whole(&answer, "still served", 10);
 }
 
+/// The listener once queued a burst of connections behind fewer threads than there were callers that
+/// dawdled: one run in some sixty waited 20 s for each four of them.
+#[test]
+fn bursts_of_dawdling_callers_hold_up_nobody() {
+    let fleet = Fleet::start(&Plan::default());
+    let half_a_head: &[u8] = b"POST /v1/generate HTTP/1.1\r\nHost: x\r\nContent-Le";
+    let half_a_body: &[u8] = b"POST /v1/generate HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{";
+    let mut dawdlers = Vec::new();
+    for _ in 0..10 {
+        let burst: Vec<TcpStream> = thread::scope(|scope| {
+            let dawdle = |number: usize| {
+                let address = &fleet.hosts[0].addresses.callers;
+                scope.spawn(move || {
+                    let mut socket = TcpStream::connect(address).expect("a connection");
+                    let sent = if number.is_multiple_of(2) {
+                        half_a_head
+                    } else {
+                        half_a_body
+                    };
+                    socket.write_all(sent).expect("sent");
+                    socket
+                })
+            };
+            let all: Vec<_> = (0..40).map(dawdle).collect();
+            all.into_iter()
+                .map(|one| one.join().expect("a socket"))
+                .collect()
+        });
+        dawdlers.extend(burst);
+        let answer = fleet.generate(0, DESK, "still served", 1_000, 10);
+        assert_whole(&answer, "still served", 10);
+    }
+}
+
 #[test]
 fn an_overload_is_refused_at_once_with_when_to_come_back() {
     let fleet = Fleet::start(&Plan {
