Measure how the load book and placement grow

alderglade-standin slopes: bytes of notices, hearing, placing at 6 to 300 hosts and 18 to 400 engines.

--- a/crates/alderglade-standin/src/command.rs
+++ b/crates/alderglade-standin/src/command.rs
@@ -8,6 +8,7 @@
 mod load;
 mod measure;
 mod run;
+mod slopes;
 
 use lexopt::prelude::*;
 use snafu::Snafu;
@@ -31,6 +32,7 @@
   experiment    run an experiment under a virtual clock
                 --file FILE.json [--plot FILE.svg] [--json]
   bench         measure what one decision costs  [--rounds N] [--json]
+  slopes        measure how the load book grows with hosts and engines  [--rounds N] [--json]
   measure       measure the slopes of docs/CAPACITY.md  [--processes yes] [--json]
   fuzz          run random fault schedules  [--seed FIRST] [--seeds COUNT] [--json]
   demo          start a small fleet of separate processes, send mixed prompts, print times
@@ -139,6 +141,7 @@
         "load" => load::run(options),
         "measure" => measure::run(options),
         "bench" => bench::run(options),
+        "slopes" => slopes::run(options),
         "demo" => demo::run(),
         "fuzz" => fuzz::run(options),
         "experiment" => experiment::run(options),
--- a/crates/alderglade-standin/src/lib.rs
+++ b/crates/alderglade-standin/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod relay;
 pub mod scenario;
 pub mod service;
+pub mod slope;
 pub mod world;
--- /dev/null
+++ b/crates/alderglade-standin/src/slope.rs
@@ -0,0 +1,204 @@
+//! How the load book and the placement on it grow with hosts and engines.
+//!
+//! The decisions are the core's; the machine's clock is read around many calls at once, so that
+//! reading it costs nothing beside them.
+
+use alderglade_core::Name;
+use alderglade_core::fleet::book::{Book, Hold, Load, Notice, PauseClass};
+use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::placement::{self, Engine, Shared, Work};
+use alderglade_core::time::Time;
+use serde::Serialize;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+/// Figures of an engine as the users' sheets state them.
+const FIGURES: Figures = Figures {
+    slots: 16,
+    memory_tokens: 232_000,
+    step: 1.02,
+    step_per_request: 0.00226,
+    step_per_thousand: 0.00431,
+    read_per_ms: 206.0,
+    pairs_per_million: 0.138,
+    chunk: 2_048,
+    stride: 43,
+};
+/// Requests that each host has running, spread over the engines.
+const RUNNING: usize = 12;
+
+/// One size that is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Size {
+    /// Entry hosts that share a book.
+    pub hosts: usize,
+    /// Engines that they place on.
+    pub engines: usize,
+}
+
+/// What is measured at a size. Times are means in nanoseconds.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Row {
+    /// The size.
+    pub size: Size,
+    /// Bytes of a notice of one change.
+    pub change_bytes: usize,
+    /// Bytes of a whole notice.
+    pub whole_bytes: usize,
+    /// Taking a notice of one change.
+    pub hear: u64,
+    /// Summing up the engines and placing a short prompt.
+    pub place_short: u64,
+    /// The same for a long prompt read in parts.
+    pub place_long: u64,
+    /// Bytes of the book in memory, estimated from its entries.
+    pub entries: usize,
+}
+
+/// Measures one size, `rounds` calls each.
+///
+/// # Panics
+///
+/// Where a notice can't be written, which would be a fault of the codec.
+pub fn measure(size: Size, rounds: usize) -> Row {
+    let mut book = Book::default();
+    let mut others: Vec<Other> = (1..size.hosts).map(|host| Other::new(host, size)).collect();
+    for other in &mut others {
+        book.hear(&other.notice(true), Time(0));
+    }
+    let mut sender = Other::new(0, size);
+    sender.notice(true);
+    let whole_bytes = bytes(&sender.notice(true));
+    let change_bytes = bytes(&sender.change(0, size));
+    let notices: Vec<Notice> = (0..rounds)
+        .map(|round| {
+            let index = round % others.len().max(1);
+            match others.get_mut(index) {
+                Some(other) => other.change(round, size),
+                None => sender.change(round, size),
+            }
+        })
+        .collect();
+    let hear = each(rounds, |round| {
+        book.hear(&notices[round], Time(0));
+    });
+    Row {
+        size,
+        change_bytes,
+        whole_bytes,
+        hear,
+        place_short: each(rounds, |_| place(&book, size, 5_000)),
+        place_long: each(rounds, |_| place(&book, size, 133_000)),
+        entries: size.hosts * RUNNING.min(size.engines) + size.engines,
+    }
+}
+
+/// A host whose notices are heard.
+struct Other {
+    name: Name,
+    book: Book,
+    sequence: u64,
+}
+
+impl Other {
+    fn new(number: usize, size: Size) -> Other {
+        let mut book = Book::default();
+        for running in 0..RUNNING {
+            book.hold(hold(number * 7 + running * 5, size));
+        }
+        Other {
+            name: format!("host-{number}").into(),
+            book,
+            sequence: 0,
+        }
+    }
+
+    fn change(&mut self, round: usize, size: Size) -> Notice {
+        self.book.take_changes();
+        self.book.hold(hold(round, size));
+        self.notice(false)
+    }
+
+    fn notice(&mut self, whole: bool) -> Notice {
+        self.sequence += 1;
+        Notice {
+            host: self.name.clone(),
+            domain: "domain-1".into(),
+            incarnation: 1,
+            sequence: self.sequence,
+            whole,
+            giants: 0,
+            leaving: Vec::new(),
+            holdings: if whole {
+                self.book.whole()
+            } else {
+                self.book.take_changes()
+            },
+        }
+    }
+}
+
+fn hold(number: usize, size: Size) -> Hold {
+    Hold {
+        first: engine_name(number % size.engines),
+        load: Load {
+            reading: 25_000,
+            memory: 6_000,
+            running: 1,
+            at_risk: [1_300, 0, 0],
+        },
+        helpers: Vec::new(),
+        giant: false,
+    }
+}
+
+fn engine_name(number: usize) -> Name {
+    format!("i-{number:010}").into()
+}
+
+fn place(book: &Book, size: Size, prompt: u64) {
+    let engine = |number: usize| {
+        let id = engine_name(number);
+        Engine {
+            load: book.total(&id),
+            id,
+            figures: FIGURES,
+            near: number.is_multiple_of(3),
+            doubted: false,
+        }
+    };
+    let engines: Vec<Engine> = (0..size.engines).map(engine).collect();
+    let shared = Shared {
+        giants: 0,
+        pressure: placement::pressure(&engines),
+    };
+    black_box(placement::choose(&work(prompt), &engines, &shared));
+}
+
+fn work(prompt: u64) -> Work {
+    Work {
+        prompt,
+        memory: prompt + 1_000,
+        aim: Duration::from_millis(2_500),
+        waited: Duration::ZERO,
+        left: Duration::from_secs(15),
+        worth: placement::worth(prompt),
+        pauses: PauseClass::Long,
+        avoid: Vec::new(),
+    }
+}
+
+fn bytes(notice: &Notice) -> usize {
+    postcard::to_stdvec(notice)
+        .expect("a notice can be written")
+        .len()
+}
+
+fn each(rounds: usize, mut act: impl FnMut(usize)) -> u64 {
+    let began = Instant::now();
+    for round in 0..rounds {
+        act(round);
+    }
+    let mean = began.elapsed().as_nanos() / rounds.max(1) as u128;
+    u64::try_from(mean).unwrap_or(u64::MAX)
+}
