--- /dev/null
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -0,0 +1,60 @@
+//! What a placement costs running answers and the prompt's own, in worth.
+
+use super::timing::{first_event, millis, pause};
+use super::{Engine, PauseClass, Work};
+
+/// Running answers at an engine above which short prompts go to the next one.
+pub(super) const PACKED: i64 = 10;
+/// What a late answer still earns, as a part of its worth. From the users' sheets.
+pub(super) const LATE_WORTH: f64 = 0.25;
+/// What an engine in another failure domain costs, in milliseconds.
+pub(super) const OTHER_DOMAIN: f64 = 2.0;
+
+/// Gives the worth of short prompts that will come while `count` engines are taken up for the time of a
+/// part, and that the other engines can't take.
+pub(super) fn crowding(pool: &[&Engine], count: usize, part: f64) -> f64 {
+    /// How long a short answer runs, in milliseconds; what runs now came in this time.
+    const LASTS: f64 = 1_700.0;
+    /// Parts up to this long leave room for short prompts in the same pass, in milliseconds.
+    const ROOM: f64 = 100.0;
+    let short = pool
+        .iter()
+        .map(|engine| engine.load.at_risk[PauseClass::Short as usize]);
+    let running = short.sum::<i64>() as f64 / 1_000.0;
+    let needed = running / PACKED as f64;
+    let rest = (pool.len() - count) as f64;
+    let unserved = (1.0 - rest / needed.max(0.1)).clamp(0.0, 1.0);
+    running / LASTS * (part - ROOM).max(0.0) * unserved
+}
+
+/// Gives the worth of running answers that a part read at an engine makes late.
+pub(super) fn harm(engine: &Engine, part: f64) -> f64 {
+    let before = pause(engine, 0.0);
+    let after = pause(engine, part);
+    PauseClass::ALL
+        .iter()
+        .zip(engine.load.at_risk)
+        .map(|(class, thousandths)| {
+            let worth = thousandths as f64 / 1_000.0 * (1.0 - LATE_WORTH);
+            worth * (over(after, class.bears()) - over(before, class.bears()))
+        })
+        .sum()
+}
+
+/// Orders engines that harm equally: less reading first, then the near ones.
+pub(super) fn slowness(engine: &Engine, part: f64) -> f64 {
+    /// Worth of a millisecond; small beside any harm.
+    const PER_MS: f64 = 1e-4;
+    let far = if engine.near { 0.0 } else { OTHER_DOMAIN };
+    PER_MS * (first_event(engine, part) + far)
+}
+
+/// Gives the chance that a time breaks a bound, between 0.75 and 1.15 of the bound.
+pub(super) fn over(time: f64, bound: f64) -> f64 {
+    ((time / bound - 0.75) / 0.4).clamp(0.0, 1.0)
+}
+
+/// Gives the chance that a prompt whose first event comes after this time misses its aim.
+pub(super) fn lateness(work: &Work, first_event: f64) -> f64 {
+    over(millis(work.waited) + first_event, millis(work.aim))
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -0,0 +1,76 @@
+//! Chooses the engines of a long prompt: tries several numbers of parts and takes the cheapest, or
+//! lets the prompt wait.
+
+use super::parts::{self, Costed};
+use super::{Decision, Engine, MOST_PARTS, Shared, Work, patience, timing};
+use std::time::Duration;
+
+/// The reading time of one part that a long prompt is cut to, in milliseconds; from a trial on the
+/// users' bench, where 50 ms was better than 150 ms.
+const PART: f64 = 50.0;
+/// How long a prompt is held before it is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// Engine counts that are tried for a prompt read in parts.
+const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, MOST_PARTS];
+/// When a caller should come back whose prompt can't be read in its time.
+const TOO_LATE: Duration = Duration::from_millis(2_000);
+
+/// Chooses the engines of a long prompt, holds it back, or refuses it where its time is too short.
+pub(super) fn choose(work: &Work, usable: &[&Engine], state: &Shared) -> Decision {
+    let pool = sound(usable);
+    let whole = pool[0].figures.read(work.prompt);
+    let widest = ((whole / PART).ceil() as usize).clamp(1, pool.len().min(MOST_PARTS));
+    let quickest = whole / widest as f64 + timing::idle_pass(pool[0]);
+    match cheapest(work, &pool, whole, widest, state.pressure) {
+        None => wait_or_refuse(work, quickest),
+        Some(costed) if patience::should_wait(work, &costed, quickest, whole, state) => {
+            Decision::Wait(LOOK_AGAIN)
+        }
+        Some(costed) => Decision::Send(costed.plan),
+    }
+}
+
+/// Lists the engines that aren't doubted, or all where each of them is.
+fn sound<'a>(usable: &[&'a Engine]) -> Vec<&'a Engine> {
+    let sound: Vec<&Engine> = usable
+        .iter()
+        .copied()
+        .filter(|engine| !engine.doubted)
+        .collect();
+    if sound.is_empty() {
+        return usable.to_vec();
+    }
+    sound
+}
+
+/// Gives the plan that costs least among those of up to `widest` parts; the earlier one where two
+/// cost the same.
+fn cheapest(
+    work: &Work,
+    pool: &[&Engine],
+    whole: f64,
+    widest: usize,
+    pressure: f64,
+) -> Option<Costed> {
+    let mut best: Option<Costed> = None;
+    let counts = PART_COUNTS.into_iter().filter(|count| *count < widest);
+    for count in counts.chain([widest]) {
+        let part = whole / count as f64;
+        let Some(costed) = parts::plan(work, pool, count, part, pressure) else {
+            continue;
+        };
+        let least = best.as_ref();
+        if least.is_none_or(|least| costed.cost() < least.cost()) {
+            best = Some(costed);
+        }
+    }
+    best
+}
+
+/// Decides on a prompt that no engines have the memory for.
+fn wait_or_refuse(work: &Work, reading: f64) -> Decision {
+    if patience::first_event_left(work) < reading {
+        return Decision::Refuse(TOO_LATE);
+    }
+    Decision::Wait(LOOK_AGAIN)
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -0,0 +1,169 @@
+//! Chooses the engines of a prompt by what the choice costs everybody.
+//!
+//! A prompt that is read beside running answers makes them pause for the whole pass. A choice is
+//! therefore weighed by the worth of the answers that it would make late, the new one included.
+//! Long prompts are read in parts by several engines, which makes each pause short; prompts too big
+//! for that wait at their host until few answers would suffer, and less and less choosy as their own
+//! time runs out. Some engines are left to short prompts.
+//!
+//! `short` and `long` choose for the two kinds of prompts, `parts` lays a long prompt out over
+//! engines, `patience` says when it should wait; they all weigh by `cost` and `timing`.
+
+mod cost;
+mod long;
+mod parts;
+mod patience;
+mod short;
+mod timing;
+
+use super::book::{Load, PauseClass};
+use super::pass::Figures;
+use crate::Name;
+use std::time::Duration;
+
+/// The most engines that read one prompt: the one that answers and 16 helpers, as the engines allow.
+pub const MOST_PARTS: usize = 17;
+/// Prompts below this many tokens are short: they are read in one part and prefer quiet engines.
+const SHORT_PROMPT: u64 = 12_000;
+/// When a caller should come back to a service that no engine serves.
+const NO_ENGINES: Duration = Duration::from_millis(1_000);
+
+/// A prompt to be placed.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Its length in tokens.
+    pub prompt: u64,
+    /// The memory that it needs with its answer, in tokens.
+    pub memory: u64,
+    /// The time from its arrival to the first event that earns its full worth.
+    pub aim: Duration,
+    /// How long it has waited.
+    pub waited: Duration,
+    /// How long its caller still waits.
+    pub left: Duration,
+    /// What it is worth, where an ordinary short reply is worth about one.
+    pub worth: f64,
+    /// The pause that its answer bears.
+    pub pauses: PauseClass,
+    /// Servers that have failed it.
+    pub avoid: Vec<Name>,
+}
+
+/// An engine that could take it.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// The server's identity.
+    pub id: Name,
+    /// What all hosts hold there.
+    pub load: Load,
+    /// Its timing.
+    pub figures: Figures,
+    /// Whether it is in the host's own failure domain.
+    pub near: bool,
+    /// Whether it should be passed over where others can serve.
+    pub doubted: bool,
+}
+
+/// Memory to be set aside at an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    /// The engine.
+    pub server: Name,
+    /// The memory, in tokens.
+    pub tokens: u64,
+}
+
+/// A part of a prompt read by an engine that does not answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Part {
+    /// The engine.
+    pub server: Name,
+    /// When the part is expected to have been read, counted from now.
+    pub done: Duration,
+}
+
+/// A choice of engines.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The engine that answers.
+    pub first: Name,
+    /// The others that read a part.
+    pub helpers: Vec<Part>,
+    /// Memory to be set aside before the prompt is sent; empty where it fits the first engine.
+    pub shares: Vec<Share>,
+    /// The reading time of a part, in milliseconds.
+    pub part: f64,
+    /// When the first event is expected, counted from now.
+    pub first_event: Duration,
+    /// Whether it takes up many engines at once.
+    pub giant: bool,
+}
+
+/// What to do with a prompt now.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// Send it.
+    Send(Plan),
+    /// Look again after this time.
+    Wait(Duration),
+    /// It can't be answered in its time; it would help to come back after this.
+    Refuse(Duration),
+}
+
+/// What concerns all engines of a service together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shared {
+    /// Prompts being read that take up many engines.
+    pub giants: u32,
+    /// How much the engines have to read, from `0.0` (nothing) to `1.0` (all the time).
+    pub pressure: f64,
+}
+
+/// Gives how much engines have to read now, on the scale of [`Shared::pressure`].
+pub fn pressure(engines: &[Engine]) -> f64 {
+    /// The mean reading that waits at engines that read nearly all the time, in milliseconds.
+    const FULL: f64 = 120.0;
+    if engines.is_empty() {
+        return 0.0;
+    }
+    let reading = engines
+        .iter()
+        .map(|engine| engine.load.reading.max(0) as f64);
+    let mean = reading.sum::<f64>() / 1_000.0 / engines.len() as f64;
+    (mean / FULL).min(1.0)
+}
+
+/// Estimates what a prompt is worth from its length, on the scale of [`Work::worth`].
+pub fn worth(prompt: u64) -> f64 {
+    /// What any prompt is worth.
+    const ANY: f64 = 1.0;
+    /// What a thousand tokens add. Both fit the users' sheets, where prompts of 5, 45 and 133 thousand
+    /// tokens are worth 1.3, 3.9 and 15, and within a kind the worth grows with the length.
+    const PER_THOUSAND: f64 = 0.086;
+    ANY + PER_THOUSAND * prompt as f64 / 1_000.0
+}
+
+/// Chooses the engines for a prompt, given all engines of its service in a stable order and the
+/// state of the service as a whole.
+pub fn choose(work: &Work, engines: &[Engine], state: &Shared) -> Decision {
+    if engines.is_empty() {
+        return Decision::Refuse(NO_ENGINES);
+    }
+    let usable = usable(work, engines);
+    if work.prompt < SHORT_PROMPT {
+        return short::choose(work, engines, &usable);
+    }
+    long::choose(work, &usable, state)
+}
+
+/// Lists the engines that have not failed the prompt, or all where each of them has.
+fn usable<'a>(work: &Work, engines: &'a [Engine]) -> Vec<&'a Engine> {
+    let usable: Vec<&Engine> = engines
+        .iter()
+        .filter(|engine| !work.avoid.contains(&engine.id))
+        .collect();
+    if usable.is_empty() {
+        return engines.iter().collect();
+    }
+    usable
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -0,0 +1,72 @@
+//! How long a long prompt is held back for better conditions.
+
+use super::cost::{LATE_WORTH, lateness};
+use super::parts::Costed;
+use super::timing::millis;
+use super::{Plan, Shared, Work};
+
+/// Prompts that take up many engines, read at a time over all hosts.
+const MOST_GIANTS: u32 = 2;
+/// What a second of reading on one engine is worth to others when the engines read all the time; an
+/// ordinary long prompt is worth about eight for each second that reading it takes.
+const ENGINE_SECOND: f64 = 2.0;
+
+/// Says whether a prompt should wait for better conditions than those of its best plan.
+pub(super) fn should_wait(
+    work: &Work,
+    costed: &Costed,
+    quickest: f64,
+    whole: f64,
+    state: &Shared,
+) -> bool {
+    /// A chance of being late above which a plan counts as late.
+    const LATE: f64 = 0.5;
+    let patience = patience(work, &costed.plan);
+    let Shared { giants, pressure } = *state;
+    if costed.plan.giant && giants >= MOST_GIANTS && patience < 1.0 {
+        return true;
+    }
+    let late = lateness(work, millis(costed.plan.first_event)) > LATE;
+    let may_be_in_time = lateness(work, quickest) < LATE;
+    if late && may_be_in_time {
+        return true;
+    }
+    let price = ENGINE_SECOND * pressure * whole / 1_000.0;
+    costed.harm + price > patience * work.worth
+}
+
+/// Gives the cost, as a part of the prompt's own worth, at which it is sent: little while it can
+/// wait, much when its time runs out.
+fn patience(work: &Work, plan: &Plan) -> f64 {
+    /// The cost that is always borne.
+    const AT_FIRST: f64 = 0.3;
+    /// The cost that is borne at the end.
+    const AT_LAST: f64 = 1.2;
+    let first_event = millis(plan.first_event);
+    let waited = millis(work.waited);
+    let in_time = millis(work.aim) * 0.9 - first_event;
+    let last_start = waited + first_event_left(work) - first_event;
+    let spent = if waited < in_time {
+        waited / in_time.max(1.0)
+    } else {
+        let from = in_time.max(0.0);
+        ((waited - from) / (last_start - from).max(1.0)).clamp(0.0, 1.0)
+    };
+    let worth = if waited < in_time { 1.0 } else { LATE_WORTH };
+    worth * (AT_FIRST + (AT_LAST - AT_FIRST) * spent)
+}
+
+/// Gives the time within which the first event must come, in milliseconds: before the answer has no
+/// time left to be written, and before the caller gives up.
+pub(super) fn first_event_left(work: &Work) -> f64 {
+    /// What an answer takes after its first event, at most, in milliseconds.
+    const WRITING: f64 = 2_000.0;
+    /// Callers leave when they have waited this many times the aim. From the users' pages.
+    const AIMS: f64 = 4.0;
+    /// They wait at least this long, in milliseconds.
+    const LEAST: f64 = 2_000.0;
+    /// What is kept for estimates that are too low, in milliseconds.
+    const MARGIN: f64 = 300.0;
+    let caller = (AIMS * millis(work.aim)).max(LEAST) - millis(work.waited);
+    caller.min(millis(work.left) - WRITING) - MARGIN
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -0,0 +1,79 @@
+//! Chooses one engine for a short prompt: the one that answers soonest, and late ones of the order
+//! before early ones, so that the early ones stay free of short answers for long prompts.
+
+use super::cost::{OTHER_DOMAIN, PACKED};
+use super::{Decision, Engine, Plan, Work, timing};
+use crate::Name;
+use std::time::Duration;
+
+/// How much longer a short prompt waits to be at an engine one place further back in the order, in ms.
+/// It packs short prompts onto the last engines, so that long ones find engines without them.
+const PACK: f64 = 8.0;
+/// What a doubted engine costs, in milliseconds, so that it is taken when there is no other.
+const DOUBTED: f64 = 5_000.0;
+/// When a caller should come back where no engine is usable, which [`super::choose`] rules out.
+const NO_CHOICE: Duration = Duration::from_millis(500);
+
+/// Chooses the engine of a short prompt, or refuses it where its caller would have left by then.
+pub(super) fn choose(work: &Work, engines: &[Engine], usable: &[&Engine]) -> Decision {
+    let best = usable
+        .iter()
+        .min_by(|a, b| cost(work, engines, a).total_cmp(&cost(work, engines, b)))
+        .copied();
+    let Some(best) = best else {
+        return Decision::Refuse(NO_CHOICE);
+    };
+    let part = best.figures.read(work.prompt);
+    let first_event = timing::first_event(best, part);
+    if first_event > timing::millis(work.left) {
+        return Decision::Refuse(timing::span(first_event / 2.0));
+    }
+    Decision::Send(Plan {
+        first: best.id.clone(),
+        helpers: Vec::new(),
+        shares: Vec::new(),
+        part,
+        first_event: timing::span(first_event),
+        giant: false,
+    })
+}
+
+/// Gives what speaks against an engine, in milliseconds.
+fn cost(work: &Work, engines: &[Engine], engine: &Engine) -> f64 {
+    /// The passes until the prompt's first event: half of one that is under way, and its own.
+    const PASSES: f64 = 1.5;
+    let away = PACK * places_from_end(engines, &engine.id);
+    // An engine without answers would be quicker, but then it isn't free of them for long prompts.
+    let passes = PASSES * timing::idle_pass(engine);
+    let reading = timing::waiting(engine) + engine.figures.read(work.prompt);
+    passes + reading + away + burden(work, engine)
+}
+
+/// Gives how many engines follow this one in the order of the service.
+fn places_from_end(engines: &[Engine], id: &Name) -> f64 {
+    let position = engines.iter().position(|engine| engine.id == *id);
+    (engines.len() - 1 - position.unwrap_or(0)) as f64
+}
+
+/// What speaks against an engine beside its time to the first event, in milliseconds.
+fn burden(work: &Work, engine: &Engine) -> f64 {
+    /// What a request that waits for a place costs: about one answer's time over the places.
+    const NO_PLACE: f64 = 150.0;
+    /// What an engine short of memory costs: a preempted answer is read anew.
+    const NO_MEMORY: f64 = 1_000.0;
+    /// What each running answer above [`PACKED`] costs.
+    const CROWDED: f64 = 15.0;
+    let mut burden = CROWDED * (engine.load.running - PACKED).max(0) as f64;
+    let over = engine.load.running + 1 - i64::from(engine.figures.slots);
+    burden += NO_PLACE * over.max(0) as f64;
+    if timing::free(engine) < work.memory as i64 {
+        burden += NO_MEMORY;
+    }
+    if engine.doubted {
+        burden += DOUBTED;
+    }
+    if !engine.near {
+        burden += OTHER_DOMAIN;
+    }
+    burden
+}
