Split the log of the serving crate: kinds, records, queue

Kinds, records and the bounded queue have a module each; one function gives the text of a line. Numbers, names and fields stay as they are.

--- /dev/null
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -0,0 +1,99 @@
+//! The kinds of log lines, as `docs/LOG-EVENTS.md` lists them.
+
+/// One kind of log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Kind {
+    /// The number, never used for another kind.
+    pub number: u16,
+    /// How grave it is.
+    pub level: log::Level,
+    /// The name in the log.
+    pub name: &'static str,
+}
+
+const fn info(number: u16, name: &'static str) -> Kind {
+    Kind {
+        number,
+        level: log::Level::Info,
+        name,
+    }
+}
+
+const fn warn(number: u16, name: &'static str) -> Kind {
+    Kind {
+        number,
+        level: log::Level::Warn,
+        name,
+    }
+}
+
+/// The process serves.
+pub(super) const STARTED: Kind = info(3001, "started");
+/// The process was asked to stop.
+pub(super) const STOPPING: Kind = info(3002, "stopping");
+/// The process ends.
+pub(super) const STOPPED: Kind = info(3003, "stopped");
+/// The settings were read again.
+pub(super) const RELOADED: Kind = info(3004, "reloaded");
+/// Lines were left out.
+pub(super) const LINES_DROPPED: Kind = warn(3005, "lines_dropped");
+/// A newer configuration is in force.
+pub(super) const CONFIG_IN_FORCE: Kind = info(3101, "config_in_force");
+/// A configuration could not be read and is passed over.
+pub(super) const CONFIG_UNREADABLE: Kind = warn(3102, "config_unreadable");
+/// The list of backend servers changed.
+pub(super) const SERVERS_CHANGED: Kind = info(3103, "servers_changed");
+/// The store gives no answer.
+pub(super) const STORE_LOST: Kind = warn(3201, "store_lost");
+/// The store answers again.
+pub(super) const STORE_BACK: Kind = info(3202, "store_back");
+/// Another entry host came, or came back.
+pub(super) const PEER_JOINED: Kind = info(3301, "peer_joined");
+/// Another entry host is silent; what it held lapses.
+pub(super) const PEER_LOST: Kind = warn(3302, "peer_lost");
+/// Something could not be sent or read between hosts.
+pub(super) const PEER_FAULT: Kind = warn(3303, "peer_fault");
+/// A listener could not take a connection.
+pub(super) const LISTEN_FAULT: Kind = warn(3304, "listen_fault");
+/// A request goes to a backend server.
+pub(super) const PLACED: Kind = info(3401, "placed");
+/// A try failed.
+pub(super) const ATTEMPT_FAILED: Kind = warn(3402, "attempt_failed");
+/// A request was answered by a backend server.
+pub(super) const ANSWERED: Kind = info(3403, "answered");
+/// A request was answered with an error kind of the product.
+pub(super) const REFUSED: Kind = info(3404, "refused");
+/// A stream was broken off before its end.
+pub(super) const BROKEN_OFF: Kind = warn(3405, "broken_off");
+/// The caller left before its answer was whole.
+pub(super) const CALLER_LEFT: Kind = info(3406, "caller_left");
+/// Memory could not be set aside for a prompt.
+pub(super) const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
+/// Memory was not given back; it lapses by itself.
+pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
+
+/// All kinds, in the order of their numbers.
+pub const ALL: [Kind; 22] = [
+    STARTED,
+    STOPPING,
+    STOPPED,
+    RELOADED,
+    LINES_DROPPED,
+    CONFIG_IN_FORCE,
+    CONFIG_UNREADABLE,
+    SERVERS_CHANGED,
+    STORE_LOST,
+    STORE_BACK,
+    PEER_JOINED,
+    PEER_LOST,
+    PEER_FAULT,
+    LISTEN_FAULT,
+    PLACED,
+    ATTEMPT_FAILED,
+    ANSWERED,
+    REFUSED,
+    BROKEN_OFF,
+    CALLER_LEFT,
+    MEMORY_REFUSED,
+    MEMORY_NOT_RELEASED,
+];
--- /dev/null
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -0,0 +1,212 @@
+//! What each log line says beside its number, level and name.
+
+use super::kind::{self, Kind};
+use crate::daemon::Addresses;
+use serde::Serialize;
+
+/// One log line.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+pub enum Record<'a> {
+    /// The process serves.
+    Started {
+        /// The host.
+        host: &'a str,
+        /// Its failure domain.
+        domain: &'a str,
+        /// Where it listens.
+        #[serde(flatten)]
+        addresses: Addresses,
+    },
+    /// The process was asked to stop.
+    Stopping {
+        /// Requests that are still answered.
+        in_flight: usize,
+    },
+    /// The process ends.
+    Stopped {
+        /// Requests that were cut off.
+        cut_off: usize,
+    },
+    /// The settings were read again.
+    Reloaded {
+        /// What came of it.
+        outcome: &'a str,
+    },
+    /// A newer configuration is in force.
+    ConfigInForce {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: Option<u64>,
+    },
+    /// A configuration could not be read and is passed over.
+    ConfigUnreadable {
+        /// What is wrong.
+        problem: &'a str,
+    },
+    /// The list of backend servers changed.
+    ServersChanged {
+        /// Servers known now.
+        known: usize,
+        /// Servers among them that are leaving.
+        leaving: usize,
+    },
+    /// The store gives no answer.
+    StoreLost {
+        /// What was seen.
+        problem: &'a str,
+    },
+    /// The store answers again.
+    StoreBack {
+        /// How old the last word of the store was, in milliseconds.
+        age_ms: u64,
+    },
+    /// Another entry host came, or came back.
+    PeerJoined {
+        /// The host.
+        peer: &'a str,
+        /// Its lifetime.
+        incarnation: u64,
+    },
+    /// Another entry host is silent; what it held lapses.
+    PeerLost {
+        /// The host.
+        peer: &'a str,
+    },
+    /// A request goes to a backend server.
+    Placed {
+        /// The request.
+        id: &'a str,
+        /// The server.
+        server: &'a str,
+        /// Which try it is, from `1`.
+        attempt: u32,
+        /// The length of its prompt in tokens; `0` where it is no generation.
+        prompt: u64,
+        /// Servers that read a part of the prompt.
+        helpers: usize,
+        /// Servers that hold a part of its memory.
+        shares: usize,
+        /// How long it has waited, in milliseconds.
+        waited_ms: u64,
+        /// When its first event is expected, in milliseconds.
+        expected_ms: u64,
+        /// The configuration's version.
+        config: u64,
+    },
+    /// A try failed.
+    AttemptFailed {
+        /// The request.
+        id: &'a str,
+        /// The server.
+        server: &'a str,
+        /// Which try it was.
+        attempt: u32,
+        /// What was seen.
+        problem: &'a str,
+    },
+    /// A request was answered by a backend server.
+    Answered {
+        /// The request.
+        id: &'a str,
+        /// The status.
+        status: u16,
+        /// The time from its arrival to the end of the answer, in milliseconds.
+        took_ms: u64,
+        /// The time to the first event or the whole answer, in milliseconds.
+        first_ms: u64,
+        /// The longest pause between two events, in milliseconds.
+        longest_pause_ms: u64,
+    },
+    /// A request was answered with an error kind of the product.
+    Refused {
+        /// The request.
+        id: &'a str,
+        /// The error kind.
+        kind: &'a str,
+        /// The number of the kind's event.
+        number: u16,
+        /// Whether it ran.
+        ran: &'a str,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+        /// The age of the host's word of the store, in milliseconds.
+        store_age_ms: Option<u64>,
+    },
+    /// A stream was broken off before its end.
+    BrokenOff {
+        /// The request.
+        id: &'a str,
+        /// Why.
+        problem: &'a str,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+    },
+    /// The caller left before its answer was whole.
+    CallerLeft {
+        /// The request.
+        id: &'a str,
+    },
+    /// Memory could not be set aside for a prompt.
+    MemoryRefused {
+        /// The request.
+        id: &'a str,
+        /// The server that refused.
+        server: &'a str,
+        /// What was seen.
+        problem: &'a str,
+    },
+    /// Memory was not given back; it lapses by itself.
+    MemoryNotReleased {
+        /// The server.
+        server: &'a str,
+        /// What was seen.
+        problem: &'a str,
+    },
+    /// Something could not be sent or read between hosts.
+    PeerFault {
+        /// What was seen.
+        problem: &'a str,
+    },
+    /// A listener could not take a connection.
+    ListenFault {
+        /// What was seen.
+        problem: &'a str,
+    },
+    /// Lines were left out.
+    LinesDropped {
+        /// How many.
+        count: u64,
+    },
+}
+
+impl Record<'_> {
+    /// Gives the kind of the line.
+    pub fn kind(&self) -> &'static Kind {
+        match self {
+            Record::Started { .. } => &kind::STARTED,
+            Record::Stopping { .. } => &kind::STOPPING,
+            Record::Stopped { .. } => &kind::STOPPED,
+            Record::Reloaded { .. } => &kind::RELOADED,
+            Record::LinesDropped { .. } => &kind::LINES_DROPPED,
+            Record::ConfigInForce { .. } => &kind::CONFIG_IN_FORCE,
+            Record::ConfigUnreadable { .. } => &kind::CONFIG_UNREADABLE,
+            Record::ServersChanged { .. } => &kind::SERVERS_CHANGED,
+            Record::StoreLost { .. } => &kind::STORE_LOST,
+            Record::StoreBack { .. } => &kind::STORE_BACK,
+            Record::PeerJoined { .. } => &kind::PEER_JOINED,
+            Record::PeerLost { .. } => &kind::PEER_LOST,
+            Record::PeerFault { .. } => &kind::PEER_FAULT,
+            Record::ListenFault { .. } => &kind::LISTEN_FAULT,
+            Record::Placed { .. } => &kind::PLACED,
+            Record::AttemptFailed { .. } => &kind::ATTEMPT_FAILED,
+            Record::Answered { .. } => &kind::ANSWERED,
+            Record::Refused { .. } => &kind::REFUSED,
+            Record::BrokenOff { .. } => &kind::BROKEN_OFF,
+            Record::CallerLeft { .. } => &kind::CALLER_LEFT,
+            Record::MemoryRefused { .. } => &kind::MEMORY_REFUSED,
+            Record::MemoryNotReleased { .. } => &kind::MEMORY_NOT_RELEASED,
+        }
+    }
+}
