Look the engines through once for a short prompt

Cause: the place of each engine in the order was searched for, so placing grew with the square of the engines.

--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -3,7 +3,6 @@
 
 use super::cost::{OTHER_DOMAIN, PACKED};
 use super::{Decision, Engine, Plan, Work, timing};
-use crate::Name;
 use std::time::Duration;
 
 /// How much longer a short prompt waits to be at an engine one place further back in the order, in ms.
@@ -16,10 +15,10 @@
 
 /// Chooses the engine of a short prompt, or refuses it where its caller would have left by then.
 pub(super) fn choose(work: &Work, engines: &[Engine], usable: &[&Engine]) -> Decision {
-    let best = usable
-        .iter()
-        .min_by(|a, b| cost(work, engines, a).total_cmp(&cost(work, engines, b)))
-        .copied();
+    let costs =
+        candidates(engines, usable).map(|candidate| (cost(work, &candidate), candidate.engine));
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+    let best = best.map(|(_, engine)| engine);
     let Some(best) = best else {
         return Decision::Refuse(NO_CHOICE);
     };
@@ -38,23 +37,44 @@
     })
 }
 
+/// An engine with its place in the order of the service.
+struct Candidate<'a> {
+    engine: &'a Engine,
+    /// How many engines follow it.
+    behind: usize,
+}
+
+/// Gives the usable engines, which stand in the order of the service too, with their places.
+fn candidates<'a>(
+    engines: &'a [Engine],
+    usable: &[&'a Engine],
+) -> impl Iterator<Item = Candidate<'a>> {
+    let mut usable = usable.iter().peekable();
+    let last = engines.len().saturating_sub(1);
+    engines
+        .iter()
+        .enumerate()
+        .filter_map(move |(place, engine)| {
+            usable.next_if(|next| next.id == engine.id)?;
+            Some(Candidate {
+                engine,
+                behind: last - place,
+            })
+        })
+}
+
 /// Gives what speaks against an engine, in milliseconds.
-fn cost(work: &Work, engines: &[Engine], engine: &Engine) -> f64 {
+fn cost(work: &Work, candidate: &Candidate<'_>) -> f64 {
     /// The passes until the prompt's first event: half of one that is under way, and its own.
     const PASSES: f64 = 1.5;
-    let away = PACK * places_from_end(engines, &engine.id);
+    let engine = candidate.engine;
+    let away = PACK * candidate.behind as f64;
     // An engine without answers would be quicker, but then it isn't free of them for long prompts.
     let passes = PASSES * timing::idle_pass(engine);
     let reading = timing::waiting(engine) + engine.figures.read(work.prompt);
     passes + reading + away + burden(work, engine)
 }
 
-/// Gives how many engines follow this one in the order of the service.
-fn places_from_end(engines: &[Engine], id: &Name) -> f64 {
-    let position = engines.iter().position(|engine| engine.id == *id);
-    (engines.len() - 1 - position.unwrap_or(0)) as f64
-}
-
 /// What speaks against an engine beside its time to the first event, in milliseconds.
 fn burden(work: &Work, engine: &Engine) -> f64 {
     /// What a request that waits for a place costs: about one answer's time over the places.
