--- /dev/null
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -0,0 +1,95 @@
+//! What a host goes by when it chooses backend servers.
+
+use super::{Node, State};
+use crate::clock;
+use alderglade_core::Name;
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::placement::Engine;
+use alderglade_core::time::Time;
+use rand::RngExt;
+
+/// The most that chance adds to the cost of a plain backend server, so that hosts with equal figures
+/// don't all choose the same one. Costs are counted in loads: `1.0` is as many own calls as the server
+/// works on at once.
+const DRAW: f64 = 0.1;
+/// What a server in another failure domain costs, in loads; less than chance, it only leans to near ones.
+const FAR: f64 = 0.05;
+/// What a doubted server costs, in loads; above any real load, so that it is taken where there is no other.
+const DOUBTED: f64 = 100.0;
+/// What a server costs that the request was sent to before, in loads; above doubt.
+const TRIED: f64 = 1_000.0;
+
+/// How much the engines have had to read lately.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Pressure {
+    mean: f64,
+    at: Time,
+}
+
+impl State {
+    /// Says whether a server should be passed over where others can serve: it has failed, or it lies in
+    /// another failure domain that seems cut off from this one.
+    fn doubts(&self, own_domain: &Name, server: &Server, now: Time) -> bool {
+        let elsewhere = server.domain != *own_domain;
+        let cut_off = elsewhere && self.book.is_cut_off(&server.domain, now);
+        cut_off || self.health.doubted(&server.id, now)
+    }
+}
+
+impl Node {
+    /// Gives the engines of a service as this host sees them, in the order of their ids.
+    pub fn engines(&self, service: &str, figures: Figures) -> Vec<Engine> {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let servers = state.directory.of_service(service);
+        servers
+            .map(|server| Engine {
+                id: server.id.clone(),
+                load: state.book.total(&server.id),
+                figures,
+                near: server.domain == self.settings.domain,
+                doubted: state.doubts(&self.settings.domain, server, now),
+            })
+            .collect()
+    }
+
+    /// Smooths the pressure on the engines: takes what it is now and gives its recent mean.
+    pub fn pressure(&self, now_is: f64) -> f64 {
+        /// The time over which the mean is taken, in seconds; about as long as a long prompt is read.
+        const OVER: f64 = 0.7;
+        let now = clock::now();
+        let Pressure { mean, at } = self.pressure.get();
+        let weight = 1.0 - (-now.since(at).as_secs_f64() / OVER).exp();
+        let mean = mean + weight * (now_is - mean);
+        self.pressure.set(Pressure { mean, at: now });
+        mean
+    }
+
+    /// Picks the plain backend server with the fewest own calls that hasn't been tried.
+    pub fn pick(&self, service: &str, tried: &[Name]) -> Option<Server> {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let mut rng = rand::rng();
+        let cost = |server: &Server, draw: f64| self.cost(&state, server, tried, now) + DRAW * draw;
+        let servers = state.directory.of_service(service);
+        let costs = servers.map(|server| (cost(server, rng.random::<f64>()), server));
+        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+        least.map(|(_, server)| server.clone())
+    }
+
+    /// Gives what speaks against a plain backend server, in loads.
+    fn cost(&self, state: &State, server: &Server, tried: &[Name], now: Time) -> f64 {
+        let domain = &self.settings.domain;
+        let calls = state.calls.get(&server.id).copied().unwrap_or(0);
+        let busy = f64::from(calls) / f64::from(server.slots.max(1));
+        let far = FAR * one_if(server.domain != *domain);
+        let doubted = DOUBTED * one_if(state.doubts(domain, server, now));
+        let tried = TRIED * one_if(tried.contains(&server.id));
+        busy + far + doubted + tried + state.health.failing(&server.id)
+    }
+}
+
+fn one_if(holds: bool) -> f64 {
+    f64::from(u8::from(holds))
+}
