Give the tries of a plain request one step a line

run() in unary.rs picked, counted, sent and judged in one loop, and a try carried a refusal that nobody read. Tries say by name what became of them; picking the next server has a function; only one way to make a refusal is left (Refusal::new in place of answer::fail, answer::expired dropped).

--- a/crates/alderglade-serve/src/answer.rs
+++ b/crates/alderglade-serve/src/answer.rs
@@ -1,6 +1,5 @@
 //! Answers to callers: a backend server's own, or one of the product's error kinds.
 
-use alderglade_core::error::{Kind, Ran};
 use alderglade_core::request::Refusal;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode};
@@ -9,7 +8,6 @@
 use snafu::Snafu;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// The answer ends early; the caller's connection is closed so that it doesn't look whole.
@@ -84,17 +82,3 @@
     }
     response
 }
-
-/// Makes a refusal of a kind whose row says whether the request ran.
-pub fn fail(kind: Kind, retry_after: Duration) -> Refusal {
-    Refusal::new(kind, retry_after)
-}
-
-/// Makes the refusal of a request whose time ran out, truthful about whether it may have run.
-pub fn expired(ran: Ran) -> Refusal {
-    let kind = match ran {
-        Ran::No => Kind::ExpiredWaiting,
-        Ran::Yes | Ran::Unknown => Kind::ExpiredRunning,
-    };
-    Refusal::new(kind, Duration::from_millis(500))
-}
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -33,7 +33,7 @@
         Ok(ask) => ask,
         Err(problem) => {
             log::debug!("a head can't be read: {problem}");
-            let refusal = answer::fail(ErrorKind::BadRequest, Duration::ZERO);
+            let refusal = Refusal::new(ErrorKind::BadRequest, Duration::ZERO);
             return refuse(&node, "", &refusal, arrived);
         }
     };
@@ -100,7 +100,7 @@
     arrived: Time,
 ) -> Result<Job, Refusal> {
     let config = node.state.borrow().config.clone();
-    let config = config.ok_or_else(|| answer::fail(ErrorKind::NotReady, ELSEWHERE))?;
+    let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, ELSEWHERE))?;
     let (route, workspace) = admit(node, &config, &head, &ask)?;
     let time_limit = match ask.time_limit {
         Some(limit) => limit.min(route.time_limit),
@@ -110,7 +110,7 @@
     let body = read(body, config.limits.body_bytes, ends).await?;
     let draw = rand::rng().random::<f64>();
     let service = route.target(draw).map(|target| target.service.clone());
-    let service = service.ok_or_else(|| answer::fail(ErrorKind::NoCapacity, ELSEWHERE))?;
+    let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoCapacity, ELSEWHERE))?;
     Ok(Job {
         ask,
         method: head.method,
@@ -135,12 +135,12 @@
     ask: &Ask,
 ) -> Result<(Route, Option<alderglade_core::Name>), Refusal> {
     let trusted = node.trusts_keys();
-    let cut_off = || answer::fail(ErrorKind::PlatformUnavailable, ELSEWHERE);
+    let cut_off = || Refusal::new(ErrorKind::PlatformUnavailable, ELSEWHERE);
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = config.route(host, head.uri.path()) else {
         return Err(if trusted {
-            answer::fail(ErrorKind::NotFound, Duration::ZERO)
+            Refusal::new(ErrorKind::NotFound, Duration::ZERO)
         } else {
             cut_off()
         });
@@ -149,7 +149,7 @@
         Access::Open => Ok((route.clone(), None)),
         _ if !trusted => Err(cut_off()),
         Access::Workspace(name) => Ok((route.clone(), Some(name))),
-        Access::Denied => Err(answer::fail(ErrorKind::Unauthorized, Duration::ZERO)),
+        Access::Denied => Err(Refusal::new(ErrorKind::Unauthorized, Duration::ZERO)),
     }
 }
 
@@ -158,12 +158,12 @@
     match tokio::time::timeout_at(clock::instant(ends), collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(answer::fail(ErrorKind::TooLarge, Duration::ZERO))
+            Err(Refusal::new(ErrorKind::TooLarge, Duration::ZERO))
         }
         Ok(Err(error)) => {
             log::debug!("a body broke off: {error}");
-            Err(answer::fail(ErrorKind::BadRequest, Duration::ZERO))
+            Err(Refusal::new(ErrorKind::BadRequest, Duration::ZERO))
         }
-        Err(_) => Err(answer::fail(ErrorKind::ExpiredWaiting, ELSEWHERE)),
+        Err(_) => Err(Refusal::new(ErrorKind::ExpiredWaiting, ELSEWHERE)),
     }
 }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -1,6 +1,6 @@
 //! Requests that are answered at once by plain backend servers.
 
-use crate::answer::{self, Content};
+use crate::answer::Content;
 use crate::attempt::{self, Job, Miss};
 use crate::client::Exchange;
 use crate::clock;
@@ -9,7 +9,7 @@
 use crate::node::Node;
 use crate::translate::Reply;
 use alderglade_core::Name;
-use alderglade_core::error::{Kind as ErrorKind, Ran};
+use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::config::Kind;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
@@ -22,15 +22,20 @@
 
 /// When a caller should come back if no server took its request.
 const COME_BACK: Duration = Duration::from_millis(250);
-/// Servers that are tried where nothing could be sent, beside the attempts that a route allows.
+/// Servers that are tried for one request at most, those counted to which nothing could be sent.
 const MOST_CONNECTS: usize = 4;
 /// The part of its time that a repeatable request gives one server while others are left.
 const FIRST_TRY: f64 = 0.4;
 
 /// How one try ended.
 enum Try {
+    /// The server's answer is there as a whole.
     Whole(Response<Bytes>),
-    Again(Life<Waiting>, Option<Refusal>),
+    /// Nothing was sent; it doesn't count as an attempt.
+    NotSent(Life<Waiting>),
+    /// It was sent, and there is no answer that counts.
+    Missed(Life<Waiting>),
+    /// The request's time is over.
     Expired(Life<Waiting>),
 }
 
@@ -43,45 +48,70 @@
     }
 }
 
+/// Gives a server's answer. Where it is a failure that was worth another try, and none of these came
+/// to an answer, the caller gets that failure.
 async fn run(node: &Rc<Node>, job: &Job) -> Result<Response<Bytes>, Refusal> {
+    let mut failed = None;
+    node.first_send(&job.service);
+    let result = try_servers(node, job, &mut failed).await;
+    result.or_else(|refusal| failed.ok_or(refusal))
+}
+
+/// Tries one server after the other. Leaves the last failure that was worth another try in `failed`.
+async fn try_servers(
+    node: &Rc<Node>,
+    job: &Job,
+    failed: &mut Option<Response<Bytes>>,
+) -> Result<Response<Bytes>, Refusal> {
     let mut life = Life::new();
     let mut tried: Vec<Name> = Vec::new();
     let mut sends = 0;
-    let mut failed: Option<Response<Bytes>> = None;
-    node.first_send(&job.service);
     loop {
-        let Some(server) = node.pick(&job.service, &tried) else {
-            break Err(life.refuse(ErrorKind::NoCapacity, COME_BACK));
-        };
-        let used_up = sends >= job.route.max_attempts.max(1) || tried.len() >= MOST_CONNECTS;
-        if used_up || (sends > 0 && !node.spend_repeat(&job.service)) {
-            break Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
-        }
+        let server = next_server(node, job, &life, &tried, sends)?;
         tried.push(server.id.clone());
         sends += 1;
         let more = sends < job.route.max_attempts;
         match one_try(node, job, &server, life, sends, more).await {
             Try::Whole(response) if more && worth_repeating(job, &response) => {
                 life = Life::new().send().lost();
-                failed = Some(response);
+                *failed = Some(response);
             }
             Try::Whole(response) => return Ok(response),
-            Try::Again(waiting, None) => {
+            Try::NotSent(waiting) => {
                 life = waiting;
                 sends -= 1;
             }
-            Try::Again(waiting, Some(_)) if waiting.may_have_run() && !repeatable(job) => {
-                break Err(waiting.refuse(ErrorKind::ContactLost, COME_BACK));
+            Try::Missed(waiting) if waiting.may_have_run() && !repeatable(job) => {
+                return Err(waiting.refuse(ErrorKind::ContactLost, COME_BACK));
             }
-            Try::Again(waiting, Some(_)) => life = waiting,
+            Try::Missed(waiting) => life = waiting,
             Try::Expired(waiting) => {
-                break Err(waiting.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
+                return Err(waiting.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
             }
         }
     }
-    .or_else(|refusal| failed.ok_or(refusal))
 }
 
+/// Picks the server of the next try, or refuses where there is none or no try is left.
+fn next_server(
+    node: &Node,
+    job: &Job,
+    life: &Life<Waiting>,
+    tried: &[Name],
+    sends: u32,
+) -> Result<Server, Refusal> {
+    let Some(server) = node.pick(&job.service, tried) else {
+        return Err(life.refuse(ErrorKind::NoCapacity, COME_BACK));
+    };
+    let used_up = sends >= job.route.max_attempts.max(1) || tried.len() >= MOST_CONNECTS;
+    if used_up || (sends > 0 && !node.spend_repeat(&job.service)) {
+        return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
+    }
+    Ok(server)
+}
+
+/// Sends a request to one server and waits for its whole answer. `more` says whether another try may
+/// follow.
 async fn one_try(
     node: &Rc<Node>,
     job: &Job,
@@ -91,17 +121,7 @@
     more: bool,
 ) -> Try {
     let _call = node.call(&server.id);
-    event::write(&Record::Placed {
-        id: &job.ask.id,
-        server: &server.id,
-        attempt: number,
-        prompt: 0,
-        helpers: 0,
-        shares: 0,
-        waited_ms: job.waited().as_millis() as u64,
-        expected_ms: job.route.aim.as_millis() as u64,
-        config: job.config,
-    });
+    tell_placed(job, server, number);
     let left = job.left();
     let patience = if more && repeatable(job) {
         left.mul_f64(FIRST_TRY)
@@ -120,25 +140,33 @@
             node.note(&server.id, Outcome::Silent);
             let waiting = sent.lost();
             if patience < left {
-                Try::Again(waiting, Some(answer::expired(Ran::Unknown)))
+                Try::Missed(waiting)
             } else {
                 Try::Expired(waiting)
             }
         }
         Ok(Ok(response)) => Try::Whole(response),
-        Ok(Err(Miss::NotSent)) => Try::Again(sent.never_sent(), None),
-        Ok(Err(Miss::Disclaimed(_))) => {
-            let waiting = sent.disclaimed();
-            let refusal = waiting.refuse(ErrorKind::Overloaded, COME_BACK);
-            Try::Again(waiting, Some(refusal))
-        }
-        Ok(Err(Miss::Lost)) => {
-            let refusal = answer::fail(ErrorKind::ContactLost, COME_BACK);
-            Try::Again(sent.lost(), Some(refusal))
-        }
+        Ok(Err(Miss::NotSent)) => Try::NotSent(sent.never_sent()),
+        Ok(Err(Miss::Disclaimed(_))) => Try::Missed(sent.disclaimed()),
+        Ok(Err(Miss::Lost)) => Try::Missed(sent.lost()),
     }
 }
 
+fn tell_placed(job: &Job, server: &Server, attempt: u32) {
+    event::write(&Record::Placed {
+        id: &job.ask.id,
+        server: &server.id,
+        attempt,
+        prompt: 0,
+        helpers: 0,
+        shares: 0,
+        waited_ms: job.waited().as_millis() as u64,
+        expected_ms: job.route.aim.as_millis() as u64,
+        config: job.config,
+    });
+}
+
+/// Reads the whole answer and judges whether it can be passed on.
 async fn collect(
     node: &Rc<Node>,
     job: &Job,
@@ -183,14 +211,20 @@
     repeatable(job) && response.status().is_server_error()
 }
 
+/// Writes down how an answer went and makes what the caller gets.
 fn finish(node: &Node, job: &Job, response: Response<Bytes>) -> Response<Content> {
+    tell_answered(node, job, response.status());
+    let (head, body) = response.into_parts();
+    let mut answer = Response::new(Content::Whole(Some(body)));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = node.translator.give_back(&head.headers);
+    answer
+}
+
+fn tell_answered(node: &Node, job: &Job, status: StatusCode) {
     let took = clock::now().since(job.arrived);
-    let status = response.status();
-    let met = if took <= job.route.aim && status.is_success() {
-        "yes"
-    } else {
-        "no"
-    };
+    let in_time = took <= job.route.aim && status.is_success();
+    let met = if in_time { "yes" } else { "no" };
     node.metrics.aims.with_label_values(&[met]).inc();
     node.metrics.first.observe(took.as_secs_f64());
     let class = if status.is_success() {
@@ -206,9 +240,4 @@
         first_ms: took.as_millis() as u64,
         longest_pause_ms: 0,
     });
-    let (head, body) = response.into_parts();
-    let mut answer = Response::new(Content::Whole(Some(body)));
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = node.translator.give_back(&head.headers);
-    answer
 }
