Say in the relay what is waited for, read and told

pass_on() waited for bytes, told silence from the end, cut out events and passed them on in one loop; run() held the select of a resumed stream. Waiting for the next bytes, cutting out events and taking the stream up elsewhere have functions of their own; each await means what it did.

--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -9,10 +9,12 @@
 use alderglade_core::fleet::config::Kind;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::sse::Splitter;
+use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -35,13 +37,17 @@
     CallerLeft,
 }
 
+/// A stream on its way to its caller.
 struct Relay {
     node: Rc<Node>,
     job: Job,
     tries: Tries,
     pieces: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    /// The id of the last event that was passed on.
     last_event: Option<String>,
+    /// When the first event left.
     first_at: Option<Time>,
+    /// When the last event left.
     last_at: Option<Time>,
     longest_pause: Duration,
     _in_flight: InFlight,
@@ -76,6 +82,8 @@
 }
 
 impl Relay {
+    /// Passes the stream on until it ends, taking it up elsewhere where a server fails and the route
+    /// allows it.
     async fn run(mut self, mut open: Open) {
         loop {
             let server = open.server.clone();
@@ -84,10 +92,7 @@
                     self.node.note(&server.id, Outcome::Sound);
                     return self.tell_answered();
                 }
-                End::CallerLeft => {
-                    let id = &self.job.ask.id;
-                    return event::write(&Record::CallerLeft { id });
-                }
+                End::CallerLeft => return self.tell_caller_left(),
                 End::Expired => return self.break_off("the time is over").await,
                 End::Failed(problem) => problem,
             };
@@ -97,19 +102,21 @@
             if !self.may_resume() {
                 return self.break_off(&problem).await;
             }
-            let last_event = self.last_event.clone();
-            let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
-            let reopened = tokio::select! {
-                reopened = reopen => reopened,
-                () = self.pieces.closed() => {
-                    let id = &self.job.ask.id;
-                    return event::write(&Record::CallerLeft { id });
-                }
+            open = match self.reopen().await {
+                Some(Ok(next)) => next,
+                Some(Err(refusal)) => return self.break_off(refusal.kind.label()).await,
+                None => return self.tell_caller_left(),
             };
-            match reopened {
-                Ok(next) => open = next,
-                Err(refusal) => return self.break_off(refusal.kind.label()).await,
-            }
+        }
+    }
+
+    /// Has another server go on after the last event; gives `None` where the caller leaves meanwhile.
+    async fn reopen(&mut self) -> Option<Result<Open, Refusal>> {
+        let last_event = self.last_event.clone();
+        let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
+        tokio::select! {
+            reopened = reopen => Some(reopened),
+            () = self.pieces.closed() => None,
         }
     }
 
@@ -135,32 +142,14 @@
         } = open;
         let mut body = exchange.body;
         let mut splitter = Splitter::default();
-        let ends = clock::instant(self.job.ends);
         let mut read = false;
         loop {
-            let may_resume = self.may_resume();
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(silence, body.frame()) => frame,
-                () = self.pieces.closed() => return End::CallerLeft,
-                () = tokio::time::sleep_until(ends) => return End::Expired,
-            };
-            let frame = match frame {
-                Err(_) if may_resume => return End::Failed("silence".to_string()),
-                Err(_) => continue,
+            let data = match self.next(&mut body, silence).await {
+                Ok(Some(data)) => data,
                 Ok(None) => break,
-                Ok(Some(Err(error))) => return End::Failed(error.to_string()),
-                Ok(Some(Ok(frame))) => frame,
+                Err(end) => return end,
             };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let mut ready = Vec::new();
-            for event in splitter.push(&data) {
-                if event.id.is_some() {
-                    self.last_event = event.id;
-                }
-                ready.extend_from_slice(&event.bytes);
-            }
+            let ready = self.take_events(&mut splitter, &data);
             if ready.is_empty() {
                 continue;
             }
@@ -182,6 +171,43 @@
         End::Whole
     }
 
+    /// Waits for the next bytes of a server; gives `None` after the last ones. Silence ends the
+    /// server's part only where the stream may be resumed elsewhere.
+    async fn next(&self, body: &mut Incoming, silence: Duration) -> Result<Option<Bytes>, End> {
+        let ends = clock::instant(self.job.ends);
+        let may_resume = self.may_resume();
+        loop {
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(silence, body.frame()) => frame,
+                () = self.pieces.closed() => return Err(End::CallerLeft),
+                () = tokio::time::sleep_until(ends) => return Err(End::Expired),
+            };
+            let frame = match frame {
+                Err(_) if may_resume => return Err(End::Failed("silence".to_string())),
+                Err(_) => continue,
+                Ok(None) => return Ok(None),
+                Ok(Some(Err(error))) => return Err(End::Failed(error.to_string())),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// Gives the events that these bytes make whole, and keeps the id of the last one for a server that
+    /// may have to go on after it.
+    fn take_events(&mut self, splitter: &mut Splitter, data: &Bytes) -> Vec<u8> {
+        let mut ready = Vec::new();
+        for event in splitter.push(data) {
+            if event.id.is_some() {
+                self.last_event = event.id;
+            }
+            ready.extend_from_slice(&event.bytes);
+        }
+        ready
+    }
+
     /// Notes when events leave, for what is told of the stream at its end.
     fn note_event(&mut self) {
         let now = clock::now();
@@ -191,6 +217,11 @@
         }
     }
 
+    fn tell_caller_left(&self) {
+        let id = &self.job.ask.id;
+        event::write(&Record::CallerLeft { id });
+    }
+
     async fn break_off(&self, problem: &str) {
         event::write(&Record::BrokenOff {
             id: &self.job.ask.id,
