--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -4,9 +4,10 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::node::Node;
-use crate::translate::{Ask, Dispatch, Helper, Reply};
+use crate::translate::{Ask, Dispatch, Helper, Prompt, Reply};
 use alderglade_core::Name;
-use alderglade_core::fleet::config::Route;
+use alderglade_core::fleet::book::PauseClass;
+use alderglade_core::fleet::config::{Kind, Route};
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::time::Time;
@@ -16,6 +17,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// What a prompt counts as whose caller says nothing of it: an ordinary short one.
+const ORDINARY: Prompt = Prompt {
+    tokens: 5_000,
+    most_out: 1_000,
+    expected_out: None,
+};
+
 /// A request that was read whole and let in.
 pub struct Job {
     /// What its caller says.
@@ -52,6 +60,19 @@
     pub fn waited(&self) -> Duration {
         clock::now().since(self.arrived)
     }
+
+    /// Gives what the caller says of the prompt; one that says nothing counts as an ordinary short one.
+    pub fn prompt(&self) -> Prompt {
+        self.ask.prompt.unwrap_or(ORDINARY)
+    }
+
+    /// Gives the pauses that its answer bears.
+    pub fn pauses(&self) -> PauseClass {
+        match self.route.kind {
+            Kind::Stream { longest_pause, .. } => PauseClass::of(longest_pause),
+            Kind::Idempotent | Kind::NonIdempotent => PauseClass::Long,
+        }
+    }
 }
 
 /// What became of a send whose answer doesn't count.
--- /dev/null
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -0,0 +1,109 @@
+//! Waits until a prompt should be sent, and says to which engines.
+
+use super::{COME_BACK, Tries};
+use crate::attempt::Job;
+use crate::node::Node;
+use alderglade_core::error::Kind as ErrorKind;
+use alderglade_core::fleet::life::{Life, Waiting};
+use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::placement::{self, Decision, Plan, Shared, Work};
+use alderglade_core::request::Refusal;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What a stride of an answer's tokens takes, at most, where engines are busy.
+const STRIDE: Duration = Duration::from_millis(75);
+/// A host that stops hands prompts that still wait back to their callers when it has less time left
+/// than this, which is about what reading and answering a long prompt takes.
+const STOP_PATIENCE: Duration = Duration::from_millis(5_000);
+
+/// Waits until the prompt should be sent, and gives the plan.
+///
+/// # Errors
+///
+/// Gives the refusal where the prompt can't be answered in its time, or not before the host ends.
+pub(super) async fn place(
+    node: &Rc<Node>,
+    job: &Job,
+    tries: &Tries,
+    life: &Life<Waiting>,
+) -> Result<Plan, Refusal> {
+    loop {
+        if job.left().is_zero() {
+            return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
+        }
+        let ends_in = node.ends_in();
+        match decide(node, job, tries) {
+            Decision::Send(plan)
+                if ends_in.is_some_and(|left| answer_time(node, job, &plan) > left) =>
+            {
+                return Err(life.refuse(ErrorKind::Draining, COME_BACK));
+            }
+            Decision::Send(plan) => return Ok(plan),
+            Decision::Wait(_) if ends_in.is_some_and(|left| left < STOP_PATIENCE) => {
+                return Err(life.refuse(ErrorKind::Draining, COME_BACK));
+            }
+            Decision::Refuse(after) => return Err(life.refuse(ErrorKind::Overloaded, after)),
+            Decision::Wait(pause) => tokio::time::sleep(pause).await,
+        }
+    }
+}
+
+/// Gives the longest that an answer is expected to take from now to its end.
+fn answer_time(node: &Node, job: &Job, plan: &Plan) -> Duration {
+    let stride = figures(node, job).map_or(1, |figures| u64::from(figures.stride.max(1)));
+    let strides = job.prompt().most_out / stride + 1;
+    plan.first_event + STRIDE * u32::try_from(strides).unwrap_or(u32::MAX)
+}
+
+/// Gives the timing of the engines that serve a job, if its service states it.
+fn figures(node: &Node, job: &Job) -> Option<Figures> {
+    let config = node.state.borrow().config.clone()?;
+    config.service(&job.service)?.engine
+}
+
+/// Gives the decision on a prompt as things stand now.
+fn decide(node: &Node, job: &Job, tries: &Tries) -> Decision {
+    let Some(figures) = figures(node, job) else {
+        return without_figures(node, job, tries);
+    };
+    let work = work(job, tries, figures.stride);
+    let engines = node.engines(&job.service, figures);
+    let shared = Shared {
+        giants: node.state.borrow().book.giants(),
+        pressure: node.pressure(placement::pressure(&engines)),
+    };
+    placement::choose(&work, &engines, &shared)
+}
+
+/// Places a stream of a service that states no figures for its engines: least own calls first.
+fn without_figures(node: &Node, job: &Job, tries: &Tries) -> Decision {
+    match node.pick(&job.service, &tries.avoid) {
+        None => Decision::Refuse(COME_BACK),
+        Some(server) => Decision::Send(Plan {
+            first: server.id,
+            helpers: Vec::new(),
+            shares: Vec::new(),
+            part: 0.0,
+            first_event: job.route.aim,
+            giant: false,
+        }),
+    }
+}
+
+/// Gives what placement must know of a prompt.
+fn work(job: &Job, tries: &Tries, stride: u32) -> Work {
+    let prompt = job.prompt();
+    let expected = prompt.expected_out.unwrap_or(prompt.most_out);
+    let out = expected.max(u64::from(stride)).min(prompt.most_out.max(1));
+    Work {
+        prompt: prompt.tokens,
+        memory: prompt.tokens + out,
+        aim: job.route.aim,
+        waited: job.waited(),
+        left: job.left(),
+        worth: placement::worth(prompt.tokens),
+        pauses: job.pauses(),
+        avoid: tries.avoid.clone(),
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/generate/take.rs
@@ -0,0 +1,89 @@
+//! What a plan takes at each engine: as the book notes it, and as the answering server is told.
+
+use crate::attempt::Job;
+use crate::node::Node;
+use crate::ticket::Tickets;
+use crate::translate::Helper;
+use alderglade_core::Name;
+use alderglade_core::fleet::book::{Hold, Holding, Load, PAUSE_CLASSES};
+use alderglade_core::fleet::placement::{self, Plan};
+
+/// Gives a plan's entry in the book: all that it takes at each engine.
+pub(super) fn hold(job: &Job, plan: &Plan) -> Hold {
+    let prompt = job.prompt();
+    let reading = (plan.part * 1_000.0) as i64;
+    let expected = prompt.expected_out.unwrap_or(prompt.most_out);
+    let shared: u64 = plan.shares.iter().map(|share| share.tokens).sum();
+    let memory = (prompt.tokens + expected).saturating_sub(shared);
+    let mut at_risk = [0; PAUSE_CLASSES];
+    at_risk[job.pauses() as usize] = (placement::worth(prompt.tokens) * 1_000.0) as i64;
+    let own_share = share_at(plan, &plan.first);
+    let load = Load {
+        reading,
+        memory: memory as i64 + own_share,
+        running: 1,
+        at_risk,
+    };
+    Hold {
+        first: plan.first.clone(),
+        load,
+        helpers: holdings(plan, reading),
+        giant: plan.giant,
+    }
+}
+
+/// Lists what a plan takes at the engines that don't answer: reading, memory or both.
+fn holdings(plan: &Plan, reading: i64) -> Vec<Holding> {
+    let readers = plan.helpers.iter().map(|part| &part.server);
+    let lenders = plan.shares.iter().map(|share| &share.server);
+    let mut holdings: Vec<Holding> = Vec::new();
+    for server in readers.chain(lenders) {
+        let known = holdings.iter().any(|holding| holding.server == *server);
+        if known || *server == plan.first {
+            continue;
+        }
+        let reads = plan.helpers.iter().any(|part| part.server == *server);
+        holdings.push(Holding {
+            server: server.clone(),
+            load: Load {
+                reading: if reads { reading } else { 0 },
+                memory: share_at(plan, server),
+                ..Load::default()
+            },
+        });
+    }
+    holdings
+}
+
+/// Gives the memory that is set aside at a server, in tokens.
+fn share_at(plan: &Plan, server: &Name) -> i64 {
+    let share = plan.shares.iter().find(|share| share.server == *server);
+    share.map_or(0, |share| share.tokens as i64)
+}
+
+/// Lists the servers that read a part or hold memory; the answering server's own ticket goes first.
+pub(super) fn helpers(node: &Node, plan: &Plan, tickets: Option<&Tickets>) -> Vec<Helper> {
+    let taken = tickets.map(Tickets::taken).unwrap_or_default();
+    let mut list: Vec<Helper> = taken
+        .iter()
+        .filter(|one| one.server == plan.first)
+        .chain(taken.iter().filter(|one| one.server != plan.first))
+        .map(|one| Helper {
+            address: one.address,
+            ticket: Some(one.name.clone()),
+        })
+        .collect();
+    for part in &plan.helpers {
+        if taken.iter().any(|one| one.server == part.server) {
+            continue;
+        }
+        if let Some(server) = node.server(&part.server) {
+            list.push(Helper {
+                address: server.address,
+                ticket: None,
+            });
+        }
+    }
+    list.truncate(placement::MOST_PARTS - 1);
+    list
+}
