Name the steps by which memory is set aside

Tickets::take looked up, noted, ordered and judged in one function, and passed its answers along as bare pairs. Noting a share and waiting for all engines have functions; an engine's answer is a type.

--- a/crates/alderglade-serve/src/ticket.rs
+++ b/crates/alderglade-serve/src/ticket.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 
 /// How long an order to an engine may take. Engines answer at once; the rest is the way.
 const ORDER: Duration = Duration::from_millis(800);
@@ -40,6 +40,12 @@
     share: Share,
 }
 
+/// What an engine said to the order to set a share aside.
+struct Reply {
+    taken: Taken,
+    result: Result<StatusCode, String>,
+}
+
 /// All shares of one prompt; dropped, they are given back.
 pub struct Tickets {
     node: Rc<Node>,
@@ -60,30 +66,15 @@
         };
         let mut orders = Vec::new();
         for share in shares {
-            let server = node.server(&share.server)?;
-            let taken = Taken {
-                server: server.id.clone(),
-                address: server.address,
-                name: ticket_name(request, &server),
-                share: share.clone(),
-            };
-            // Also a share whose answer is lost may be held: it is given back with the others.
-            tickets.taken.push(taken.clone());
+            let taken = tickets.note(request, share)?;
             let order = node.translator.reserve(&taken.name, share, hold);
             let client = node.client.clone();
             orders.push(tokio::task::spawn_local(async move {
-                (call(&client, taken.address, order).await, taken)
+                let result = call(&client, taken.address, order).await;
+                Reply { taken, result }
             }));
         }
-        let mut all = true;
-        for order in orders {
-            let Ok((result, taken)) = order.await else {
-                all = false;
-                continue;
-            };
-            all &= granted(request, &taken, result);
-        }
-        if !all {
+        if !all_granted(request, orders).await {
             return None;
         }
         tickets.renewal = Some(tickets.renew(hold));
@@ -91,6 +82,20 @@
         Some(tickets)
     }
 
+    /// Notes a share before it is asked for: also one whose answer is lost may be held, and is given
+    /// back with the others.
+    fn note(&mut self, request: &str, share: &Share) -> Option<Taken> {
+        let server = self.node.server(&share.server)?;
+        let taken = Taken {
+            server: server.id.clone(),
+            address: server.address,
+            name: ticket_name(request, &server),
+            share: share.clone(),
+        };
+        self.taken.push(taken.clone());
+        Some(taken)
+    }
+
     /// Gives the shares.
     pub fn taken(&self) -> &[Taken] {
         &self.taken
@@ -131,7 +136,20 @@
     format!("{request}-{}", server.id).into()
 }
 
-fn granted(request: &str, taken: &Taken, result: Result<StatusCode, String>) -> bool {
+/// Waits for the answers of all engines, and says whether each of them has set the memory aside.
+async fn all_granted(request: &str, orders: Vec<JoinHandle<Reply>>) -> bool {
+    let mut all = true;
+    for order in orders {
+        all &= match order.await {
+            Ok(reply) => granted(request, reply),
+            Err(_) => false,
+        };
+    }
+    all
+}
+
+fn granted(request: &str, reply: Reply) -> bool {
+    let Reply { taken, result } = reply;
     let problem = match result {
         Ok(StatusCode::OK) => return true,
         Ok(status) => status.to_string(),
