Drop the pauses of a prompt that placement never read; say what else is unread

Work::pauses was set and never read: a prompt's pauses count only in the book, once it is placed. The tests of placement leave the field out. Names, ranks and connection bounds of the configuration stay, so that a bad value still makes it unreadable; their docs say that nothing goes by them.

--- a/crates/alderglade-core/src/fleet/config.rs
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -44,7 +44,7 @@
 /// One route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
-    /// Its name, for logs.
+    /// Its name, by which operators know it. Nothing reads it yet.
     pub name: Name,
     /// The `Host` that it answers to, in lower case.
     pub host: Name,
@@ -56,7 +56,8 @@
     pub time_limit: Duration,
     /// The time within which an answer (of a stream: its first event) earns its full worth.
     pub aim: Duration,
-    /// The rank of its requests; `0` comes first.
+    /// The rank of its requests; `0` comes first. Nothing goes by it: prompts are placed by what they
+    /// are worth.
     pub priority: u32,
     /// The most backend servers that one request is sent to.
     pub max_attempts: u32,
@@ -88,7 +89,8 @@
     pub name: Name,
     /// The timing of its engines, where its backend servers are model engines.
     pub engine: Option<Figures>,
-    /// The connections that one backend server accepts from all callers together.
+    /// The connections that one backend server accepts from all callers together. Nothing goes by it:
+    /// a host has as many connections to a server as requests in hand there.
     pub max_connections: u32,
 }
 
@@ -121,7 +123,7 @@
     pub name: Name,
     /// Its keys.
     pub keys: Vec<Name>,
-    /// Its rank; `0` comes first.
+    /// Its rank; `0` comes first. Nothing goes by it: prompts are placed by what they are worth.
     pub priority: u32,
 }
 
--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -1,7 +1,8 @@
 //! What a placement costs running answers and the prompt's own, in worth.
 
 use super::timing::{first_event, millis, pause};
-use super::{Engine, PauseClass, Work};
+use super::{Engine, Work};
+use crate::fleet::book::PauseClass;
 
 /// Running answers at an engine above which short prompts go to the next one.
 pub(super) const PACKED: i64 = 10;
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -16,7 +16,7 @@
 mod short;
 mod timing;
 
-use super::book::{Load, PauseClass};
+use super::book::Load;
 use super::pass::Figures;
 use crate::Name;
 use std::time::Duration;
@@ -43,8 +43,6 @@
     pub left: Duration,
     /// What it is worth, where an ordinary short reply is worth about one.
     pub worth: f64,
-    /// The pause that its answer bears.
-    pub pauses: PauseClass,
     /// Servers that have failed it.
     pub avoid: Vec<Name>,
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -3,7 +3,7 @@
 use super::figures;
 use crate::each_seed;
 use alderglade_core::Name;
-use alderglade_core::fleet::book::{Load, PauseClass};
+use alderglade_core::fleet::book::Load;
 use alderglade_core::fleet::placement::{
     Decision, Engine, MOST_PARTS, Plan, Shared, Work, choose, pressure, worth,
 };
@@ -33,7 +33,6 @@
         waited: Duration::ZERO,
         left: Duration::from_secs(10),
         worth: worth(5_000),
-        pauses: PauseClass::Short,
         avoid: Vec::new(),
     }
 }
@@ -45,7 +44,6 @@
         aim: Duration::from_millis(2_500),
         left: Duration::from_secs(15),
         worth: worth(prompt),
-        pauses: PauseClass::Long,
         ..short()
     }
 }
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -103,7 +103,6 @@
         waited: job.waited(),
         left: job.left(),
         worth: placement::worth(prompt.tokens),
-        pauses: job.pauses(),
         avoid: tries.avoid.clone(),
     }
 }
