Tell loads, peers and notices apart in the load book

book.rs had 350 lines; hear() judged whether a notice is stale, made peers and summed holdings. Loads and classes of pauses have a module, a peer says whether it knows a notice already, and each field of the book says what it holds. Paths of public items stay.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -3,6 +3,10 @@
 //! A host tells its peers its own holdings as absolute figures, so that a lost or doubled notice is
 //! made good by the next one. What a silent host held lapses.
 
+mod load;
+
+pub use load::{Load, PAUSE_CLASSES, PauseClass};
+
 use crate::Name;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -15,85 +19,6 @@
 /// A failure domain none of whose hosts was heard of for this long may be cut off: two heartbeats of
 /// 250 ms, and one more for a notice on its way.
 pub const CUT_OFF: Duration = Duration::from_millis(650);
-/// Classes of pauses that running answers bear; see [`PauseClass`].
-pub const PAUSE_CLASSES: usize = 3;
-
-/// How long a pause between its events an answer bears and is still in time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PauseClass {
-    /// Less than 400 ms: interactive replies.
-    Short,
-    /// Less than 800 ms: digests.
-    Middle,
-    /// Longer.
-    Long,
-}
-
-impl PauseClass {
-    /// The bound between short and middle pauses, in milliseconds.
-    const SHORT_BELOW: u128 = 400;
-    /// The bound between middle and long pauses, in milliseconds.
-    const MIDDLE_BELOW: u128 = 800;
-
-    /// Gives the class of a pause.
-    pub fn of(longest: Duration) -> PauseClass {
-        match longest.as_millis() {
-            0..PauseClass::SHORT_BELOW => PauseClass::Short,
-            PauseClass::SHORT_BELOW..PauseClass::MIDDLE_BELOW => PauseClass::Middle,
-            _ => PauseClass::Long,
-        }
-    }
-
-    /// Gives the pause that answers of the class are sure to bear, in milliseconds.
-    pub fn bears(self) -> f64 {
-        match self {
-            PauseClass::Short => 250.0,
-            PauseClass::Middle => 600.0,
-            PauseClass::Long => 1_000.0,
-        }
-    }
-
-    /// All classes, in the order of [`Load::at_risk`].
-    pub const ALL: [PauseClass; PAUSE_CLASSES] =
-        [PauseClass::Short, PauseClass::Middle, PauseClass::Long];
-}
-
-/// What one host holds at one backend server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Reading time that still waits there, in microseconds.
-    pub reading: i64,
-    /// Memory that its requests need there, in tokens.
-    pub memory: i64,
-    /// Requests that were sent there and have not ended.
-    pub running: i64,
-    /// Worth of the running answers by the pause that they bear, in thousandths.
-    pub at_risk: [i64; PAUSE_CLASSES],
-}
-
-impl Load {
-    fn add(&mut self, other: &Load) {
-        self.reading += other.reading;
-        self.memory += other.memory;
-        self.running += other.running;
-        for (own, more) in self.at_risk.iter_mut().zip(other.at_risk) {
-            *own += more;
-        }
-    }
-
-    fn subtract(&mut self, other: &Load) {
-        self.reading -= other.reading;
-        self.memory -= other.memory;
-        self.running -= other.running;
-        for (own, less) in self.at_risk.iter_mut().zip(other.at_risk) {
-            *own -= less;
-        }
-    }
-
-    fn is_nothing(&self) -> bool {
-        *self == Load::default()
-    }
-}
 
 /// A host's holdings at one server, as told to its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,25 +67,44 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct HoldId(u64);
 
+/// What is known of another host.
 #[derive(Debug)]
 struct Peer {
     incarnation: u64,
+    /// The number of its last notice.
     sequence: u64,
+    /// When that came.
     heard: Time,
     giants: u32,
+    /// What it holds at each server.
     loads: HashMap<Name, Load>,
 }
 
+impl Peer {
+    /// Says whether a notice tells nothing newer than what is known.
+    fn knows(&self, notice: &Notice) -> bool {
+        let same = self.incarnation == notice.incarnation;
+        self.incarnation > notice.incarnation || (same && self.sequence >= notice.sequence)
+    }
+}
+
 /// The book of one host.
 #[derive(Debug, Default)]
 pub struct Book {
+    /// This host's own placements.
     holds: BTreeMap<HoldId, Hold>,
+    /// The number of the last of them.
     next: u64,
+    /// What this host holds at each server.
     own: HashMap<Name, Load>,
     own_giants: u32,
+    /// Servers whose own holdings have changed since peers were told.
     changed: BTreeSet<Name>,
+    /// The other hosts.
     peers: HashMap<Name, Peer>,
+    /// What all hosts together hold at each server.
     totals: HashMap<Name, Load>,
+    /// When a host of each failure domain was last heard of.
     domains: HashMap<Name, Time>,
 }
 
@@ -266,17 +210,20 @@
     /// Returns whether the peer is new, or back in another lifetime.
     pub fn hear(&mut self, notice: &Notice, now: Time) -> bool {
         let known = self.peers.get(&notice.host);
-        let newcomer = known.is_none_or(|peer| peer.incarnation < notice.incarnation);
-        if let Some(peer) = known {
-            let stale = peer.incarnation > notice.incarnation
-                || (peer.incarnation == notice.incarnation && peer.sequence >= notice.sequence);
-            if stale {
-                return false;
-            }
+        if known.is_some_and(|peer| peer.knows(notice)) {
+            return false;
         }
+        let newcomer = known.is_none_or(|peer| peer.incarnation < notice.incarnation);
         if newcomer || notice.whole {
             self.forget(&notice.host);
         }
+        self.domains.insert(notice.domain.clone(), now);
+        self.take(notice, now);
+        newcomer
+    }
+
+    /// Takes the holdings of a notice into the peer's and the sums.
+    fn take(&mut self, notice: &Notice, now: Time) {
         let peer = self.peers.entry(notice.host.clone()).or_insert(Peer {
             incarnation: notice.incarnation,
             sequence: 0,
@@ -284,7 +231,6 @@
             giants: 0,
             loads: HashMap::new(),
         });
-        self.domains.insert(notice.domain.clone(), now);
         peer.sequence = notice.sequence;
         peer.heard = now;
         peer.giants = notice.giants;
@@ -295,7 +241,6 @@
             }
             total.add(&holding.load);
         }
-        newcomer
     }
 
     /// Lets the holdings of silent hosts lapse; gives the names of these hosts.
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/book/load.rs
@@ -0,0 +1,84 @@
+//! What is held at one backend server, in the terms that placement weighs.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Classes of pauses that running answers bear; see [`PauseClass`].
+pub const PAUSE_CLASSES: usize = 3;
+
+/// How long a pause between its events an answer bears and is still in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PauseClass {
+    /// Less than 400 ms: interactive replies.
+    Short,
+    /// Less than 800 ms: digests.
+    Middle,
+    /// Longer.
+    Long,
+}
+
+impl PauseClass {
+    /// The bound between short and middle pauses, in milliseconds.
+    const SHORT_BELOW: u128 = 400;
+    /// The bound between middle and long pauses, in milliseconds.
+    const MIDDLE_BELOW: u128 = 800;
+
+    /// Gives the class of a pause.
+    pub fn of(longest: Duration) -> PauseClass {
+        match longest.as_millis() {
+            0..PauseClass::SHORT_BELOW => PauseClass::Short,
+            PauseClass::SHORT_BELOW..PauseClass::MIDDLE_BELOW => PauseClass::Middle,
+            _ => PauseClass::Long,
+        }
+    }
+
+    /// Gives the pause that answers of the class are sure to bear, in milliseconds.
+    pub fn bears(self) -> f64 {
+        match self {
+            PauseClass::Short => 250.0,
+            PauseClass::Middle => 600.0,
+            PauseClass::Long => 1_000.0,
+        }
+    }
+
+    /// All classes, in the order of [`Load::at_risk`].
+    pub const ALL: [PauseClass; PAUSE_CLASSES] =
+        [PauseClass::Short, PauseClass::Middle, PauseClass::Long];
+}
+
+/// What one host holds at one backend server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Reading time that still waits there, in microseconds.
+    pub reading: i64,
+    /// Memory that its requests need there, in tokens.
+    pub memory: i64,
+    /// Requests that were sent there and have not ended.
+    pub running: i64,
+    /// Worth of the running answers by the pause that they bear, in thousandths.
+    pub at_risk: [i64; PAUSE_CLASSES],
+}
+
+impl Load {
+    pub(super) fn add(&mut self, other: &Load) {
+        self.reading += other.reading;
+        self.memory += other.memory;
+        self.running += other.running;
+        for (own, more) in self.at_risk.iter_mut().zip(other.at_risk) {
+            *own += more;
+        }
+    }
+
+    pub(super) fn subtract(&mut self, other: &Load) {
+        self.reading -= other.reading;
+        self.memory -= other.memory;
+        self.running -= other.running;
+        for (own, less) in self.at_risk.iter_mut().zip(other.at_risk) {
+            *own -= less;
+        }
+    }
+
+    pub(super) fn is_nothing(&self) -> bool {
+        *self == Load::default()
+    }
+}
