--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -4,7 +4,7 @@
 //! reading it costs nothing beside them.
 
 use alderglade_core::Name;
-use alderglade_core::fleet::book::{Book, Hold, Load, Notice, PauseClass};
+use alderglade_core::fleet::book::{Book, Hold, Load, Notice};
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::{self, Engine, Shared, Work};
 use alderglade_core::time::Time;
@@ -183,7 +183,6 @@
         waited: Duration::ZERO,
         left: Duration::from_secs(15),
         worth: placement::worth(prompt),
-        pauses: PauseClass::Long,
         avoid: Vec::new(),
     }
 }
