A closed door is busy until answers have left; a host that has joined stays so

Change: a closed door ends connections in order and counts those whose answer has not left. Test red first (20 s, not busy), then green. Change: joined once is joined. Test red first, then green.

--- a/crates/alderglade-caller/src/listen.rs
+++ b/crates/alderglade-caller/src/listen.rs
@@ -74,6 +74,7 @@
     address: SocketAddr,
     closed: watch::Sender<bool>,
     busy: Arc<AtomicUsize>,
+    open: Arc<AtomicUsize>,
 }
 
 impl Door {
@@ -103,7 +104,13 @@
             most,
         };
         let busy = hall.busy.clone();
-        let run = move || runtime.block_on(accept(listener, hall, until));
+        let open: Arc<AtomicUsize> = Arc::default();
+        let connections = Connections {
+            hall,
+            closed: until,
+            open: open.clone(),
+        };
+        let run = move || runtime.block_on(accept(listener, connections));
         thread::Builder::new()
             .name("callers".into())
             .spawn(run)
@@ -112,6 +119,7 @@
             address,
             closed,
             busy,
+            open,
         })
     }
 
@@ -120,27 +128,42 @@
         self.address
     }
 
-    /// Gives how many requests are being handled.
+    /// Gives how many requests are being handled; once the door is closed, how many connections have
+    /// not got the whole of their answer.
     pub fn busy(&self) -> usize {
+        if *self.closed.borrow() {
+            return self.open.load(Ordering::Relaxed);
+        }
         self.busy.load(Ordering::Relaxed)
     }
 
-    /// Takes no further connections; what is in hand goes on.
+    /// Takes no further connections and ends those at rest; what is in hand goes on.
     pub fn close(&self) {
         self.closed.send_replace(true);
     }
 }
 
+/// What each connection is given.
+#[derive(Clone)]
+struct Connections {
+    hall: Hall,
+    closed: watch::Receiver<bool>,
+    open: Arc<AtomicUsize>,
+}
+
 /// Accepts connections until the door is closed, and serves the open ones until the process ends.
-async fn accept(listener: TcpListener, hall: Hall, mut closed: watch::Receiver<bool>) {
+async fn accept(listener: TcpListener, connections: Connections) {
+    let until_closed = until_closed(connections.closed.clone());
+    tokio::pin!(until_closed);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|closed| *closed) => break,
+            () = until_closed.as_mut() => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(connection(stream, hall.clone()));
+                let place = Place::take(&connections.open);
+                tokio::spawn(connection(stream, connections.clone(), place));
             }
             Err(cause) => {
                 log::warn!("a connection can't be accepted: {cause}");
@@ -152,7 +175,10 @@
     std::future::pending().await
 }
 
-async fn connection(stream: TcpStream, hall: Hall) {
+/// Serves one connection. An answer counts as given once it has left this process, so the place is kept
+/// until then.
+async fn connection(stream: TcpStream, connections: Connections, _place: Place) {
+    let Connections { hall, closed, .. } = connections;
     if let Err(cause) = stream.set_nodelay(true) {
         log::debug!("socket option refused: {cause}");
     }
@@ -160,16 +186,31 @@
         let hall = hall.clone();
         async move { hall.answer(request).await }
     });
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_LIMIT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = until_closed(closed) => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
     if let Err(cause) = served {
         log::debug!("a caller's connection: {cause}");
     }
 }
 
+/// Waits until the door is closed, which a door that is dropped never is.
+async fn until_closed(mut closed: watch::Receiver<bool>) {
+    let gone = closed.wait_for(|closed| *closed).await.is_err();
+    if gone {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Where requests go; bounds how many there are at once.
 #[derive(Clone)]
 struct Hall {
@@ -178,14 +219,23 @@
     most: usize,
 }
 
-/// The place of one request among those that are handled at once.
+/// One request or connection in a count, until it is dropped.
 struct Place {
-    busy: Arc<AtomicUsize>,
+    count: Arc<AtomicUsize>,
+}
+
+impl Place {
+    fn take(count: &Arc<AtomicUsize>) -> Place {
+        count.fetch_add(1, Ordering::Relaxed);
+        Place {
+            count: count.clone(),
+        }
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.busy.fetch_sub(1, Ordering::Relaxed);
+        self.count.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -221,11 +271,8 @@
     }
 
     fn place(&self) -> Option<Place> {
-        let busy = self.busy.fetch_add(1, Ordering::Relaxed);
-        let place = Place {
-            busy: self.busy.clone(),
-        };
-        (busy < self.most).then_some(place)
+        let place = Place::take(&self.busy);
+        (self.busy.load(Ordering::Relaxed) <= self.most).then_some(place)
     }
 
     fn handle(&self, request: Request, place: Place) {
--- /dev/null
+++ b/crates/alderglade-caller/tests/testsuite/close.rs
@@ -0,0 +1,99 @@
+//! A door that closes while answers are under way.
+
+use alderglade_caller::answer::{Answer, Closing, Token, Usage};
+use alderglade_caller::listen::{Door, Handler, Request};
+use alderglade_core::request::Id;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long something that should happen may take; generous, because nothing is timed.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Lines of an answer; fewer than wait for a slow caller without holding up the handler.
+const LINES: u64 = 50;
+/// Bytes of a line: all lines together are more than sockets take in.
+const LINE: usize = 512 * 1024;
+
+struct Streamer {
+    handled: AtomicBool,
+}
+
+impl Handler for Streamer {
+    fn handle(&self, request: Request) {
+        let text = "x".repeat(LINE);
+        let lines = if request.target == "/short" { 0 } else { LINES };
+        let mut answer = Answer::new(request);
+        for sequence in 0..lines {
+            let token = Token {
+                sequence,
+                token: &text,
+            };
+            assert!(answer.token(&token));
+        }
+        assert!(answer.close(200, &Closing::finished(Id::default(), Usage::default())));
+        self.handled.store(true, Ordering::SeqCst);
+    }
+
+    fn turn_away(&self, _request: Request) {}
+}
+
+fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// From a rolling stop under load: the process ended when the handler had written its last line, which
+/// still waited to be sent.
+#[test]
+fn a_closed_door_is_busy_until_answers_have_left() {
+    let handler = Arc::new(Streamer {
+        handled: AtomicBool::new(false),
+    });
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let door = Door::open(address, 8, handler.clone()).expect("a door");
+    let mut caller = TcpStream::connect(door.address()).expect("a connection");
+    caller
+        .write_all(b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        .expect("sent");
+    eventually("the handler is done", || {
+        handler.handled.load(Ordering::SeqCst)
+    });
+    door.close();
+    assert!(door.busy() > 0, "the answer has not left yet");
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).expect("the whole answer");
+    assert!(
+        answer.ends_with(b"0\r\n\r\n"),
+        "it ends as a whole answer does"
+    );
+    assert!(answer.len() > LINES as usize * LINE);
+    eventually("the door is idle", || door.busy() == 0);
+}
+
+#[test]
+fn a_closed_door_ends_connections_at_rest() {
+    let handler = Arc::new(Streamer {
+        handled: AtomicBool::new(false),
+    });
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let door = Door::open(address, 8, handler).expect("a door");
+    let mut caller = TcpStream::connect(door.address()).expect("a connection");
+    caller
+        .write_all(b"POST /short HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        .expect("sent");
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"}\n") {
+        let mut byte = [0];
+        caller.read_exact(&mut byte).expect("the answer");
+        answer.extend(byte);
+    }
+    door.close();
+    eventually("the door is idle", || door.busy() == 0);
+    let mut rest = Vec::new();
+    assert_eq!(caller.read_to_end(&mut rest).ok(), Some(0));
+}
--- /dev/null
+++ b/crates/alderglade-caller/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the callers' side over real sockets.
+
+mod close;
--- a/crates/alderglade-core/src/membership.rs
+++ b/crates/alderglade-core/src/membership.rs
@@ -64,6 +64,7 @@
     looked: Time,
     began: Time,
     seeded: bool,
+    joined: bool,
 }
 
 impl View {
@@ -76,6 +77,7 @@
             looked: now,
             began: now,
             seeded: false,
+            joined: false,
         }
     }
 
@@ -170,6 +172,7 @@
         if gap > FROZEN {
             self.forgive(gap);
         }
+        self.joined = self.has_joined(now);
         let present: BTreeMap<Name, u64> = self
             .live_peers(now)
             .map(|card| (card.name.clone(), card.incarnation))
@@ -195,11 +198,12 @@
 
     /// Says whether the host has heard of every listed host of its domain, or has waited for
     /// those that can't be reached. Before that it can't know whose settings are the newest.
+    /// Hosts that are listed later change nothing.
     pub fn has_joined(&self, now: Time) -> bool {
         let waited = now.since(self.began) >= self.interval() * MISSED;
         let own = &self.own.domain;
         let mut near = self.others.values().filter(|seen| seen.card.domain == *own);
-        waited || (self.seeded && near.all(|seen| seen.heard.is_some()))
+        self.joined || waited || (self.seeded && near.all(|seen| seen.heard.is_some()))
     }
 
     /// Gives how far apart heartbeats are in a domain of this size.
--- a/crates/alderglade-core/tests/testsuite/membership.rs
+++ b/crates/alderglade-core/tests/testsuite/membership.rs
@@ -140,3 +140,19 @@
     assert_eq!(view_of(3), Duration::from_millis(250));
     assert_eq!(view_of(36), Duration::from_millis(1_008));
 }
+
+/// From a test of processes under load: a host that was ready answered "no settings yet" when the list
+/// came to name another host that it had not heard of.
+#[test]
+fn a_host_that_has_joined_stays_so_when_others_are_listed() {
+    let start = Time::from_millis(1_000);
+    let mut view = View::new(card("h0", "d", 1), start);
+    view.seed(vec![card("h1", "d", 1)]);
+    assert!(!view.has_joined(start));
+    view.hear(card("h1", "d", 1), start);
+    view.tick(start);
+    assert!(view.has_joined(start));
+    view.seed(vec![card("h1", "d", 1), card("h2", "d", 1)]);
+    view.tick(start);
+    assert!(view.has_joined(start));
+}
