Close connections at rest in time, let go of what recycled ones held, name each set of memory once

Found by reading: a recycled connection kept a count of the client and its finished task for good; connections at rest to servers that are gone were never closed; a refused set of memory was asked for again under the same names, so that its late release could end the new one. Tests red first for the first two (strong count 2, one still resting), the third has a test.

--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -74,7 +74,8 @@
     client: Rc<Client>,
     address: SocketAddr,
     sender: Option<http1::SendRequest<Full<Bytes>>>,
-    task: AbortHandle,
+    /// The task that runs the connection, until it is kept for another request.
+    task: Option<AbortHandle>,
     rest: Duration,
     reusable: bool,
 }
@@ -123,6 +124,26 @@
         result.map_err(|(error, _)| error)
     }
 
+    /// Closes the connections that have rested for as long as they may.
+    pub fn expire(&self) {
+        let now = clock::now();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|entry| {
+                let fresh = entry.until > now;
+                if !fresh {
+                    entry.task.abort();
+                }
+                fresh
+            });
+            !list.is_empty()
+        });
+    }
+
+    /// Gives the number of connections at rest.
+    pub fn resting(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     async fn exchange(
         self: &Rc<Client>,
         address: SocketAddr,
@@ -134,7 +155,7 @@
             client: self.clone(),
             address,
             sender: None,
-            task,
+            task: Some(task),
             rest: REST,
             reusable: false,
         };
@@ -207,13 +228,10 @@
         if !self.reusable {
             return;
         }
-        let Some(mut sender) = self.sender.take() else {
+        let (Some(mut sender), Some(task)) = (self.sender.take(), self.task.take()) else {
             return;
         };
-        let (client, address) = (self.client.clone(), self.address);
-        let (task, rest) = (self.task.clone(), self.rest);
-        self.reusable = false;
-        std::mem::forget(self);
+        let (client, address, rest) = (self.client.clone(), self.address, self.rest);
         tokio::task::spawn_local(async move {
             if sender.ready().await.is_err() {
                 return;
@@ -236,7 +254,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.task.abort();
+        if let Some(task) = &self.task {
+            task.abort();
+        }
     }
 }
 
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -56,6 +56,8 @@
     pub sends: u32,
     /// Sends of any kind.
     pub all: u32,
+    /// Sets of memory that were asked for.
+    pub reserves: u32,
     /// Servers that have failed the request.
     pub avoid: Vec<Name>,
 }
@@ -182,12 +184,14 @@
     node: &Rc<Node>,
     job: &Job,
     plan: &Plan,
-    tries: &Tries,
+    tries: &mut Tries,
 ) -> Result<Option<Tickets>, NoMemory> {
     if plan.shares.is_empty() {
         return Ok(None);
     }
-    let name = format!("{}-{}", job.ask.id, tries.all);
+    // A name is used once: what a refused set gives back late must not end the next one.
+    tries.reserves += 1;
+    let name = format!("{}-{}", job.ask.id, tries.reserves);
     match Tickets::take(node, &name, &plan.shares).await {
         Some(tickets) => Ok(Some(tickets)),
         None => Err(NoMemory),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -181,6 +181,7 @@
     /// Lets what is over its time lapse; called a few times a second.
     pub fn tick(&self) {
         let now = clock::now();
+        self.client.expire();
         let mut state = self.state.borrow_mut();
         let dropped = state.directory.expire(now);
         let silent = state.book.expire(now);
