--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -69,7 +69,7 @@
     let last_event = job.ask.last_event.clone();
     match open(node, &job, &mut tries, last_event).await {
         Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived),
-        Ok(opened) => relay::start(node, job, tries, opened, in_flight).await,
+        Ok(opened) => relay::start(node, job, tries, opened, in_flight),
     }
 }
 
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -54,7 +54,7 @@
 }
 
 /// Starts passing a stream on and gives the head of the answer.
-pub async fn start(
+pub fn start(
     node: &Rc<Node>,
     job: Job,
     tries: Tries,
