A home that was stopped blames no engine for its silence

Cause: a host that was stopped for four seconds is home of its cells again when it wakes, and its engines' last reports are then older than the three seconds after which an engine counts as dead. Until the next reports came, it refused every prompt with 503 no_capacity, and told its peers that nothing was open, so that they refused too. Other hosts were already forgiven their silence over such a gap, engines were not, and the gap was only seen at the next tick.

Ruled out: a home that has just been taken over (its engines count as live for three seconds), and callers' own load.

Change: the gap is looked for before each event, and shifts the times at which engines reported and holdings were seen.

Test: `node::a_home_that_was_stopped_doesnt_take_its_engines_for_dead` was red with just that answer; its neighbour holds that a home that runs still knows silent engines for dead.

--- a/crates/alderglade-core/src/cell/pool.rs
+++ b/crates/alderglade-core/src/cell/pool.rs
@@ -122,6 +122,15 @@
         Some(result)
     }
 
+    /// Changes every engine; the sums are made anew.
+    pub(super) fn change_all(&mut self, change: impl Fn(&mut Engine)) {
+        let names: Vec<Name> = self.engines.keys().cloned().collect();
+        for name in &names {
+            self.change(name, &change);
+        }
+        self.age_summary();
+    }
+
     fn index(&mut self, name: &Name) {
         let engine = self.engines.get(name);
         let roomy = engine.filter(|engine| placement::has_room(&self.config, engine));
--- a/crates/alderglade-core/src/cell/reports.rs
+++ b/crates/alderglade-core/src/cell/reports.rs
@@ -61,6 +61,16 @@
         });
     }
 
+    /// Blames no engine for the silence of a time in which this process itself was stopped.
+    pub fn forgive(&mut self, stopped: Duration) {
+        self.engines.change_all(|engine| {
+            engine.reported = engine.reported + stopped;
+            for running in engine.running.values_mut() {
+                running.seen = running.seen + stopped;
+            }
+        });
+    }
+
     /// Takes an entry host's word that a holding isn't its own.
     pub fn disown(&mut self, engine: &Name, request: Id, now: Time) {
         self.free(engine.clone(), request);
--- a/crates/alderglade-core/src/membership.rs
+++ b/crates/alderglade-core/src/membership.rs
@@ -163,15 +163,22 @@
         }
     }
 
-    /// Lets time pass and tells what changed in the own domain.
+    /// Looks at the clock; gives the time for which this process itself was stopped, if it was.
     ///
-    /// After the process itself was stopped for a while, nobody is blamed for the silence.
-    pub fn tick(&mut self, now: Time) -> Vec<Change> {
+    /// No host is blamed for its silence in that time.
+    pub fn look(&mut self, now: Time) -> Option<Duration> {
         let gap = now.since(self.looked);
         self.looked = now;
-        if gap > FROZEN {
-            self.forgive(gap);
+        if gap <= FROZEN {
+            return None;
         }
+        self.forgive(gap);
+        Some(gap)
+    }
+
+    /// Lets time pass and tells what changed in the own domain.
+    pub fn tick(&mut self, now: Time) -> Vec<Change> {
+        self.look(now);
         self.joined = self.has_joined(now);
         let present: BTreeMap<Name, u64> = self
             .live_peers(now)
--- a/crates/alderglade-core/src/node.rs
+++ b/crates/alderglade-core/src/node.rs
@@ -302,6 +302,11 @@
     pub fn handle(&mut self, event: Event, now: Time, wall_ms: u64) -> Vec<Action> {
         self.now = now;
         self.wall_ms = wall_ms;
+        if let Some(stopped) = self.view.look(now) {
+            self.homes
+                .values_mut()
+                .for_each(|cell| cell.forgive(stopped));
+        }
         self.step(event);
         while let Some(message) = self.local.pop_front() {
             let own = self.own_name();
--- a/crates/alderglade-core/tests/testsuite/cell.rs
+++ b/crates/alderglade-core/tests/testsuite/cell.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-fn tree(engines: usize) -> Tree {
+pub fn tree(engines: usize) -> Tree {
     let engine = |number: usize| {
         format!(
             r#""e{number:03}": {{"model": "m", "domain": "d", "address": "127.0.0.1:1",
@@ -36,7 +36,7 @@
     }
 }
 
-fn report(engine: &Name, holdings: Vec<Holding>) -> Report {
+pub fn report(engine: &Name, holdings: Vec<Holding>) -> Report {
     Report {
         engine: engine.clone(),
         incarnation: 1,
--- a/crates/alderglade-core/tests/testsuite/main.rs
+++ b/crates/alderglade-core/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod limit;
 mod membership;
+mod node;
 mod queue;
 mod request;
 mod settings;
