Leave places free where short prompts are packed; pack by the order's length

Two figures fitted to 18 engines of 16 places did it: short prompts were packed up to ten running answers, which leaves two of 12 places to whatever other hosts have placed at the same moment, and each place in the order cost 8 ms, so that the 60 engines' first ones were 472 ms away.

Ruled out: collisions while notices are on their way (26 ms each; the excess over the expected time was 256 ms for one in ten), and long prompts.

Change: packed up to 0.6 of an engine's places, then steeply (30 ms for each running answer); 144 ms over the whole order.

Test: `short_prompts_leave_places_free_in_large_services_of_small_engines`, red before.

--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -4,13 +4,20 @@
 use super::{Engine, Work};
 use crate::fleet::book::PauseClass;
 
-/// Running answers at an engine above which short prompts go to the next one.
-pub(super) const PACKED: i64 = 10;
+/// The part of an engine's places above which short prompts go to the next one. Where placements of other
+/// hosts are still on their way, the rest keeps prompts from waiting for a place: at 10 of 12, one in
+/// five of them was late on the grown deployment's quiet day, and its engines were far from busy.
+const PACKED: f64 = 0.6;
 /// What a late answer still earns, as a part of its worth. From the users' sheets.
 pub(super) const LATE_WORTH: f64 = 0.25;
 /// What an engine in another failure domain costs, in milliseconds.
 pub(super) const OTHER_DOMAIN: f64 = 2.0;
 
+/// Gives the running answers at an engine above which short prompts go to the next one.
+pub(super) fn packed(engine: &Engine) -> f64 {
+    f64::from(engine.figures.slots) * PACKED
+}
+
 /// Gives the worth of short prompts that will come while `count` engines are taken up for the time of a
 /// part, and that the other engines can't take.
 pub(super) fn crowding(pool: &[&Engine], count: usize, part: f64) -> f64 {
@@ -22,7 +29,8 @@
         .iter()
         .map(|engine| engine.load.at_risk[PauseClass::Short as usize]);
     let running = short.sum::<i64>() as f64 / 1_000.0;
-    let needed = running / PACKED as f64;
+    let room: f64 = pool.iter().map(|engine| packed(engine)).sum();
+    let needed = running / (room / pool.len() as f64).max(1.0);
     let rest = (pool.len() - count) as f64;
     let unserved = (1.0 - rest / needed.max(0.1)).clamp(0.0, 1.0);
     running / LASTS * (part - ROOM).max(0.0) * unserved
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -1,13 +1,13 @@
 //! Chooses one engine for a short prompt: the one that answers soonest, and late ones of the order
 //! before early ones, so that the early ones stay free of short answers for long prompts.
 
-use super::cost::{OTHER_DOMAIN, PACKED};
+use super::cost::{self, OTHER_DOMAIN};
 use super::{Decision, Engine, Plan, Work, timing};
 use std::time::Duration;
 
-/// How much longer a short prompt waits to be at an engine one place further back in the order, in ms.
+/// How much longer a short prompt waits to be at the last engine of the order than at the first, in ms.
 /// It packs short prompts onto the last engines, so that long ones find engines without them.
-const PACK: f64 = 8.0;
+const PACK: f64 = 144.0;
 /// What a doubted engine costs, in milliseconds, so that it is taken when there is no other.
 const DOUBTED: f64 = 5_000.0;
 /// When a caller should come back where no engine is usable, which [`super::choose`] rules out.
@@ -40,8 +40,8 @@
 /// An engine with its place in the order of the service.
 struct Candidate<'a> {
     engine: &'a Engine,
-    /// How many engines follow it.
-    behind: usize,
+    /// Its distance from the last engine, as a part of the order's length.
+    from_end: f64,
 }
 
 /// Gives the usable engines, which stand in the order of the service too, with their places.
@@ -58,7 +58,7 @@
             usable.next_if(|next| next.id == engine.id)?;
             Some(Candidate {
                 engine,
-                behind: last - place,
+                from_end: (last - place) as f64 / engines.len() as f64,
             })
         })
 }
@@ -68,7 +68,7 @@
     /// The passes until the prompt's first event: half of one that is under way, and its own.
     const PASSES: f64 = 1.5;
     let engine = candidate.engine;
-    let away = PACK * candidate.behind as f64;
+    let away = PACK * candidate.from_end;
     // An engine without answers would be quicker, but then it isn't free of them for long prompts.
     let passes = PASSES * timing::idle_pass(engine);
     let reading = timing::waiting(engine) + engine.figures.read(work.prompt);
@@ -81,9 +81,11 @@
     const NO_PLACE: f64 = 150.0;
     /// What an engine short of memory costs: a preempted answer is read anew.
     const NO_MEMORY: f64 = 1_000.0;
-    /// What each running answer above [`PACKED`] costs.
-    const CROWDED: f64 = 15.0;
-    let mut burden = CROWDED * (engine.load.running - PACKED).max(0) as f64;
+    /// What each running answer costs above those that an engine is packed with, in milliseconds: five use
+    /// up what being last in the order is worth, which leaves a place or two.
+    const CROWDED: f64 = 30.0;
+    let crowd = engine.load.running as f64 - cost::packed(engine);
+    let mut burden = CROWDED * crowd.max(0.0);
     let over = engine.load.running + 1 - i64::from(engine.figures.slots);
     burden += NO_PLACE * over.max(0) as f64;
     if timing::free(engine) < work.memory as i64 {
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -72,6 +72,21 @@
     assert!(used.contains("e17"));
 }
 
+#[test]
+fn short_prompts_leave_places_free_in_large_services_of_small_engines() {
+    let mut engines = engines(60);
+    engines
+        .iter_mut()
+        .for_each(|engine| engine.figures.slots = 12);
+    for engine in &mut engines[30..] {
+        engine.load.running = 10;
+        engine.load.memory = 10 * 6_400;
+        engine.load.at_risk[0] = 10 * 1_300;
+    }
+    let plan = plan(choose(&short(), &engines, &CALM));
+    assert_eq!(&*plan.first, "e29");
+}
+
 #[test]
 fn a_short_prompt_keeps_off_an_engine_that_reads_long() {
     let mut engines = engines(4);
