Two hosts of each failure domain watch the store; the others go by their word

Change: each notice tells what its sender knows of the store (whether it watches, the configuration's version, a digest of the servers). The first two hosts of a domain, by name, that are heard of and in contact watch; the others - fetch the configuration when a watcher has a newer one, - take changes of servers from the watchers, in order of the store's revisions, and ask the store where their digest still differs after 300 ms, - ask a watcher how old its word is. What it confirms counts from the time of the question, not of the answer, so that a message that waited in a frozen host's socket confirms nothing. Where watchers are missing, the next hosts step in one heartbeat after the other; a host whose word is old asks the store itself. Doubt about entries that lapsed with the store away is told along.

Ruled out: ages in notices without a question (a frozen receiver would take a stale one for fresh), revisions in place of the digest (two watchers see the same change under different ones), fetching from peers (20 Mbit/s at a watcher).

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -7,6 +7,7 @@
 
 pub use load::{Load, PAUSE_CLASSES, PauseClass};
 
+use super::relay::{Neighbour, Word};
 use crate::Name;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -44,6 +45,8 @@
     pub whole: bool,
     /// Prompts that the sender is having read and that take up many engines at once.
     pub giants: u32,
+    /// What the sender knows of the store.
+    pub word: Word,
     /// Servers that the sender knows to be leaving.
     pub leaving: Vec<Name>,
     /// What it holds.
@@ -70,12 +73,14 @@
 /// What is known of another host.
 #[derive(Debug)]
 struct Peer {
+    domain: Name,
     incarnation: u64,
     /// The number of its last notice.
     sequence: u64,
     /// When that came.
     heard: Time,
     giants: u32,
+    word: Word,
     /// What it holds at each server.
     loads: HashMap<Name, Load>,
 }
@@ -225,15 +230,18 @@
     /// Takes the holdings of a notice into the peer's and the sums.
     fn take(&mut self, notice: &Notice, now: Time) {
         let peer = self.peers.entry(notice.host.clone()).or_insert(Peer {
+            domain: notice.domain.clone(),
             incarnation: notice.incarnation,
             sequence: 0,
             heard: now,
             giants: 0,
+            word: Word::default(),
             loads: HashMap::new(),
         });
         peer.sequence = notice.sequence;
         peer.heard = now;
         peer.giants = notice.giants;
+        peer.word = notice.word;
         for holding in &notice.holdings {
             let total = self.totals.entry(holding.server.clone()).or_default();
             if let Some(old) = peer.loads.insert(holding.server.clone(), holding.load) {
@@ -264,6 +272,21 @@
             .is_some_and(|heard| now.since(*heard) > CUT_OFF)
     }
 
+    /// Gives the hosts heard of within [`CUT_OFF`]; `domain` is the own failure domain.
+    pub fn heard<'a>(
+        &'a self,
+        domain: &'a Name,
+        now: Time,
+    ) -> impl Iterator<Item = Neighbour<'a>> + Clone {
+        let lately = move |peer: &Peer| now.since(peer.heard) <= CUT_OFF;
+        let peers = self.peers.iter().filter(move |(_, peer)| lately(peer));
+        peers.map(move |(name, peer)| Neighbour {
+            name,
+            near: peer.domain == *domain,
+            word: peer.word,
+        })
+    }
+
     /// Gives the number of hosts heard of, with this one.
     pub fn hosts(&self) -> usize {
         self.peers.len() + 1
--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -5,16 +5,18 @@
 
 use crate::Name;
 use crate::time::Time;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long an entry that lapsed while the store was away may take to come back; the users say
 /// about two seconds.
 pub const GRACE: Duration = Duration::from_millis(2_000);
 
 /// One backend server in one of its lifetimes.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Server {
     /// Its identity, new with each start.
     pub id: Name,
@@ -31,7 +33,7 @@
 }
 
 /// What changed about a server.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// It is new or its entry says something else.
     Known(Server),
@@ -72,6 +74,17 @@
         }
     }
 
+    /// Notes on a peer's word that entries may be missing for a while although their servers live.
+    pub fn doubt(&mut self, until: Time) {
+        self.doubtful_until = self.doubtful_until.max(Some(until));
+    }
+
+    /// Gives how much longer entries may be missing although their servers live.
+    pub fn doubt_left(&self, now: Time) -> Duration {
+        let until = self.doubtful_until.filter(|until| *until != Time::NEVER);
+        until.map_or(Duration::ZERO, |until| until.left(now))
+    }
+
     /// Takes the whole list, as of `now`.
     pub fn replace(&mut self, servers: Vec<Server>, now: Time) {
         let fresh: BTreeMap<Name, Server> =
@@ -119,6 +132,13 @@
         leaving.map(|entry| entry.server.id.clone()).collect()
     }
 
+    /// Gives a digest of the servers that new work may go to; the same for every host that knows the same.
+    pub fn digest(&self) -> u64 {
+        let open = self.entries.values().filter(|e| !e.server.leaving);
+        open.map(|entry| xxh3_64(entry.server.id.as_bytes()))
+            .fold(0, u64::wrapping_add)
+    }
+
     /// Gives a server that new work may go to.
     pub fn get(&self, id: &str) -> Option<&Server> {
         let entry = self.entries.get(id)?;
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -0,0 +1,66 @@
+//! What entry hosts tell each other, each message in one datagram.
+//!
+//! None of them is acknowledged or sent again: the next one makes good what was lost.
+
+use super::book::Notice;
+use super::directory::Change;
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// What the sender holds at backend servers.
+    Notice(Notice),
+    /// The sender wants to know how old the other's word of the store is.
+    Ask(Ask),
+    /// The answer to that.
+    Confirmation(Confirmation),
+    /// Changes of backend servers, from a host that watches the store.
+    Servers(Servers),
+}
+
+/// Asks how old the other's word of the store is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The asking host's clock, in microseconds; comes back in the answer.
+    pub asked_us: u64,
+}
+
+/// Tells how old the sender's word of the store is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// The question's time, on the clock of the host that asked.
+    pub asked_us: u64,
+    /// The age of the sender's word of the store when it answered.
+    pub age: Duration,
+    /// The version of the sender's configuration.
+    pub config: u64,
+    /// The digest of the servers that the sender knows.
+    pub servers: u64,
+    /// The store's revision up to which it knows them.
+    pub position: u64,
+}
+
+impl Confirmation {
+    /// Gives a time, on the clock of the host that asked, up to which the sender knew all that the store
+    /// had accepted. The way there is not known, so the time of the question counts.
+    pub fn at(&self) -> Time {
+        Time(self.asked_us) - self.age
+    }
+}
+
+/// Changes of backend servers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Servers {
+    /// The store's revision that they follow on.
+    pub after: u64,
+    /// The store's revision up to which they are all.
+    pub position: u64,
+    /// How much longer entries may be missing in the store although their servers live, in
+    /// milliseconds.
+    pub doubt_ms: u32,
+    /// The changes, oldest first.
+    pub changes: Vec<Change>,
+}
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -11,6 +11,8 @@
 pub mod freshness;
 pub mod health;
 pub mod life;
+pub mod message;
 pub mod pass;
 pub mod placement;
+pub mod relay;
 pub mod sse;
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -0,0 +1,228 @@
+//! Who asks the store: a few hosts of each failure domain watch it, the others go by what these tell.
+//!
+//! Calls to the store are limited and priced, and nearly all of them would tell every host the same.
+//! Nothing rests on the watchers alone: a host that hears too few of them becomes one, and a host
+//! whose knowledge differs or grows old asks the store itself.
+
+use crate::Name;
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Hosts of a failure domain that watch the store, so that one may be lost unnoticed.
+pub const WATCHERS: usize = 2;
+/// How long a new host listens for others before it takes a role: two heartbeats of 250 ms, and time
+/// for the store to list the hosts.
+pub const SETTLE: Duration = Duration::from_millis(700);
+/// How much later the next host steps in while there are too few watchers; a heartbeat. In an outage of
+/// the store this keeps all hosts from calling at once.
+const STEP_IN: Duration = Duration::from_millis(250);
+/// How long servers may differ from a watcher's before the store is asked; the watcher's own message
+/// about the change comes first.
+const DIFFERENT: Duration = Duration::from_millis(300);
+/// The time between two calls of a host that doesn't watch.
+const AGAIN: Duration = Duration::from_millis(1_000);
+/// The part of the bound for keys after which the store's word counts as old.
+const OLD: f64 = 0.72;
+/// The bound where the deployment sets none.
+const NO_BOUND: Duration = Duration::from_millis(5_000);
+
+/// What a host tells of the store in each of its notices.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Whether it watches the store, and the store answers.
+    pub in_contact: bool,
+    /// The version of its configuration; `0` where it has none.
+    pub config: u64,
+    /// The digest of the backend servers that it knows.
+    pub servers: u64,
+    /// How much longer entries may be missing in the store although their servers live, in
+    /// milliseconds.
+    pub doubt_ms: u32,
+}
+
+/// A host that was heard of lately.
+#[derive(Debug, Clone, Copy)]
+pub struct Neighbour<'a> {
+    /// Its name.
+    pub name: &'a Name,
+    /// Whether it is of the own failure domain.
+    pub near: bool,
+    /// What it tells.
+    pub word: Word,
+}
+
+/// What the host itself knows.
+#[derive(Debug, Clone, Copy)]
+pub struct Own<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// The version of its configuration; `0` where it has none.
+    pub config: u64,
+    /// The digest of the backend servers that it knows.
+    pub servers: u64,
+    /// How old its word of the store is.
+    pub age: Option<Duration>,
+    /// Within which time a key that was taken away must be refused.
+    pub bound: Option<Duration>,
+    /// Whether its last call to the store failed.
+    pub lost: bool,
+}
+
+/// What the store is asked about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// The configuration.
+    Config,
+    /// The backend servers.
+    Servers,
+    /// The entry hosts.
+    Hosts,
+}
+
+/// How the store is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Errand {
+    /// By a watch that waits for the next change.
+    Watch,
+    /// By a call that is answered at once, after this time.
+    Fetch(Duration),
+}
+
+/// Whether a host watches the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Role {
+    /// Not decided yet.
+    #[default]
+    Unsettled,
+    /// It watches.
+    Watcher,
+    /// It goes by the watchers' word.
+    Follower,
+}
+
+/// The role of one host, and what it has asked.
+#[derive(Debug, Default)]
+pub struct Relay {
+    began: Option<Time>,
+    role: Role,
+    /// Since when there have been too few watchers.
+    lacking_since: Option<Time>,
+    /// Since when the servers have differed from a watcher's.
+    different_since: Option<Time>,
+    /// When the store was last asked outside of watches.
+    fetched: Option<Time>,
+}
+
+impl Relay {
+    /// Gives the role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Decides the role anew from the hosts heard of.
+    pub fn settle(&mut self, own: &Own<'_>, heard: &[Neighbour<'_>], now: Time) -> Role {
+        let began = *self.began.get_or_insert(now);
+        if now.since(began) < SETTLE {
+            return self.role;
+        }
+        let before = heard
+            .iter()
+            .filter(|host| host.near && **host.name < *own.name);
+        let watchers = before.clone().filter(|host| host.word.in_contact).count();
+        let before = before.count();
+        if watchers >= WATCHERS {
+            self.lacking_since = None;
+            self.role = Role::Follower;
+            return self.role;
+        }
+        let since = *self.lacking_since.get_or_insert(now);
+        let behind = before.saturating_sub(WATCHERS - 1) as u32;
+        if before < WATCHERS || now.since(since) >= STEP_IN * behind {
+            self.role = Role::Watcher;
+        } else if self.role == Role::Unsettled {
+            self.role = Role::Follower;
+        }
+        self.role
+    }
+
+    /// Says whether and how the store should be asked about a topic now. `chance`, from `0.0` to `1.0`,
+    /// spreads the calls of many hosts.
+    pub fn errand(
+        &mut self,
+        topic: Topic,
+        own: &Own<'_>,
+        heard: &[Neighbour<'_>],
+        chance: f64,
+        now: Time,
+    ) -> Option<Errand> {
+        match self.settle(own, heard, now) {
+            Role::Unsettled => None,
+            Role::Watcher => Some(Errand::Watch),
+            Role::Follower => {
+                let pause = match topic {
+                    Topic::Config => self.config_due(own, heard, now),
+                    Topic::Servers => self.servers_due(own, heard, now),
+                    Topic::Hosts => None,
+                };
+                pause.map(|longest| Errand::Fetch(longest.mul_f64(chance)))
+            }
+        }
+    }
+
+    /// Gives the time over which the hosts' calls for the configuration are spread, if one is due.
+    fn config_due(
+        &mut self,
+        own: &Own<'_>,
+        heard: &[Neighbour<'_>],
+        now: Time,
+    ) -> Option<Duration> {
+        /// Small beside the seconds within which a configuration must be in force.
+        const SPREAD: Duration = Duration::from_millis(80);
+        let mut watchers = heard.iter().filter(|host| host.word.in_contact);
+        if watchers.any(|host| host.word.config > own.config) {
+            return Some(SPREAD);
+        }
+        let bound = own.bound.unwrap_or(NO_BOUND);
+        let old = own.age.is_none_or(|age| age > bound.mul_f64(OLD));
+        ((old || own.lost) && self.may_fetch(now)).then_some(SPREAD)
+    }
+
+    /// Gives the time over which the hosts' calls for the servers are spread, if one is due.
+    fn servers_due(
+        &mut self,
+        own: &Own<'_>,
+        heard: &[Neighbour<'_>],
+        now: Time,
+    ) -> Option<Duration> {
+        /// Small beside the seconds within which a leaving server must get nothing more.
+        const SPREAD: Duration = Duration::from_millis(200);
+        let mut watchers = heard
+            .iter()
+            .filter(|host| host.near && host.word.in_contact);
+        if !watchers.any(|host| host.word.servers != own.servers) {
+            self.different_since = None;
+            return None;
+        }
+        let since = *self.different_since.get_or_insert(now);
+        let due = now.since(since) >= DIFFERENT && self.may_fetch(now);
+        due.then_some(SPREAD)
+    }
+
+    /// Takes the right to one call outside of watches, if the last one is long enough ago.
+    fn may_fetch(&mut self, now: Time) -> bool {
+        let may = self.fetched.is_none_or(|at| now.since(at) >= AGAIN);
+        if may {
+            self.fetched = Some(now);
+        }
+        may
+    }
+
+    /// Says whether the host's word of the store is so old that it should ask every watcher.
+    pub fn is_old(age: Option<Duration>, bound: Option<Duration>) -> bool {
+        /// Below the age at which the store itself is asked.
+        const EARLIER: f64 = 0.75;
+        let bound = bound.unwrap_or(NO_BOUND);
+        age.is_none_or(|age| age > bound.mul_f64(OLD * EARLIER))
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -4,6 +4,7 @@
 use crate::each_seed;
 use alderglade_core::Name;
 use alderglade_core::fleet::book::{Book, CUT_OFF, Hold, Holding, LAPSE, Load, Notice, PauseClass};
+use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
         sequence,
         whole,
         giants: book.own_giants(),
+        word: Word::default(),
         leaving: Vec::new(),
         holdings: if whole {
             book.whole()
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -7,8 +7,10 @@
 mod freshness;
 mod health;
 mod life;
+mod message;
 mod pass;
 mod placement;
+mod relay;
 mod sse;
 
 use alderglade_core::fleet::book::{Hold, Load};
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/fleet/relay.rs
@@ -0,0 +1,182 @@
+//! Which hosts ask the store, and when.
+
+use alderglade_core::Name;
+use alderglade_core::fleet::relay::{Errand, Neighbour, Own, Relay, Role, SETTLE, Topic, Word};
+use alderglade_core::time::Time;
+use std::time::Duration;
+
+const BOUND: Duration = Duration::from_secs(5);
+
+fn own(name: &str) -> Own<'_> {
+    Own {
+        name,
+        config: 7,
+        servers: 70,
+        age: Some(Duration::from_secs(1)),
+        bound: Some(BOUND),
+        lost: false,
+    }
+}
+
+fn word(in_contact: bool) -> Word {
+    Word {
+        in_contact,
+        config: 7,
+        servers: 70,
+        doubt_ms: 0,
+    }
+}
+
+/// Hosts `h0`, `h1`, … of the own failure domain with what each tells.
+struct Heard {
+    names: Vec<Name>,
+    words: Vec<Word>,
+}
+
+impl Heard {
+    fn telling(words: &[Word]) -> Heard {
+        let name = |number: usize| format!("h{number}").into();
+        Heard {
+            names: (0..words.len()).map(name).collect(),
+            words: words.to_vec(),
+        }
+    }
+
+    fn list(&self) -> Vec<Neighbour<'_>> {
+        let both = self.names.iter().zip(&self.words);
+        both.map(|(name, word)| Neighbour {
+            name,
+            near: true,
+            word: *word,
+        })
+        .collect()
+    }
+}
+
+/// A relay that has listened for long enough, at the time given back.
+fn settled(own: &Own<'_>, heard: &Heard) -> (Relay, Time) {
+    let mut relay = Relay::default();
+    let began = Time::from_millis(1_000);
+    assert_eq!(relay.settle(own, &heard.list(), began), Role::Unsettled);
+    let now = began + SETTLE;
+    relay.settle(own, &heard.list(), now);
+    (relay, now)
+}
+
+fn errand(
+    relay: &mut Relay,
+    topic: Topic,
+    own: &Own<'_>,
+    heard: &Heard,
+    now: Time,
+) -> Option<Errand> {
+    relay.errand(topic, own, &heard.list(), 0.5, now)
+}
+
+#[test]
+fn a_host_that_hears_nobody_watches() {
+    let (mut relay, now) = settled(&own("h5"), &Heard::telling(&[]));
+    assert_eq!(relay.role(), Role::Watcher);
+    for topic in [Topic::Config, Topic::Servers, Topic::Hosts] {
+        let errand = errand(&mut relay, topic, &own("h5"), &Heard::telling(&[]), now);
+        assert_eq!(errand, Some(Errand::Watch));
+    }
+}
+
+#[test]
+fn two_watchers_are_enough() {
+    let heard = Heard::telling(&[word(true), word(true)]);
+    let (mut relay, now) = settled(&own("h5"), &heard);
+    assert_eq!(relay.role(), Role::Follower);
+    for topic in [Topic::Config, Topic::Servers, Topic::Hosts] {
+        assert_eq!(
+            errand(&mut relay, topic, &own("h5"), &heard, now),
+            None,
+            "{topic:?}"
+        );
+    }
+}
+
+#[test]
+fn hosts_of_other_domains_dont_count_as_watchers() {
+    let heard = Heard::telling(&[word(true), word(true)]);
+    let mut list = heard.list();
+    list.iter_mut().for_each(|host| host.near = false);
+    let mut relay = Relay::default();
+    relay.settle(&own("h5"), &list, Time::from_millis(0));
+    let role = relay.settle(&own("h5"), &list, Time::from_millis(700));
+    assert_eq!(role, Role::Watcher);
+}
+
+#[test]
+fn a_lost_watcher_is_replaced_and_steps_back_in() {
+    let both = Heard::telling(&[word(true), word(true)]);
+    let (mut relay, now) = settled(&own("h2"), &both);
+    let one = Heard::telling(&[word(true)]);
+    assert_eq!(relay.settle(&own("h2"), &one.list(), now), Role::Watcher);
+    assert_eq!(relay.settle(&own("h2"), &both.list(), now), Role::Follower);
+}
+
+#[test]
+fn in_an_outage_hosts_step_in_one_after_the_other() {
+    let calm = Heard::telling(&[word(true); 9]);
+    let outage = Heard::telling(&[word(false); 9]);
+    let (mut relay, now) = settled(&own("h9"), &calm);
+    let stepped_in = (0..100u32).find(|beat| {
+        let now = now + Duration::from_millis(100) * *beat;
+        relay.settle(&own("h9"), &outage.list(), now) == Role::Watcher
+    });
+    assert_eq!(stepped_in, Some(20), "eight heartbeats after the outage");
+}
+
+#[test]
+fn a_newer_configuration_is_fetched_at_once() {
+    let newer = Word {
+        config: 9,
+        ..word(true)
+    };
+    let heard = Heard::telling(&[word(true), newer]);
+    let (mut relay, now) = settled(&own("h5"), &heard);
+    let found = errand(&mut relay, Topic::Config, &own("h5"), &heard, now);
+    assert!(
+        matches!(found, Some(Errand::Fetch(pause)) if pause < Duration::from_millis(100)),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn servers_that_differ_for_long_are_fetched_now_and_then() {
+    let other = Word {
+        servers: 71,
+        ..word(true)
+    };
+    let heard = Heard::telling(&[word(true), other]);
+    let (mut relay, now) = settled(&own("h5"), &heard);
+    let mut fetched = Vec::new();
+    for tenth in 0..30u32 {
+        let now = now + Duration::from_millis(100) * tenth;
+        if errand(&mut relay, Topic::Servers, &own("h5"), &heard, now).is_some() {
+            fetched.push(tenth);
+        }
+    }
+    assert_eq!(fetched, [3, 13, 23]);
+}
+
+#[test]
+fn a_host_whose_word_is_old_asks_the_store_itself() {
+    let heard = Heard::telling(&[word(true), word(true)]);
+    let (mut relay, now) = settled(&own("h5"), &heard);
+    let old = Own {
+        age: Some(Duration::from_millis(3_700)),
+        ..own("h5")
+    };
+    let first = errand(&mut relay, Topic::Config, &old, &heard, now);
+    assert!(matches!(first, Some(Errand::Fetch(_))), "{first:?}");
+    assert_eq!(
+        errand(&mut relay, Topic::Config, &old, &heard, now),
+        None,
+        "not twice"
+    );
+    let later = now + Duration::from_secs(1);
+    assert!(errand(&mut relay, Topic::Config, &old, &heard, later).is_some());
+}
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -5,11 +5,14 @@
 
 mod choice;
 mod guard;
+mod hosts;
+mod relay;
 mod stop;
 mod store;
 
 pub use guard::{Call, Held, InFlight};
-pub use store::{Host, News};
+pub use hosts::{Host, Hosts};
+pub use store::News;
 
 use crate::client::Client;
 use crate::clock;
@@ -21,13 +24,16 @@
 use alderglade_core::fleet::book::{Book, Hold};
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::config::Config;
-use alderglade_core::fleet::directory::{Directory, Server};
+use alderglade_core::fleet::directory::{Change, Directory, Server};
 use alderglade_core::fleet::freshness::Freshness;
 use alderglade_core::fleet::health::{Health, Outcome};
+use alderglade_core::fleet::message::Message;
+use alderglade_core::fleet::relay::Relay;
 use alderglade_core::time::Time;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
 /// What changes while the host serves.
@@ -43,14 +49,44 @@
     pub health: Health,
     /// The age of the store's word.
     pub freshness: Freshness,
-    /// Other entry hosts.
-    pub hosts: Vec<Host>,
+    /// The entry hosts' addresses.
+    pub hosts: Hosts,
+    /// Who asks the store.
+    relay: Relay,
+    /// The store's revision up to which the backend servers are known.
+    servers_position: u64,
+    /// Messages to the hosts of the own failure domain that have not been sent yet.
+    outbox: Vec<Message>,
     /// What each service may still be sent again.
     budgets: HashMap<Name, Budget>,
     /// Own calls that run at plain backend servers.
     calls: HashMap<Name, u32>,
 }
 
+impl State {
+    /// Gives the version of the configuration in force; `0` where there is none.
+    fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Takes changes of backend servers, which are all up to a revision of the store.
+    fn change_servers(&mut self, changes: &[Change], position: u64) {
+        let now = clock::now();
+        for change in changes {
+            self.directory.apply(change.clone(), now);
+        }
+        self.servers_position = position;
+    }
+
+    /// Takes a peer's word that entries of servers may be missing in the store for a while.
+    fn take_doubt(&mut self, doubt_ms: u32) {
+        if doubt_ms > 0 {
+            let span = Duration::from_millis(u64::from(doubt_ms));
+            self.directory.doubt(clock::now() + span);
+        }
+    }
+}
+
 /// One entry host.
 pub struct Node {
     /// Its settings.
@@ -71,6 +107,8 @@
     pressure: Cell<choice::Pressure>,
     /// Wakes whoever tells peers what has changed.
     pub book_changed: Notify,
+    /// Wakes whoever waits for a reason to ask the store.
+    pub word_changed: Notify,
     /// This lifetime of the process; `0` until the store has given it a number.
     pub incarnation: Cell<u64>,
     stopping_since: watch::Sender<Option<Time>>,
@@ -97,6 +135,7 @@
             store: Cell::default(),
             pressure: Cell::default(),
             book_changed: Notify::new(),
+            word_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
             in_flight: Cell::new(0),
@@ -173,6 +212,16 @@
         spent
     }
 
+    /// Gives the store's revision up to which the backend servers are known.
+    pub fn servers_position(&self) -> u64 {
+        self.state.borrow().servers_position
+    }
+
+    /// Gives the messages for the hosts of the own failure domain that have not been sent yet.
+    pub fn take_outbox(&self) -> Vec<Message> {
+        std::mem::take(&mut self.state.borrow_mut().outbox)
+    }
+
     /// Gives a server that new work may go to.
     pub fn server(&self, id: &str) -> Option<Server> {
         self.state.borrow().directory.get(id).cloned()
@@ -194,6 +243,7 @@
             .connections
             .set(self.client.opened().cast_signed());
         drop(state);
+        self.word_changed.notify_waiters();
         for peer in &silent {
             event::write(&Record::PeerLost { peer });
         }
@@ -204,7 +254,7 @@
 
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget, Time, usize) -> T) -> T {
         let mut state = self.state.borrow_mut();
-        let hosts = state.book.hosts().max(state.hosts.len() + 1);
+        let hosts = state.book.hosts().max(state.hosts.len());
         let bound = self.settings.retries;
         let budget = state
             .budgets
--- /dev/null
+++ b/crates/alderglade-serve/src/node/hosts.rs
@@ -0,0 +1,56 @@
+//! The other entry hosts' addresses, from the store and from what they send.
+
+use alderglade_core::Name;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Another entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Host {
+    /// Its name.
+    pub name: Name,
+    /// Where it takes messages.
+    pub address: SocketAddr,
+}
+
+/// All that are known.
+#[derive(Debug, Default)]
+pub struct Hosts {
+    by_name: HashMap<Name, SocketAddr>,
+}
+
+impl Hosts {
+    /// Takes a host, or its new address.
+    pub fn insert(&mut self, host: Host) {
+        self.by_name.insert(host.name, host.address);
+    }
+
+    /// Drops a host.
+    pub fn remove(&mut self, name: &str) {
+        self.by_name.remove(name);
+    }
+
+    /// Gives a host's address.
+    pub fn get(&self, name: &str) -> Option<SocketAddr> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Gives all addresses but that of one host.
+    pub fn addresses_but(&self, name: &str) -> Vec<SocketAddr> {
+        let others = self
+            .by_name
+            .iter()
+            .filter(|(known, _)| known.as_ref() != name);
+        others.map(|(_, address)| *address).collect()
+    }
+
+    /// Gives how many are known.
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Says whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -0,0 +1,180 @@
+//! What a host asks the store, and what it tells and learns of the store through other hosts.
+
+use super::{Node, State};
+use crate::clock;
+use alderglade_core::fleet::directory::Change;
+use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
+use alderglade_core::fleet::relay::{Errand, Neighbour, Own, Relay, Role, Topic, Word};
+use alderglade_core::time::Time;
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Changes in one message; some 100 bytes each, below the usual size of a packet. Hosts that are told
+/// of no more than that ask the store.
+const MOST_CHANGES: usize = 12;
+/// A host that has watched the store is in contact while it was answered within this time: a watch of
+/// the configuration waits for 1.5 s and may take one more.
+const IN_CONTACT: Duration = Duration::from_millis(2_600);
+/// Heartbeats between two questions for the age of the store's word.
+const ASK_EVERY: u64 = 3;
+
+impl Node {
+    /// Waits until the store should be asked about a topic, and says how.
+    pub async fn errand(&self, topic: Topic) -> Errand {
+        loop {
+            if let Some(errand) = self.due(topic) {
+                return errand;
+            }
+            self.word_changed.notified().await;
+        }
+    }
+
+    /// Says whether this host watches the store, or has not found out yet that others do.
+    pub fn watches_store(&self) -> bool {
+        self.state.borrow().relay.role() != Role::Follower
+    }
+
+    fn due(&self, topic: Topic) -> Option<Errand> {
+        let now = clock::now();
+        let chance = rand::rng().random::<f64>();
+        let state = &mut *self.state.borrow_mut();
+        let own = self.own(state, now);
+        let heard: Vec<Neighbour<'_>> = state.book.heard(&self.settings.domain, now).collect();
+        state.relay.errand(topic, &own, &heard, chance, now)
+    }
+
+    /// Gives what this host knows of the store.
+    fn own(&self, state: &State, now: Time) -> Own<'_> {
+        Own {
+            name: &self.settings.host,
+            config: state.config_version(),
+            servers: state.directory.digest(),
+            age: state.freshness.age(now),
+            bound: self.settings.revocation,
+            lost: self.store.get().is_lost(),
+        }
+    }
+
+    /// Gives what this host tells its peers of the store.
+    pub fn word(&self) -> Word {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let watches = state.relay.role() == Role::Watcher;
+        let doubt = state.directory.doubt_left(now).as_millis();
+        Word {
+            in_contact: watches && self.store.get().answered_within(IN_CONTACT, now),
+            config: state.config_version(),
+            servers: state.directory.digest(),
+            doubt_ms: u32::try_from(doubt).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Names the hosts to ask for the age of their word at a heartbeat, with the question: a watcher of
+    /// the own failure domain now and then, every watcher where the own word is old.
+    pub fn questions(&self, beat: u64) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let state = self.state.borrow();
+        if state.relay.role() != Role::Follower {
+            return Vec::new();
+        }
+        let age = state.freshness.age(now);
+        let old = Relay::is_old(age, self.settings.revocation);
+        let heard = state.book.heard(&self.settings.domain, now);
+        let watchers = heard.filter(|host| host.word.in_contact && (old || host.near));
+        if old {
+            return watchers
+                .filter_map(|host| state.hosts.get(host.name))
+                .collect();
+        }
+        if !beat.is_multiple_of(ASK_EVERY) {
+            return Vec::new();
+        }
+        let one = watchers.choose(&mut rand::rng());
+        one.and_then(|host| state.hosts.get(host.name))
+            .into_iter()
+            .collect()
+    }
+
+    /// Answers a peer's question; a host without any word of the store has no answer.
+    pub fn confirm(&self, ask: Ask) -> Option<Confirmation> {
+        let now = clock::now();
+        let state = self.state.borrow();
+        Some(Confirmation {
+            asked_us: ask.asked_us,
+            age: state.freshness.age(now)?,
+            config: state.config_version(),
+            servers: state.directory.digest(),
+            position: state.servers_position,
+        })
+    }
+
+    /// Takes a peer's answer. It confirms only what this host knows too.
+    pub fn take_confirmation(&self, answer: &Confirmation) {
+        let state = &mut *self.state.borrow_mut();
+        if state.config_version() >= answer.config {
+            state.freshness.confirm(answer.at());
+        }
+        if state.directory.digest() == answer.servers {
+            state.servers_position = state.servers_position.max(answer.position);
+        }
+    }
+
+    /// Takes what a peer tells of the store in a notice.
+    pub fn take_word(&self, word: &Word) {
+        if !word.in_contact {
+            return;
+        }
+        let state = &mut *self.state.borrow_mut();
+        // A watcher knows by itself; taken from each other, doubts would last for ever.
+        if state.relay.role() != Role::Watcher {
+            state.take_doubt(word.doubt_ms);
+        }
+        if word.config > state.config_version() {
+            self.word_changed.notify_waiters();
+        }
+    }
+
+    /// Takes changes of backend servers from a peer that watches the store, unless some before them are
+    /// missing here; the store is asked for these.
+    pub fn take_servers(&self, servers: &Servers) {
+        let mut state = self.state.borrow_mut();
+        let newer = servers.position > state.servers_position;
+        if !newer || servers.after > state.servers_position {
+            return;
+        }
+        state.take_doubt(servers.doubt_ms);
+        state.change_servers(&servers.changes, servers.position);
+        drop(state);
+        self.tell_servers();
+        self.book_changed.notify_one();
+    }
+
+    /// Gives the addresses of the hosts of the own failure domain that were heard of lately.
+    pub fn near_hosts(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let heard = state.book.heard(&self.settings.domain, now);
+        let near = heard.filter(|host| host.near);
+        near.filter_map(|host| state.hosts.get(host.name)).collect()
+    }
+
+    /// Has changes of backend servers passed on to the hosts of the own domain, if this host watches.
+    pub(super) fn tell_changes(&self, after: u64, position: u64, changes: &[Change]) {
+        if changes.is_empty() || changes.len() > MOST_CHANGES {
+            return;
+        }
+        let state = &mut *self.state.borrow_mut();
+        if state.relay.role() != Role::Watcher {
+            return;
+        }
+        let doubt = state.directory.doubt_left(clock::now()).as_millis();
+        state.outbox.push(Message::Servers(Servers {
+            after,
+            position,
+            doubt_ms: u32::try_from(doubt).unwrap_or(u32::MAX),
+            changes: changes.to_vec(),
+        }));
+    }
+}
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -1,13 +1,12 @@
 //! What the store tells a host, and whether the store answers at all.
 
-use super::{Node, State};
+use super::{Host, Node, State};
 use crate::clock;
 use crate::event::{self, Record};
 use alderglade_core::Name;
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::directory::{Change, Server};
 use alderglade_core::time::Time;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,15 +17,6 @@
 /// row to fail; short beside the five seconds after which a host that is cut off refuses keys.
 const CUT_OFF: Duration = Duration::from_millis(600);
 
-/// Another entry host, as the store lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Host {
-    /// Its name.
-    pub name: Name,
-    /// Where it takes notices.
-    pub address: SocketAddr,
-}
-
 /// What the store has told.
 #[derive(Debug)]
 pub enum News {
@@ -35,11 +25,23 @@
     /// A configuration that can't be read.
     ConfigUnreadable(String),
     /// All backend servers.
-    Servers(Vec<Server>),
-    /// A change of one backend server.
-    Server(Change),
-    /// All entry hosts.
-    Hosts(Vec<Host>),
+    Servers {
+        /// The servers.
+        all: Vec<Server>,
+        /// The store's revision at which these were all.
+        position: u64,
+    },
+    /// Changes of backend servers, oldest first; none where a watch has ended without any.
+    Changes {
+        /// The changes.
+        changes: Vec<Change>,
+        /// The store's revision up to which these are all.
+        position: u64,
+    },
+    /// An entry host, or its new address.
+    Host(Host),
+    /// An entry host has left the store.
+    HostGone(Name),
     /// Nothing newer existed at this time.
     Confirmed(Time),
     /// The store gives no answer.
@@ -63,6 +65,16 @@
         self.lost_at
             .is_some_and(|at| clock::now().since(at) > CUT_OFF)
     }
+
+    /// Says whether the last call failed.
+    pub fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Says whether the store answered within `span`, and no call has failed since.
+    pub fn answered_within(&self, span: Duration, now: Time) -> bool {
+        !self.is_lost() && now.since(self.answered) <= span
+    }
 }
 
 impl Node {
@@ -74,22 +86,35 @@
             News::ConfigUnreadable(problem) => {
                 event::write(&Record::ConfigUnreadable { problem: &problem });
             }
-            News::Servers(servers) => {
-                self.state.borrow_mut().directory.replace(servers, now);
-                self.tell_servers();
-            }
-            News::Server(change) => {
-                self.state.borrow_mut().directory.apply(change, now);
+            News::Servers { all, position } => {
+                let mut state = self.state.borrow_mut();
+                state.directory.replace(all, now);
+                state.servers_position = position;
+                drop(state);
                 self.tell_servers();
-                self.book_changed.notify_one();
             }
-            News::Hosts(hosts) => self.state.borrow_mut().hosts = hosts,
+            News::Changes { changes, position } => self.take_changes(&changes, position),
+            News::Host(host) => self.state.borrow_mut().hosts.insert(host),
+            News::HostGone(name) => self.state.borrow_mut().hosts.remove(&name),
             News::Confirmed(at) => self.state.borrow_mut().freshness.confirm(at),
             News::Lost(problem) => self.store_lost(&problem),
             News::Answered => self.store_answered(now),
         }
     }
 
+    fn take_changes(&self, changes: &[Change], position: u64) {
+        let mut state = self.state.borrow_mut();
+        let after = state.servers_position;
+        state.change_servers(changes, position);
+        drop(state);
+        if changes.is_empty() {
+            return;
+        }
+        self.tell_servers();
+        self.tell_changes(after, position, changes);
+        self.book_changed.notify_one();
+    }
+
     fn take_config(&self, config: Config) {
         let mut state = self.state.borrow_mut();
         let before = state.config.as_ref().map(|config| config.version);
@@ -100,6 +125,8 @@
         state.config = Some(Rc::new(config));
         drop(state);
         self.metrics.config.set(version.cast_signed());
+        // Peers that go by this host's word learn at once that there is a newer one.
+        self.book_changed.notify_one();
         event::write(&Record::ConfigInForce { version, before });
     }
 
--- /dev/null
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -0,0 +1,78 @@
+//! Takes messages of other entry hosts.
+
+use super::tell::send_bytes;
+use super::{COLLECT, tell_fault};
+use crate::clock;
+use crate::event::{self, Record};
+use crate::node::{Host, Node};
+use alderglade_core::fleet::book::Notice;
+use alderglade_core::fleet::message::{Ask, Message};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// The largest message that is read, in bytes.
+const LARGEST: usize = 8 * 1024;
+
+/// Takes messages until the process ends.
+pub(super) async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; LARGEST];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("a peer's socket refused a message: {error}");
+                tokio::time::sleep(COLLECT).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Message>(&buffer[..length]) {
+            Ok(message) => take(&node, &socket, message, sender).await,
+            Err(error) => tell_fault(&error.to_string()),
+        }
+    }
+}
+
+async fn take(node: &Node, socket: &UdpSocket, message: Message, sender: SocketAddr) {
+    match message {
+        Message::Notice(notice) => take_notice(node, &notice, sender),
+        Message::Ask(ask) => answer(node, socket, ask, sender).await,
+        Message::Confirmation(confirmation) => node.take_confirmation(&confirmation),
+        Message::Servers(servers) => node.take_servers(&servers),
+    }
+}
+
+fn take_notice(node: &Node, notice: &Notice, sender: SocketAddr) {
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    for id in &notice.leaving {
+        state.directory.mark_leaving(id);
+    }
+    let joined = state.book.hear(notice, now);
+    if joined {
+        // A host that has just come may not stand in the store's list yet.
+        state.hosts.insert(Host {
+            name: notice.host.clone(),
+            address: sender,
+        });
+    }
+    drop(state);
+    node.take_word(&notice.word);
+    if joined {
+        event::write(&Record::PeerJoined {
+            peer: &notice.host,
+            incarnation: notice.incarnation,
+        });
+    }
+}
+
+/// Tells a peer the age of this host's word of the store, if it has one.
+async fn answer(node: &Node, socket: &UdpSocket, ask: Ask, sender: SocketAddr) {
+    let Some(confirmation) = node.confirm(ask) else {
+        return;
+    };
+    match postcard::to_stdvec(&Message::Confirmation(confirmation)) {
+        Ok(bytes) => send_bytes(socket, &bytes, &[sender]).await,
+        Err(error) => tell_fault(&error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -0,0 +1,116 @@
+//! Sends messages to other entry hosts.
+
+use super::tell_fault;
+use crate::clock;
+use crate::node::Node;
+use alderglade_core::fleet::book::{Holding, Notice};
+use alderglade_core::fleet::message::{Ask, Message};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// Holdings in one notice; about 1,200 bytes, below the usual size of a packet.
+const HOLDINGS: usize = 24;
+
+/// Sends this host's messages.
+#[derive(Clone)]
+pub(super) struct Teller {
+    node: Rc<Node>,
+    socket: Rc<UdpSocket>,
+    /// The number of the last notice.
+    sequence: Rc<Cell<u64>>,
+}
+
+impl Teller {
+    /// Makes the sender of a socket; nothing is sent yet.
+    pub(super) fn new(node: Rc<Node>, socket: Rc<UdpSocket>) -> Teller {
+        Teller {
+            node,
+            socket,
+            sequence: Rc::default(),
+        }
+    }
+
+    /// Tells all hosts all that this one holds.
+    pub(super) async fn whole(&self) {
+        let holdings = self.node.state.borrow().book.whole();
+        self.notices(holdings, true).await;
+    }
+
+    /// Tells all hosts what has changed.
+    pub(super) async fn changes(&self) {
+        let holdings = self.node.state.borrow_mut().book.take_changes();
+        self.notices(holdings, false).await;
+    }
+
+    /// Asks for the age of the watchers' word, where this host goes by it.
+    pub(super) async fn ask(&self, beat: u64) {
+        let hosts = self.node.questions(beat);
+        if hosts.is_empty() {
+            return;
+        }
+        let asked_us = clock::now().0;
+        self.send(&Message::Ask(Ask { asked_us }), &hosts).await;
+    }
+
+    /// Passes on to the hosts of the own failure domain what the store has told.
+    pub(super) async fn outbox(&self) {
+        let messages = self.node.take_outbox();
+        if messages.is_empty() {
+            return;
+        }
+        let near = self.node.near_hosts();
+        for message in &messages {
+            self.send(message, &near).await;
+        }
+    }
+
+    async fn notices(&self, holdings: Vec<Holding>, whole: bool) {
+        let mut chunks: Vec<Vec<Holding>> =
+            holdings.chunks(HOLDINGS).map(<[Holding]>::to_vec).collect();
+        if chunks.is_empty() {
+            chunks.push(Vec::new());
+        }
+        let own = &self.node.settings.host;
+        let hosts = self.node.state.borrow().hosts.addresses_but(own);
+        for (number, holdings) in chunks.into_iter().enumerate() {
+            let notice = self.notice(holdings, whole && number == 0);
+            self.send(&Message::Notice(notice), &hosts).await;
+        }
+    }
+
+    fn notice(&self, holdings: Vec<Holding>, whole: bool) -> Notice {
+        self.sequence.set(self.sequence.get() + 1);
+        let word = self.node.word();
+        let state = self.node.state.borrow();
+        Notice {
+            host: self.node.settings.host.clone(),
+            domain: self.node.settings.domain.clone(),
+            incarnation: self.node.incarnation.get(),
+            sequence: self.sequence.get(),
+            whole,
+            giants: state.book.own_giants(),
+            word,
+            leaving: state.directory.leaving(),
+            holdings,
+        }
+    }
+
+    async fn send(&self, message: &Message, hosts: &[SocketAddr]) {
+        match postcard::to_stdvec(message) {
+            Ok(bytes) => send_bytes(&self.socket, &bytes, hosts).await,
+            Err(error) => tell_fault(&error.to_string()),
+        }
+    }
+}
+
+/// Sends one datagram to each of some hosts.
+pub(super) async fn send_bytes(socket: &UdpSocket, bytes: &[u8], hosts: &[SocketAddr]) {
+    for host in hosts {
+        if let Err(error) = socket.send_to(bytes, host).await {
+            // A host that is gone refuses; its entry in the store is replaced or removed.
+            log::debug!("message to {host}: {error}");
+        }
+    }
+}
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -7,6 +7,7 @@
 use alderglade_core::fleet::book::{Book, Hold, Load, Notice};
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::{self, Engine, Shared, Work};
+use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use serde::Serialize;
 use std::hint::black_box;
@@ -128,6 +129,7 @@
             sequence: self.sequence,
             whole,
             giants: 0,
+            word: Word::default(),
             leaving: Vec::new(),
             holdings: if whole {
                 self.book.whole()
