More giants at a time on more engines; in an outage few hosts step in as watchers

Cause: two prompts that take up many engines were read at a time over all hosts, whatever the number of engines; the figure was fitted to 18.

Change: one giant for each 9 engines; the third and fourth host of a domain step in after one and two heartbeats, the others 1.5 s after each other, and a host whose word is old asks the store itself each 2.5 s.

--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -109,6 +109,8 @@
     pub giants: u32,
     /// How much the engines have to read, from `0.0` (nothing) to `1.0` (all the time).
     pub pressure: f64,
+    /// How many engines there are.
+    pub engines: usize,
 }
 
 /// Gives how much engines have to read now, on the scale of [`Shared::pressure`].
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -5,8 +5,8 @@
 use super::timing::millis;
 use super::{Plan, Shared, Work};
 
-/// Prompts that take up many engines, read at a time over all hosts.
-const MOST_GIANTS: u32 = 2;
+/// Prompts that take up many engines are read one for each so many engines at a time, over all hosts.
+const ENGINES_A_GIANT: usize = 9;
 /// What a second of reading on one engine is worth to others when the engines read all the time; an
 /// ordinary long prompt is worth about eight for each second that reading it takes.
 const ENGINE_SECOND: f64 = 2.0;
@@ -22,8 +22,13 @@
     /// A chance of being late above which a plan counts as late.
     const LATE: f64 = 0.5;
     let patience = patience(work, &costed.plan);
-    let Shared { giants, pressure } = *state;
-    if costed.plan.giant && giants >= MOST_GIANTS && patience < 1.0 {
+    let Shared {
+        giants,
+        pressure,
+        engines,
+    } = *state;
+    let most_giants = (engines / ENGINES_A_GIANT).max(1);
+    if costed.plan.giant && giants as usize >= most_giants && patience < 1.0 {
         return true;
     }
     let late = lateness(work, millis(costed.plan.first_event)) > LATE;
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -14,14 +14,21 @@
 /// How long a new host listens for others before it takes a role: two heartbeats of 250 ms, and time
 /// for the store to list the hosts.
 pub const SETTLE: Duration = Duration::from_millis(700);
-/// How much later the next host steps in while there are too few watchers; a heartbeat. In an outage of
-/// the store this keeps all hosts from calling at once.
+/// How much later the next host steps in while there are too few watchers; a heartbeat.
 const STEP_IN: Duration = Duration::from_millis(250);
+/// Hosts that step in so soon. Where they get no answer either, the store is probably away for all, and
+/// more calls help nobody.
+const SOON: usize = 2;
+/// How much later each of the others steps in.
+const STEP_IN_LATE: Duration = Duration::from_millis(1_500);
 /// How long servers may differ from a watcher's before the store is asked; the watcher's own message
 /// about the change comes first.
 const DIFFERENT: Duration = Duration::from_millis(300);
-/// The time between two calls of a host that doesn't watch.
+/// The time between two calls about servers of a host that doesn't watch.
 const AGAIN: Duration = Duration::from_millis(1_000);
+/// The time between two calls of a host that doesn't watch and whose word is old; the watchers' word
+/// comes sooner where they have one.
+const AGAIN_OLD: Duration = Duration::from_millis(2_500);
 /// The part of the bound for keys after which the store's word counts as old.
 const OLD: f64 = 0.72;
 /// The bound where the deployment sets none.
@@ -137,8 +144,7 @@
             return self.role;
         }
         let since = *self.lacking_since.get_or_insert(now);
-        let behind = before.saturating_sub(WATCHERS - 1) as u32;
-        if before < WATCHERS || now.since(since) >= STEP_IN * behind {
+        if before < WATCHERS || now.since(since) >= step_in(before) {
             self.role = Role::Watcher;
         } else if self.role == Role::Unsettled {
             self.role = Role::Follower;
@@ -185,7 +191,7 @@
         }
         let bound = own.bound.unwrap_or(NO_BOUND);
         let old = own.age.is_none_or(|age| age > bound.mul_f64(OLD));
-        ((old || own.lost) && self.may_fetch(now)).then_some(SPREAD)
+        ((old || own.lost) && self.may_fetch(AGAIN_OLD, now)).then_some(SPREAD)
     }
 
     /// Gives the time over which the hosts' calls for the servers are spread, if one is due.
@@ -205,13 +211,13 @@
             return None;
         }
         let since = *self.different_since.get_or_insert(now);
-        let due = now.since(since) >= DIFFERENT && self.may_fetch(now);
+        let due = now.since(since) >= DIFFERENT && self.may_fetch(AGAIN, now);
         due.then_some(SPREAD)
     }
 
     /// Takes the right to one call outside of watches, if the last one is long enough ago.
-    fn may_fetch(&mut self, now: Time) -> bool {
-        let may = self.fetched.is_none_or(|at| now.since(at) >= AGAIN);
+    fn may_fetch(&mut self, pause: Duration, now: Time) -> bool {
+        let may = self.fetched.is_none_or(|at| now.since(at) >= pause);
         if may {
             self.fetched = Some(now);
         }
@@ -226,3 +232,12 @@
         age.is_none_or(|age| age > bound.mul_f64(OLD * EARLIER))
     }
 }
+
+/// Gives how long there must have been too few watchers before a host steps in that has so many hosts
+/// before it.
+fn step_in(before: usize) -> Duration {
+    let place = (before + 1).saturating_sub(WATCHERS);
+    let soon = place.min(SOON) as u32;
+    let late = place.saturating_sub(SOON) as u32;
+    STEP_IN * soon + STEP_IN_LATE * late
+}
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -72,6 +72,7 @@
     let shared = Shared {
         giants: node.state.borrow().book.giants(),
         pressure: node.pressure(placement::pressure(&engines)),
+        engines: engines.len(),
     };
     placement::choose(&work, &engines, &shared)
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -176,6 +176,7 @@
     let shared = Shared {
         giants: 0,
         pressure: placement::pressure(&engines),
+        engines: engines.len(),
     };
     black_box(placement::choose(&work(prompt), &engines, &shared));
 }
