Pass over servers that refuse to help, on every host; wait a moment for the first configuration

Now the address is looked up, the server is passed over for three seconds by this host, and by its peers, which are told. Only a server's own word is passed on, no silence, which may lie in the host's link; a server that refuses for itself while its places are taken is not told of.

Cause 2: after all hosts were killed, 253 requests got 503 not_ready in the 0.3 s until the store had given each of 90 hosts its configuration. A request now waits up to 0.5 s for the first one.

Ruled out: the book's view of free memory (2 of the 113), and retries without the server's word (they are bounded by the budget).

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -8,6 +8,7 @@
 
 pub use load::{Load, PAUSE_CLASSES, PauseClass};
 
+use super::health::Refusing;
 use super::pass::Figures;
 use super::progress::{Ahead, Pace, Progress};
 use super::relay::{Neighbour, Word};
@@ -68,6 +69,8 @@
     pub word: Word,
     /// Servers that the sender knows to be leaving.
     pub leaving: Vec<Name>,
+    /// Servers that refuse work, as the sender was told by servers.
+    pub refusing: Vec<Refusing>,
     /// What it holds.
     pub holdings: Vec<Holding>,
 }
--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -145,6 +145,14 @@
         (!entry.server.leaving).then_some(&entry.server)
     }
 
+    /// Gives the server that is reached at an address; of several, one that isn't leaving.
+    pub fn at(&self, address: SocketAddr) -> Option<&Server> {
+        let servers = self.entries.values().map(|entry| &entry.server);
+        servers
+            .filter(|server| server.address == address)
+            .min_by_key(|server| server.leaving)
+    }
+
     /// Lists the servers of a service that new work may go to, in the order of their ids.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
         self.entries
--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -3,9 +3,13 @@
 //! A server that refuses connections, stays silent or fails requests is passed over for a while that
 //! grows with each failure in a row. It is tried again by ordinary requests when the time is over, so
 //! that a few bad answers never empty a service: where all are doubted, all are used.
+//!
+//! Hosts tell each other only which servers refuse work by another server's word: that is true for
+//! everybody, while silence may lie in the host's own link.
 
 use crate::Name;
 use crate::time::Time;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -13,6 +17,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// The longest time out; short enough to find a server that is back within two seconds.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// How long a server is passed over that refuses work: most of them are leaving, which the store tells
+/// within this time unless it is away.
+const REFUSING: Duration = Duration::from_secs(3);
 /// The weight of the newest answer in the share of failures.
 const NEWEST: f64 = 0.15;
 /// A share of failures above which a server counts as failing.
@@ -34,6 +41,19 @@
     failures: f64,
     silences: u32,
     out_until: Time,
+    /// Until when it is passed over because another server says that it refuses work.
+    refusing_until: Time,
+    /// Whether this host was told so by a server itself.
+    first_hand: bool,
+}
+
+/// A server that refuses work, as hosts tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusing {
+    /// The server.
+    pub server: Name,
+    /// How much longer it is passed over, in milliseconds.
+    pub left_ms: u32,
 }
 
 /// The records of all servers.
@@ -63,11 +83,46 @@
         }
     }
 
+    /// Notes that a server refuses work, on another server's word.
+    pub fn note_refusing(&mut self, id: &Name, now: Time) {
+        let record = self.records.entry(id.clone()).or_default();
+        record.refusing_until = now + REFUSING;
+        record.first_hand = true;
+    }
+
+    /// Takes a peer's word that a server refuses work.
+    pub fn hear_refusing(&mut self, told: &Refusing, now: Time) {
+        let left = Duration::from_millis(u64::from(told.left_ms)).min(REFUSING);
+        let until = now + left;
+        let record = self.records.entry(told.server.clone()).or_default();
+        if until > record.refusing_until {
+            record.refusing_until = until;
+            record.first_hand = false;
+        }
+    }
+
+    /// Lists the servers that refuse work as this host was told by a server itself.
+    pub fn told_refusing(&self, now: Time) -> Vec<Refusing> {
+        let records = self.records.iter();
+        let own = records.filter(|(_, record)| record.first_hand && record.refusing_until > now);
+        own.map(|(id, record)| Refusing {
+            server: id.clone(),
+            left_ms: u32::try_from(record.refusing_until.left(now).as_millis()).unwrap_or(u32::MAX),
+        })
+        .collect()
+    }
+
+    /// Gives how many servers refuse work, by anybody's word.
+    pub fn refusing(&self, now: Time) -> usize {
+        let records = self.records.values();
+        records.filter(|record| record.refusing_until > now).count()
+    }
+
     /// Says whether a server should be passed over now where others can serve.
     pub fn doubted(&self, id: &str, now: Time) -> bool {
         self.records
             .get(id)
-            .is_some_and(|record| record.out_until > now)
+            .is_some_and(|record| record.out_until.max(record.refusing_until) > now)
     }
 
     /// Gives the share of a server's recent calls that failed, from `0.0` to `1.0`.
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -18,6 +18,7 @@
         giants: book.own_giants(),
         word: Word::default(),
         leaving: Vec::new(),
+        refusing: Vec::new(),
         holdings: if whole {
             book.whole(Time(0))
         } else {
--- a/crates/alderglade-core/tests/testsuite/fleet/health.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/health.rs
@@ -1,7 +1,7 @@
 //! What is learnt of servers from calls, and how it is forgotten.
 
 use alderglade_core::Name;
-use alderglade_core::fleet::health::{Health, Outcome};
+use alderglade_core::fleet::health::{Health, Outcome, Refusing};
 use alderglade_core::time::Time;
 
 #[test]
@@ -46,3 +46,34 @@
     health.retain(|_| false);
     assert_eq!(health.failing("a"), 0.0);
 }
+
+#[test]
+fn a_server_that_refuses_work_is_passed_over_on_a_peers_word_too() {
+    let id: Name = "a".into();
+    let mut told = Health::default();
+    told.note_refusing(&id, Time(0));
+    let later = Time::from_millis(1_000);
+    let words = told.told_refusing(later);
+    assert_eq!(words.len(), 1);
+    let mut other = Health::default();
+    other.hear_refusing(&words[0], later);
+    for health in [&told, &other] {
+        assert!(health.doubted("a", Time::from_millis(2_999)));
+        assert!(!health.doubted("a", Time::from_millis(3_000)));
+    }
+    assert!(
+        other.told_refusing(later).is_empty(),
+        "what was only heard isn't told again"
+    );
+}
+
+#[test]
+fn no_peer_has_a_server_passed_over_for_longer_than_a_servers_word_counts() {
+    let mut health = Health::default();
+    let told = Refusing {
+        server: "a".into(),
+        left_ms: u32::MAX,
+    };
+    health.hear_refusing(&told, Time(0));
+    assert!(!health.doubted("a", Time::from_millis(3_000)));
+}
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -80,8 +81,8 @@
 pub enum Miss {
     /// Nothing was sent.
     NotSent,
-    /// The server says that it did not run the request; the server at fault may be another one.
-    Disclaimed(Option<Name>),
+    /// The server says that it did not run the request, and maybe where the server at fault is.
+    Disclaimed(Option<SocketAddr>),
     /// The request may have run.
     Lost,
 }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -24,6 +24,10 @@
 /// balancer has noticed and sends it elsewhere.
 const ELSEWHERE: Duration = Duration::from_millis(300);
 
+/// How long a request waits at a host that has just started for its configuration. Where all hosts
+/// start at once, the store gives it to each of them within about 300 ms.
+const START_PATIENCE: Duration = Duration::from_millis(500);
+
 /// Answers one request.
 pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Content> {
     let arrived = clock::now();
@@ -99,7 +103,7 @@
     ask: Ask,
     arrived: Time,
 ) -> Result<Job, Refusal> {
-    let config = node.state.borrow().config.clone();
+    let config = node.config_soon(START_PATIENCE).await;
     let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, ELSEWHERE))?;
     let (route, workspace) = admit(node, &config, &head, &ask)?;
     let time_limit = match ask.time_limit {
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -117,7 +117,7 @@
                     silence,
                 });
             }
-            Err(miss) => life = note_miss(node, tries, sent, miss),
+            Err(miss) => life = note_miss(node, tries, &server, sent, miss),
         }
         tries.avoid.push(server.id.clone());
         give_up(job, tries, &life)?;
@@ -158,14 +158,18 @@
 }
 
 /// Notes what became of a send without an answer; the request waits again.
-fn note_miss(node: &Node, tries: &mut Tries, sent: Life<Sent>, miss: Miss) -> Life<Waiting> {
+fn note_miss(
+    node: &Node,
+    tries: &mut Tries,
+    server: &Server,
+    sent: Life<Sent>,
+    miss: Miss,
+) -> Life<Waiting> {
     match miss {
         Miss::NotSent => sent.never_sent(),
         Miss::Disclaimed(at_fault) => {
-            if let Some(other) = at_fault {
-                node.note(&other, Outcome::Silent);
-                tries.avoid.push(other);
-            }
+            let refusing = at_fault.and_then(|address| node.note_refusing(address, &server.id));
+            tries.avoid.extend(refusing);
             sent.disclaimed()
         }
         Miss::Lost => {
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -31,6 +31,8 @@
     pub config: IntGauge,
     /// Backend servers known.
     pub servers: IntGauge,
+    /// Backend servers that refuse work, by any server's word.
+    pub refusing: IntGauge,
     /// Entry hosts heard of, with this one.
     pub hosts: IntGauge,
     /// Requests in hand.
@@ -69,6 +71,7 @@
             store_age: IntGauge::new("alderglade_store_age_ms", "Age of the store's last word.")?,
             config: IntGauge::new("alderglade_config_version", "Configuration in force.")?,
             servers: IntGauge::new("alderglade_servers", "Backend servers known.")?,
+            refusing: IntGauge::new("alderglade_refusing_servers", "Servers that refuse work.")?,
             hosts: IntGauge::new("alderglade_hosts", "Entry hosts heard of.")?,
             in_flight: IntGauge::new("alderglade_in_flight", "Requests in hand.")?,
             tickets: IntGauge::new("alderglade_tickets", "Prompts with memory set aside.")?,
@@ -89,7 +92,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn prometheus::core::Collector>; 13] = [
+        let all: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(self.answers.clone()),
             Box::new(self.aims.clone()),
             Box::new(self.first.clone()),
@@ -99,6 +102,7 @@
             Box::new(self.store_age.clone()),
             Box::new(self.config.clone()),
             Box::new(self.servers.clone()),
+            Box::new(self.refusing.clone()),
             Box::new(self.hosts.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.tickets.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -32,6 +32,7 @@
 use alderglade_core::time::Time;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -121,6 +122,8 @@
     pressure: Cell<choice::Pressure>,
     /// Wakes whoever tells peers what has changed.
     pub book_changed: Notify,
+    /// Wakes requests that wait for the first configuration.
+    first_config: Notify,
     /// Wakes whoever waits for a reason to ask the store.
     pub word_changed: Notify,
     /// This lifetime of the process; `0` until the store has given it a number.
@@ -149,6 +152,7 @@
             store: Cell::default(),
             pressure: Cell::default(),
             book_changed: Notify::new(),
+            first_config: Notify::new(),
             word_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
@@ -212,6 +216,22 @@
         self.state.borrow_mut().health.note(server, outcome, now);
     }
 
+    /// Notes that the server at an address refuses work, by the word of the one that was `asked`, and has
+    /// peers told. One that refuses for itself may only be full, which concerns nobody else.
+    ///
+    /// Gives the server, if it is known.
+    pub fn note_refusing(&self, address: SocketAddr, asked: &Name) -> Option<Name> {
+        let state = &mut *self.state.borrow_mut();
+        let server = state.directory.at(address)?;
+        let (id, slots) = (server.id.clone(), i64::from(server.slots));
+        let may_be_full = id == *asked && state.book.total(&id).running >= slots;
+        if !may_be_full {
+            state.health.note_refusing(&id, clock::now());
+            self.book_changed.notify_one();
+        }
+        Some(id)
+    }
+
     /// Notes the first send of a request to a service.
     pub fn first_send(&self, service: &Name) {
         self.with_budget(service, |budget, now, _| budget.request(now));
@@ -249,6 +269,7 @@
         let dropped = state.directory.expire(now);
         let silent = state.book.expire(now);
         let age = state.freshness.age(now);
+        self.metrics.refusing.set(state.health.refusing(now) as i64);
         self.metrics.hosts.set(state.book.hosts() as i64);
         self.metrics
             .store_age
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -102,6 +102,17 @@
         }
     }
 
+    /// Gives the configuration in force; waits for the first one, but no longer than `patience`.
+    pub async fn config_soon(&self, patience: Duration) -> Option<Rc<Config>> {
+        let known = self.state.borrow().config.clone();
+        if known.is_some() {
+            return known;
+        }
+        // In vain or not, what is known then counts.
+        let _ = tokio::time::timeout(patience, self.first_config.notified()).await;
+        self.state.borrow().config.clone()
+    }
+
     fn take_changes(&self, changes: &[Change], position: u64) {
         let mut state = self.state.borrow_mut();
         let after = state.servers_position;
@@ -126,6 +137,7 @@
         state.note_engines();
         drop(state);
         self.metrics.config.set(version.cast_signed());
+        self.first_config.notify_waiters();
         // Peers that go by this host's word learn at once that there is a newer one.
         self.book_changed.notify_one();
         event::write(&Record::ConfigInForce { version, before });
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -48,6 +48,9 @@
     for id in &notice.leaving {
         state.directory.mark_leaving(id);
     }
+    for refusing in &notice.refusing {
+        state.health.hear_refusing(refusing, now);
+    }
     let joined = state.book.hear(notice, now);
     if joined {
         // A host that has just come may not stand in the store's list yet.
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -93,6 +93,7 @@
             giants: state.book.own_giants(),
             word,
             leaving: state.directory.leaving(),
+            refusing: state.health.told_refusing(clock::now()),
             holdings,
         }
     }
--- a/crates/alderglade-serve/src/translate.rs
+++ b/crates/alderglade-serve/src/translate.rs
@@ -75,8 +75,8 @@
     pub id: Option<Name>,
     /// Whether the server says that it did not run the request.
     pub not_run: bool,
-    /// The server at fault, where another one than the sender is.
-    pub at_fault: Option<Name>,
+    /// Where the server at fault is reached, if the sender says which one that is.
+    pub at_fault: Option<SocketAddr>,
     /// Whether it carries the mark of a server's own answer.
     pub genuine: bool,
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -133,6 +133,7 @@
             giants: 0,
             word: Word::default(),
             leaving: Vec::new(),
+            refusing: Vec::new(),
             holdings: if whole {
                 self.book.whole(Time(0))
             } else {
