--- a/crates/alderglade-serve/src/node/stop.rs
+++ b/crates/alderglade-serve/src/node/stop.rs
@@ -5,9 +5,10 @@
 use crate::event::{self, Record};
 use std::time::Duration;
 
-/// What is kept of the time allowed for stopping, so that the process ends by itself before it is
-/// killed.
-const END_MARGIN: Duration = Duration::from_millis(400);
+/// What is kept of the time allowed for stopping, so that the process ends by itself before it is killed,
+/// also on an eighth of a core and with its last log lines written. Within the last sixth of the time,
+/// which requests need not live through.
+const END_MARGIN: Duration = Duration::from_millis(900);
 
 impl Node {
     /// Says whether the host was asked to stop.
