Log who watches the store, and which servers refuse work

Both change what a host believes and had no line yet. 3203 tells a host's role towards the store with the hosts and watchers that it hears and the age of its word; 3104 tells the server that refuses and the one that says so. The catalogue is held against the code by a test.

--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -108,6 +108,17 @@
     Follower,
 }
 
+impl Role {
+    /// Gives the name of the role in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Role::Unsettled => "unsettled",
+            Role::Watcher => "watcher",
+            Role::Follower => "follower",
+        }
+    }
+}
+
 /// The role of one host, and what it has asked.
 #[derive(Debug, Default)]
 pub struct Relay {
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -43,10 +43,14 @@
 pub(super) const CONFIG_UNREADABLE: Kind = warn(3102, "config_unreadable");
 /// The list of backend servers changed.
 pub(super) const SERVERS_CHANGED: Kind = info(3103, "servers_changed");
+/// A backend server refuses work, by another one's word.
+pub(super) const SERVER_REFUSING: Kind = info(3104, "server_refusing");
 /// The store gives no answer.
 pub(super) const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store answers again.
 pub(super) const STORE_BACK: Kind = info(3202, "store_back");
+/// The host begins or ends to watch the store for others.
+pub(super) const STORE_ROLE: Kind = info(3203, "store_role");
 /// Another entry host came, or came back.
 pub(super) const PEER_JOINED: Kind = info(3301, "peer_joined");
 /// Another entry host is silent; what it held lapses.
@@ -73,7 +77,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 22] = [
+pub const ALL: [Kind; 24] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -82,8 +86,10 @@
     CONFIG_IN_FORCE,
     CONFIG_UNREADABLE,
     SERVERS_CHANGED,
+    SERVER_REFUSING,
     STORE_LOST,
     STORE_BACK,
+    STORE_ROLE,
     PEER_JOINED,
     PEER_LOST,
     PEER_FAULT,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -52,6 +52,13 @@
         /// Servers among them that are leaving.
         leaving: usize,
     },
+    /// A backend server refuses work, by another one's word.
+    ServerRefusing {
+        /// The server that refuses.
+        server: &'a str,
+        /// The server that says so.
+        by: &'a str,
+    },
     /// The store gives no answer.
     StoreLost {
         /// What was seen.
@@ -62,6 +69,17 @@
         /// How old the last word of the store was, in milliseconds.
         age_ms: u64,
     },
+    /// The host begins or ends to watch the store for others.
+    StoreRole {
+        /// The role: `watcher` or `follower`.
+        role: &'a str,
+        /// Hosts of the own failure domain heard of lately.
+        heard: usize,
+        /// Hosts among them that watch and are in contact.
+        watchers: usize,
+        /// The age of the host's word of the store, in milliseconds.
+        store_age_ms: Option<u64>,
+    },
     /// Another entry host came, or came back.
     PeerJoined {
         /// The host.
@@ -193,8 +211,10 @@
             Record::ConfigInForce { .. } => &kind::CONFIG_IN_FORCE,
             Record::ConfigUnreadable { .. } => &kind::CONFIG_UNREADABLE,
             Record::ServersChanged { .. } => &kind::SERVERS_CHANGED,
+            Record::ServerRefusing { .. } => &kind::SERVER_REFUSING,
             Record::StoreLost { .. } => &kind::STORE_LOST,
             Record::StoreBack { .. } => &kind::STORE_BACK,
+            Record::StoreRole { .. } => &kind::STORE_ROLE,
             Record::PeerJoined { .. } => &kind::PEER_JOINED,
             Record::PeerLost { .. } => &kind::PEER_LOST,
             Record::PeerFault { .. } => &kind::PEER_FAULT,
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -235,6 +235,10 @@
         if !may_be_full {
             state.health.note_refusing(&id, clock::now());
             self.book_changed.notify_one();
+            event::write(&Record::ServerRefusing {
+                server: &id,
+                by: asked,
+            });
         }
         Some(id)
     }
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -2,6 +2,7 @@
 
 use super::{Node, State};
 use crate::clock;
+use crate::event::{self, Record};
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
 use alderglade_core::fleet::relay::{Errand, Neighbour, Own, Relay, Role, Topic, Word};
@@ -42,7 +43,12 @@
         let state = &mut *self.state.borrow_mut();
         let own = self.own(state, now);
         let heard: Vec<Neighbour<'_>> = state.book.heard(&self.settings.domain, now).collect();
-        state.relay.errand(topic, &own, &heard, chance, now)
+        let before = state.relay.role();
+        let errand = state.relay.errand(topic, &own, &heard, chance, now);
+        if state.relay.role() != before {
+            tell_role(state.relay.role(), &own, &heard);
+        }
+        errand
     }
 
     /// Gives what this host knows of the store.
@@ -178,3 +184,14 @@
         }));
     }
 }
+
+/// Writes which role the host has taken, and why.
+fn tell_role(role: Role, own: &Own<'_>, heard: &[Neighbour<'_>]) {
+    let near = heard.iter().filter(|host| host.near);
+    event::write(&Record::StoreRole {
+        role: role.label(),
+        heard: near.clone().count(),
+        watchers: near.filter(|host| host.word.in_contact).count(),
+        store_age_ms: own.age.map(|age| age.as_millis() as u64),
+    });
+}
