Watchers pass on what has changed in the configuration

Cause: each host that doesn't watch the store fetched each new version.

Change: a watcher tells the hosts of its domain the difference, where that fits a packet; a host that has the version before makes the new one from it. The others fetch after up to 150 ms (80 before), and only if they are still behind by then.

Ruled out: passing whole configurations on (20 Mbit/s at a watcher), fetching less often (a storm of small changes is what is frequent).

--- a/crates/alderglade-core/src/fleet/config.rs
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -1,12 +1,17 @@
 //! The configuration in force: routes, services, limits and workspaces, with their look-ups.
 
+mod patch;
+
+pub use patch::Patch;
+
 use super::pass::Figures;
 use crate::Name;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
 
 /// How often a request of a route may run, and how it is answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// May run more than once.
     Idempotent,
@@ -33,7 +38,7 @@
 }
 
 /// A service that a route leads to, with its share of the requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The service's name.
     pub service: Name,
@@ -42,7 +47,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, by which operators know it. Nothing reads it yet.
     pub name: Name,
@@ -83,7 +88,7 @@
 }
 
 /// A service and how its backend servers work.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: Name,
@@ -95,7 +100,7 @@
 }
 
 /// Bounds on what a caller sends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// The most bytes of a request's head.
     pub header_bytes: usize,
@@ -139,7 +144,7 @@
 }
 
 /// A whole configuration, indexed for look-ups.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Config {
     /// Its version; a higher one is newer.
     pub version: u64,
@@ -164,7 +169,7 @@
             by_host.entry(route.host.clone()).or_default().push(route);
         }
         for list in by_host.values_mut() {
-            list.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+            sort_routes(list);
         }
         Config {
             version,
@@ -218,3 +223,14 @@
     }
     index
 }
+
+/// Puts longer prefixes first, so that the first one that begins a path is the longest; the rest of the
+/// order only makes it the same on every host.
+fn sort_routes(list: &mut [Route]) {
+    list.sort_by(|a, b| {
+        let longer = b.path_prefix.len().cmp(&a.path_prefix.len());
+        longer
+            .then_with(|| a.path_prefix.cmp(&b.path_prefix))
+            .then_with(|| a.name.cmp(&b.name))
+    });
+}
--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -3,6 +3,7 @@
 //! None of them is acknowledged or sent again: the next one makes good what was lost.
 
 use super::book::Notice;
+use super::config::Patch;
 use super::directory::Change;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,8 @@
     Confirmation(Confirmation),
     /// Changes of backend servers, from a host that watches the store.
     Servers(Servers),
+    /// A newer configuration, from a host that watches the store.
+    Config(Patch),
 }
 
 /// Asks how old the other's word of the store is.
--- a/crates/alderglade-core/src/fleet/pass.rs
+++ b/crates/alderglade-core/src/fleet/pass.rs
@@ -5,8 +5,10 @@
 //! as long as the pass takes. A prompt read in parts costs each engine its part of the tokens and
 //! of the pairs of tokens.
 
+use serde::{Deserialize, Serialize};
+
 /// Figures of a model engine. Times are in milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Figures {
     /// Requests that write at once.
     pub slots: u32,
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -194,10 +194,10 @@
         heard: &[Neighbour<'_>],
         now: Time,
     ) -> Option<Duration> {
-        /// Small beside the seconds within which a configuration must be in force.
-        const SPREAD: Duration = Duration::from_millis(80);
-        let mut watchers = heard.iter().filter(|host| host.word.in_contact);
-        if watchers.any(|host| host.word.config > own.config) {
+        /// Small beside the seconds within which a configuration must be in force; long enough for the
+        /// watchers' message about what has changed to come first.
+        const SPREAD: Duration = Duration::from_millis(150);
+        if is_behind(own, heard) {
             return Some(SPREAD);
         }
         let bound = own.bound.unwrap_or(NO_BOUND);
@@ -244,6 +244,12 @@
     }
 }
 
+/// Says whether a watcher has a newer configuration.
+pub fn is_behind(own: &Own<'_>, heard: &[Neighbour<'_>]) -> bool {
+    let mut watchers = heard.iter().filter(|host| host.word.in_contact);
+    watchers.any(|host| host.word.config > own.config)
+}
+
 /// Gives how long there must have been too few watchers before a host steps in that has so many hosts
 /// before it.
 fn step_in(before: usize) -> Duration {
--- a/crates/alderglade-core/tests/testsuite/fleet/config.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/config.rs
@@ -1,6 +1,10 @@
 //! Routing, keys and limits of a configuration.
 
-use alderglade_core::fleet::config::{Access, Config, Kind, Limits, Route, Target, Workspace};
+use crate::each_seed;
+use alderglade_core::fleet::config::{
+    Access, Config, Kind, Limits, Patch, Route, Service, Target, Workspace,
+};
+use arbtest::arbitrary::{Result, Unstructured};
 use std::time::Duration;
 
 fn route(name: &str, host: &str, prefix: &str, public: bool) -> Route {
@@ -107,3 +111,78 @@
     assert!(stream(true).repeatable());
     assert!(!stream(false).repeatable());
 }
+
+/// A random configuration over a few names, so that two of them have much in common.
+fn any(u: &mut Unstructured<'_>, version: u64) -> Result<Config> {
+    let mut routes = Vec::new();
+    for number in 0..u.int_in_range(0..=12)? {
+        let host = ["one.example", "two.example"][u.int_in_range(0..=1)?];
+        let mut route = route(
+            &format!("r{number}"),
+            host,
+            &format!("/{number}/"),
+            u.arbitrary()?,
+        );
+        route.max_attempts = u.int_in_range(1..=2)?;
+        routes.push(route);
+    }
+    let mut services = Vec::new();
+    for number in 0..u.int_in_range(0..=3)? {
+        services.push(Service {
+            name: format!("s{number}").into(),
+            engine: None,
+            max_connections: u.int_in_range(1..=2)?,
+        });
+    }
+    let mut workspaces = Vec::new();
+    for number in 0..u.int_in_range(0..=4)? {
+        let key = format!("k{}-{number}", u.int_in_range(0..=1u8)?);
+        workspaces.push(Workspace {
+            name: format!("w{}", u.int_in_range(0..=2u8)?).into(),
+            keys: vec![key.into()],
+            priority: 1,
+        });
+    }
+    let limits = Limits {
+        body_bytes: u.int_in_range(1..=2)?,
+        ..Limits::default()
+    };
+    Ok(Config::new(
+        version,
+        limits,
+        routes,
+        services,
+        Some(workspaces),
+    ))
+}
+
+#[test]
+fn a_patch_leads_to_just_the_newer_configuration() {
+    each_seed(200, |u| {
+        let (old, new) = (any(u, 3)?, any(u, 9)?);
+        let patch = Patch::between(&old, &new).expect("both use keys");
+        assert_eq!(old.patched(&patch), Some(new));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_patch_applies_to_its_own_version_only() {
+    let old = keyed();
+    let at = |version| {
+        let mut config = keyed();
+        config.version = version;
+        config
+    };
+    let (newer, newest) = (at(8), at(9));
+    let patch = Patch::between(&newer, &newest).expect("both use keys");
+    assert_eq!(old.patched(&patch), None);
+    assert_eq!(newest.patched(&patch), None);
+    assert_eq!(newer.patched(&patch), Some(newest));
+}
+
+#[test]
+fn no_patch_begins_or_ends_the_use_of_keys() {
+    assert_eq!(Patch::between(&keyed(), &config(None)), None);
+    assert_eq!(Patch::between(&config(None), &keyed()), None);
+}
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -1,11 +1,12 @@
 //! What a host asks the store, and what it tells and learns of the store through other hosts.
 
-use super::{Node, State};
+use super::{News, Node, State};
 use crate::clock;
 use crate::event::{self, Record};
+use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
-use alderglade_core::fleet::relay::{Errand, Neighbour, Own, Relay, Role, Topic, Word};
+use alderglade_core::fleet::relay::{self, Errand, Neighbour, Own, Relay, Role, Topic, Word};
 use alderglade_core::time::Time;
 use rand::RngExt;
 use rand::seq::IteratorRandom;
@@ -15,6 +16,8 @@
 /// Changes in one message; some 100 bytes each, below the usual size of a packet. Hosts that are told
 /// of no more than that ask the store.
 const MOST_CHANGES: usize = 12;
+/// The largest difference of configurations that is passed on, in bytes; below the usual size of a packet.
+const LARGEST_PATCH: usize = 1_200;
 /// A host that has watched the store is in contact while it was answered within this time: a watch of
 /// the configuration waits for 1.5 s and may take one more.
 const IN_CONTACT: Duration = Duration::from_millis(2_600);
@@ -25,13 +28,29 @@
     /// Waits until the store should be asked about a topic, and says how.
     pub async fn errand(&self, topic: Topic) -> Errand {
         loop {
-            if let Some(errand) = self.due(topic) {
-                return errand;
+            match self.due(topic) {
+                None => self.word_changed.notified().await,
+                Some(Errand::Watch) => return Errand::Watch,
+                Some(Errand::Fetch(pause)) => {
+                    let behind = topic == Topic::Config && self.is_behind();
+                    tokio::time::sleep(pause).await;
+                    // Meanwhile a watcher may have told what has changed.
+                    if !behind || self.is_behind() {
+                        return Errand::Fetch(Duration::ZERO);
+                    }
+                }
             }
-            self.word_changed.notified().await;
         }
     }
 
+    /// Says whether a watcher has a newer configuration.
+    fn is_behind(&self) -> bool {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let heard: Vec<Neighbour<'_>> = state.book.heard(&self.settings.domain, now).collect();
+        relay::is_behind(&self.own(&state, now), &heard)
+    }
+
     /// Says whether this host watches the store, or has not found out yet that others do.
     pub fn watches_store(&self) -> bool {
         self.state.borrow().relay.role() != Role::Follower
@@ -157,6 +176,35 @@
         self.book_changed.notify_one();
     }
 
+    /// Has what differs between two configurations passed on to the hosts of the own domain, if this host
+    /// watches and it is little.
+    pub(super) fn tell_config(&self, old: &Config, new: &Config) {
+        if self.state.borrow().relay.role() != Role::Watcher {
+            return;
+        }
+        let Some(patch) = Patch::between(old, new) else {
+            return;
+        };
+        let message = Message::Config(patch);
+        let length = postcard::to_stdvec(&message).map(|bytes| bytes.len());
+        match length {
+            Ok(length) if length <= LARGEST_PATCH => {
+                self.state.borrow_mut().outbox.push(message);
+            }
+            Ok(length) => log::debug!("{length} bytes have changed; hosts fetch the configuration"),
+            Err(error) => log::warn!("a change of the configuration can't be written: {error}"),
+        }
+    }
+
+    /// Takes a newer configuration from a peer that watches the store. One that applies to another version
+    /// is passed over; the store is asked for the newest.
+    pub fn take_patch(&self, patch: &Patch) {
+        let known = self.state.borrow().config.clone();
+        if let Some(config) = known.and_then(|config| config.patched(patch)) {
+            self.learn(News::Config(config));
+        }
+    }
+
     /// Gives the addresses of the hosts of the own failure domain that were heard of lately.
     pub fn near_hosts(&self) -> Vec<SocketAddr> {
         let now = clock::now();
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -132,14 +132,19 @@
 
     fn take_config(&self, config: Config) {
         let mut state = self.state.borrow_mut();
-        let before = state.config.as_ref().map(|config| config.version);
+        let old = state.config.clone();
+        let before = old.as_ref().map(|config| config.version);
         if before.is_some_and(|before| before >= config.version) {
             return;
         }
         let version = config.version;
-        state.config = Some(Rc::new(config));
+        let config = Rc::new(config);
+        state.config = Some(config.clone());
         state.note_engines();
         drop(state);
+        if let Some(old) = old {
+            self.tell_config(&old, &config);
+        }
         self.metrics.config.set(version.cast_signed());
         self.learnt.notify_waiters();
         // Peers that go by this host's word learn at once that there is a newer one.
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -39,6 +39,7 @@
         Message::Ask(ask) => answer(node, socket, ask, sender).await,
         Message::Confirmation(confirmation) => node.take_confirmation(&confirmation),
         Message::Servers(servers) => node.take_servers(&servers),
+        Message::Config(patch) => node.take_patch(&patch),
     }
 }
 
