The load book's messages, placements and peers stand in modules of their own

Unclear before: one file of 440 lines held what hosts tell each other, what a request takes, what is known of a peer, and the sums over all of them; taking a notice mixed a peer's own figures with the sums, and why new reading is handed on only after the loop was not said.

Now `book/notice.rs`, `book/hold.rs` and `book/peer.rs` hold the first three, each with a header that says why; the paths stay through re-exports. `Peer` takes a notice and a holding itself, and the book keeps the sums. Fields that had no word of explanation have one.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -4,17 +4,21 @@
 //! made good by the next one. What a silent host held lapses. Reading is told as all that was ever placed:
 //! what a figure has risen by is new work for the engine, and [`Progress`] works out when it is done.
 
+mod hold;
 mod load;
+mod notice;
+mod peer;
 
+pub use hold::{Hold, HoldId, Part};
 pub use load::{Load, PAUSE_CLASSES, PauseClass};
+pub use notice::{Holding, Notice};
 
-use super::health::Refusing;
 use super::pass::Figures;
 use super::progress::{Ahead, Pace, Progress};
-use super::relay::{Neighbour, Word};
+use super::relay::Neighbour;
 use crate::Name;
 use crate::time::Time;
-use serde::{Deserialize, Serialize};
+use peer::Peer;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -27,100 +31,10 @@
 /// What was placed at a server is told in whole notices for this long after: in two of them.
 const TOLD_FOR: Duration = Duration::from_millis(2_000);
 
-/// A host's holdings at one server, as told to its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
-    /// The backend server's identity.
-    pub server: Name,
-    /// What is held there.
-    pub load: Load,
-    /// What `load.placed` has risen by since the last notice of changes; counts for those who have not
-    /// heard of the server before.
-    pub added: u64,
-}
-
-impl Holding {
-    /// Says that nothing is held at a server.
-    fn nothing(server: Name) -> Holding {
-        Holding {
-            server,
-            load: Load::default(),
-            added: 0,
-        }
-    }
-}
-
-/// What a host tells its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Notice {
-    /// The sender's name.
-    pub host: Name,
-    /// The sender's failure domain.
-    pub domain: Name,
-    /// The sender's lifetime.
-    pub incarnation: u64,
-    /// Rises with each notice of the lifetime.
-    pub sequence: u64,
-    /// Whether `holdings` is all that the sender holds; otherwise it is what has changed.
-    pub whole: bool,
-    /// Prompts that the sender is having read and that take up many engines at once.
-    pub giants: u32,
-    /// What the sender knows of the store.
-    pub word: Word,
-    /// Servers that the sender knows to be leaving.
-    pub leaving: Vec<Name>,
-    /// Servers that refuse work, as the sender was told by servers.
-    pub refusing: Vec<Refusing>,
-    /// What it holds.
-    pub holdings: Vec<Holding>,
-}
-
-/// One request's part in the book, from its placement to its end.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Hold {
-    /// The server that answers.
-    pub first: Name,
-    /// What it takes there.
-    pub load: Load,
-    /// The servers that read parts of the prompt, and what it takes there.
-    pub helpers: Vec<Part>,
-    /// Whether it takes up many engines at once while it is read.
-    pub giant: bool,
-}
-
-/// What a request takes at a server that doesn't answer it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Part {
-    /// The server.
-    pub server: Name,
-    /// What it takes there.
-    pub load: Load,
-}
-
-/// Names a [`Hold`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct HoldId(u64);
-
-/// What is known of another host.
-#[derive(Debug)]
-struct Peer {
-    domain: Name,
-    incarnation: u64,
-    /// The number of its last notice.
-    sequence: u64,
-    /// When that came.
-    heard: Time,
-    giants: u32,
-    word: Word,
-    /// What it holds at each server.
-    loads: HashMap<Name, Load>,
-    /// The reading that it has placed at each server, in microseconds.
-    placed: HashMap<Name, u64>,
-}
-
 /// What this host holds at a server.
 #[derive(Debug, Default)]
 struct Own {
+    /// What it holds, and the reading that it has placed.
     load: Load,
     /// When that last changed.
     changed: Time,
@@ -131,18 +45,12 @@
 /// An engine whose timing is known.
 #[derive(Debug)]
 struct Engine {
+    /// Its timing.
     figures: Figures,
+    /// Where it is in its passes.
     progress: Progress,
 }
 
-impl Peer {
-    /// Says whether a notice tells nothing newer than what is known.
-    fn knows(&self, notice: &Notice) -> bool {
-        let same = self.incarnation == notice.incarnation;
-        self.incarnation > notice.incarnation || (same && self.sequence >= notice.sequence)
-    }
-}
-
 /// The book of one host.
 #[derive(Debug, Default)]
 pub struct Book {
@@ -152,6 +60,7 @@
     next: u64,
     /// What this host holds at each server.
     own: HashMap<Name, Own>,
+    /// Prompts that this host is having read and that take up many engines at once.
     own_giants: u32,
     /// Servers whose own holdings have changed since peers were told.
     changed: BTreeSet<Name>,
@@ -299,41 +208,25 @@
         newcomer
     }
 
-    /// Takes the holdings of a notice into the peer's and the sums.
+    /// Takes a notice into what is known of the peer, and its holdings into the sums.
     fn take(&mut self, notice: &Notice, now: Time) {
-        let peer = self.peers.entry(notice.host.clone()).or_insert(Peer {
-            domain: notice.domain.clone(),
-            incarnation: notice.incarnation,
-            sequence: 0,
-            heard: now,
-            giants: 0,
-            word: Word::default(),
-            loads: HashMap::new(),
-            placed: HashMap::new(),
-        });
-        peer.sequence = notice.sequence;
-        peer.heard = now;
-        peer.giants = notice.giants;
-        peer.word = notice.word;
+        let peer = self.peers.entry(notice.host.clone());
+        let peer = peer.or_insert_with(|| Peer::new(notice, now));
+        peer.hear(notice, now);
         let mut arrived: Vec<Arrival<'_>> = Vec::new();
-        for Holding {
-            server,
-            load,
-            added,
-        } in &notice.holdings
-        {
+        for holding in &notice.holdings {
+            let server = &holding.server;
             let total = self.totals.entry(server.clone()).or_default();
-            if let Some(old) = peer.loads.insert(server.clone(), *load) {
+            if let Some(old) = peer.hold(holding) {
                 total.subtract(&old);
             }
-            total.add(load);
-            // Most of what is told of a server for the first time was placed long ago.
-            let before = peer.placed.insert(server.clone(), load.placed);
-            let placed = before.map_or(*added, |before| load.placed.saturating_sub(before));
+            total.add(&holding.load);
+            let placed = peer.place(holding);
             if placed > 0 {
                 arrived.push(Arrival { server, placed });
             }
         }
+        // The pace of an engine follows from the sums, so these must be complete first.
         for Arrival { server, placed } in arrived {
             self.advance(server, placed, now);
         }
@@ -424,6 +317,7 @@
         Some(Pace::of(figures, running, memory))
     }
 
+    /// Changes what this host holds at a server, and the sum there; peers are told of it.
     fn change(&mut self, server: &Name, now: Time, edit: impl Fn(&mut Load)) {
         let own = self.own.entry(server.clone()).or_default();
         edit(&mut own.load);
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/book/hold.rs
@@ -0,0 +1,30 @@
+//! One request's part in the book: where it was placed and what it takes there.
+
+use super::Load;
+use crate::Name;
+
+/// One request's part in the book, from its placement to its end.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Hold {
+    /// The server that answers.
+    pub first: Name,
+    /// What it takes there.
+    pub load: Load,
+    /// The servers that read parts of the prompt, and what it takes there.
+    pub helpers: Vec<Part>,
+    /// Whether it takes up many engines at once while it is read.
+    pub giant: bool,
+}
+
+/// What a request takes at a server that doesn't answer it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Part {
+    /// The server.
+    pub server: Name,
+    /// What it takes there.
+    pub load: Load,
+}
+
+/// Names a [`Hold`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HoldId(pub(super) u64);
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -0,0 +1,57 @@
+//! What a host tells its peers of its holdings.
+//!
+//! Figures are absolute, so that a lost or doubled notice is made good by the next one.
+
+use super::Load;
+use crate::Name;
+use crate::fleet::health::Refusing;
+use crate::fleet::relay::Word;
+use serde::{Deserialize, Serialize};
+
+/// A host's holdings at one server, as told to its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The backend server's identity.
+    pub server: Name,
+    /// What is held there.
+    pub load: Load,
+    /// What `load.placed` has risen by since the last notice of changes; counts for those who have not
+    /// heard of the server before.
+    pub added: u64,
+}
+
+impl Holding {
+    /// Says that nothing is held at a server.
+    pub(super) fn nothing(server: Name) -> Holding {
+        Holding {
+            server,
+            load: Load::default(),
+            added: 0,
+        }
+    }
+}
+
+/// What a host tells its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The sender's name.
+    pub host: Name,
+    /// The sender's failure domain.
+    pub domain: Name,
+    /// The sender's lifetime.
+    pub incarnation: u64,
+    /// Rises with each notice of the lifetime.
+    pub sequence: u64,
+    /// Whether `holdings` is all that the sender holds; otherwise it is what has changed.
+    pub whole: bool,
+    /// Prompts that the sender is having read and that take up many engines at once.
+    pub giants: u32,
+    /// What the sender knows of the store.
+    pub word: Word,
+    /// Servers that the sender knows to be leaving.
+    pub leaving: Vec<Name>,
+    /// Servers that refuse work, as the sender was told by servers.
+    pub refusing: Vec<Refusing>,
+    /// What it holds.
+    pub holdings: Vec<Holding>,
+}
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/book/peer.rs
@@ -0,0 +1,74 @@
+//! What is known of another host from its notices.
+//!
+//! The reading that a peer has placed is remembered apart from what it holds: a whole notice drops the
+//! holdings, and what was placed before it must not count as new work for the engine.
+
+use super::{Holding, Load, Notice};
+use crate::Name;
+use crate::fleet::relay::Word;
+use crate::time::Time;
+use std::collections::HashMap;
+
+/// Another host.
+#[derive(Debug)]
+pub(super) struct Peer {
+    /// Its failure domain.
+    pub(super) domain: Name,
+    /// Its lifetime.
+    pub(super) incarnation: u64,
+    /// The number of its last notice.
+    sequence: u64,
+    /// When that came.
+    pub(super) heard: Time,
+    /// Prompts that it is having read and that take up many engines at once.
+    pub(super) giants: u32,
+    /// What it knows of the store.
+    pub(super) word: Word,
+    /// What it holds at each server.
+    pub(super) loads: HashMap<Name, Load>,
+    /// The reading that it has placed at each server, in microseconds.
+    placed: HashMap<Name, u64>,
+}
+
+impl Peer {
+    /// Makes a peer that was first heard of by a notice; holds nothing yet.
+    pub(super) fn new(notice: &Notice, now: Time) -> Peer {
+        Peer {
+            domain: notice.domain.clone(),
+            incarnation: notice.incarnation,
+            sequence: 0,
+            heard: now,
+            giants: 0,
+            word: Word::default(),
+            loads: HashMap::new(),
+            placed: HashMap::new(),
+        }
+    }
+
+    /// Says whether a notice tells nothing newer than what is known.
+    pub(super) fn knows(&self, notice: &Notice) -> bool {
+        let same = self.incarnation == notice.incarnation;
+        self.incarnation > notice.incarnation || (same && self.sequence >= notice.sequence)
+    }
+
+    /// Takes all of a notice but its holdings.
+    pub(super) fn hear(&mut self, notice: &Notice, now: Time) {
+        self.sequence = notice.sequence;
+        self.heard = now;
+        self.giants = notice.giants;
+        self.word = notice.word;
+    }
+
+    /// Takes what it holds at a server; gives what it held there before.
+    pub(super) fn hold(&mut self, holding: &Holding) -> Option<Load> {
+        self.loads.insert(holding.server.clone(), holding.load)
+    }
+
+    /// Takes what it has placed at a server; gives how much of it is new, in microseconds of reading.
+    pub(super) fn place(&mut self, holding: &Holding) -> u64 {
+        let placed = holding.load.placed;
+        let before = self.placed.insert(holding.server.clone(), placed);
+        // Most of what is told of a server for the first time was placed long ago.
+        before.map_or(holding.added, |before| placed.saturating_sub(before))
+    }
+}
