The fleet's records, entries and roles say what their fields mean

Unclear before: a server's health record, a directory entry and the relay had fields without a word; that hosts come in the order of their names, and what follows from it for watching, stood only in the code; `before` was first the hosts and then their number.

Now each has its line, `Relay::settle` says the order, and the hosts and their number have names of their own.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -41,9 +41,11 @@
     Gone(Name),
 }
 
+/// A server that is known.
 #[derive(Debug, Clone)]
 struct Entry {
     server: Server,
+    /// By when an entry that is missing in the store must be back.
     missing_until: Option<Time>,
 }
 
@@ -51,6 +53,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<Name, Entry>,
+    /// Until when entries may be missing in the store although their servers live.
     doubtful_until: Option<Time>,
 }
 
@@ -171,6 +174,7 @@
         self.entries.is_empty()
     }
 
+    /// Takes a server's entry.
     fn learn(&mut self, server: Server) {
         // A server that once said that it leaves doesn't come back under the same identity.
         let left = self
@@ -188,6 +192,7 @@
         self.entries.insert(entry.server.id.clone(), entry);
     }
 
+    /// Takes that a server's entry is gone; the server is kept for a while where the entry may come back.
     fn lose(&mut self, id: &str, now: Time) {
         let doubtful_until = self.doubtful_until.filter(|until| *until > now);
         match doubtful_until {
--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -36,10 +36,14 @@
     Silent,
 }
 
+/// What was learnt of one server.
 #[derive(Debug, Default)]
 struct Record {
+    /// The share of recent calls that failed, the newest weighing most.
     failures: f64,
+    /// Calls in a row that found it silent.
     silences: u32,
+    /// Until when it is passed over because of how own calls ended.
     out_until: Time,
     /// Until when it is passed over because another server says that it refuses work.
     refusing_until: Time,
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -59,7 +59,7 @@
     pub word: Word,
 }
 
-/// What the host itself knows.
+/// What the deciding host knows itself, to be held against what its neighbours tell.
 #[derive(Debug, Clone, Copy)]
 pub struct Own<'a> {
     /// Its name.
@@ -111,6 +111,7 @@
 /// The role of one host, and what it has asked.
 #[derive(Debug, Default)]
 pub struct Relay {
+    /// When it began to listen for others.
     began: Option<Time>,
     role: Role,
     /// Since when there have been too few watchers.
@@ -127,17 +128,19 @@
         self.role
     }
 
-    /// Decides the role anew from the hosts heard of.
+    /// Decides the role anew from the hosts heard of. Those of the own failure domain come before this one in the
+    /// order of their names: it watches where fewer than [`WATCHERS`] of them do, and steps in the later the more
+    /// they are.
     pub fn settle(&mut self, own: &Own<'_>, heard: &[Neighbour<'_>], now: Time) -> Role {
         let began = *self.began.get_or_insert(now);
         if now.since(began) < SETTLE {
             return self.role;
         }
-        let before = heard
+        let senior = heard
             .iter()
             .filter(|host| host.near && **host.name < *own.name);
-        let watchers = before.clone().filter(|host| host.word.in_contact).count();
-        let before = before.count();
+        let watchers = senior.clone().filter(|host| host.word.in_contact).count();
+        let before = senior.count();
         if watchers >= WATCHERS {
             self.lacking_since = None;
             self.role = Role::Follower;
