A host's state stands in a module of its own; peers' messages are sent in one place

Unclear before: `node.rs` held both the host and what it knows; the doubt that peers are told was worked out twice; answers to questions were encoded and sent beside the code that does it for all other messages; the module of hosts spoke of others only, though the store lists this host too.

Now `node/state.rs` holds what a host knows, with `State::doubt_ms` for both who tell it; `tell::send` sends every message; the list of servers has a step of its own as the other news have; private steps have a line each.

--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -7,11 +7,13 @@
 mod guard;
 mod hosts;
 mod relay;
+mod state;
 mod stop;
 mod store;
 
 pub use guard::{Call, Held, InFlight};
 pub use hosts::{Host, Hosts};
+pub use state::State;
 pub use store::News;
 
 use crate::client::Client;
@@ -21,94 +23,17 @@
 use crate::settings::Settings;
 use crate::translate::Translator;
 use alderglade_core::Name;
-use alderglade_core::fleet::book::{Book, Hold};
+use alderglade_core::fleet::book::Hold;
 use alderglade_core::fleet::budget::Budget;
-use alderglade_core::fleet::config::Config;
-use alderglade_core::fleet::directory::{Change, Directory, Server};
-use alderglade_core::fleet::freshness::Freshness;
-use alderglade_core::fleet::health::{Health, Outcome};
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::message::Message;
-use alderglade_core::fleet::relay::Relay;
 use alderglade_core::time::Time;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
-/// What changes while the host serves.
-#[derive(Default)]
-pub struct State {
-    /// The configuration in force.
-    pub config: Option<Rc<Config>>,
-    /// The backend servers.
-    pub directory: Directory,
-    /// What every host holds at every server.
-    pub book: Book,
-    /// What was learnt of servers.
-    pub health: Health,
-    /// The age of the store's word.
-    pub freshness: Freshness,
-    /// The entry hosts' addresses.
-    pub hosts: Hosts,
-    /// Who asks the store.
-    relay: Relay,
-    /// The store's revision up to which the backend servers are known.
-    servers_position: u64,
-    /// Whether the store has listed them in this lifetime.
-    listed: bool,
-    /// Messages to the hosts of the own failure domain that have not been sent yet.
-    outbox: Vec<Message>,
-    /// What each service may still be sent again.
-    budgets: HashMap<Name, Budget>,
-    /// Own calls that run at plain backend servers.
-    calls: HashMap<Name, u32>,
-}
-
-impl State {
-    /// Gives the version of the configuration in force; `0` where there is none.
-    fn config_version(&self) -> u64 {
-        self.config.as_ref().map_or(0, |config| config.version)
-    }
-
-    /// Says whether the host has learnt what it needs to serve.
-    fn has_learnt(&self) -> bool {
-        self.config.is_some() && self.listed
-    }
-
-    /// Takes changes of backend servers, which are all up to a revision of the store.
-    fn change_servers(&mut self, changes: &[Change], position: u64) {
-        let now = clock::now();
-        for change in changes {
-            self.directory.apply(change.clone(), now);
-        }
-        self.servers_position = position;
-    }
-
-    /// Has the book know the engines, after the servers or the configuration have changed.
-    fn note_engines(&mut self) {
-        let Some(config) = &self.config else {
-            return;
-        };
-        let services = config.services();
-        let engines = services.filter_map(|service| Some((&service.name, service.engine?)));
-        let engines = engines.flat_map(|(name, figures)| {
-            let servers = self.directory.of_service(name);
-            servers.map(move |server| (server.id.clone(), figures))
-        });
-        self.book.set_engines(engines.collect());
-    }
-
-    /// Takes a peer's word that entries of servers may be missing in the store for a while.
-    fn take_doubt(&mut self, doubt_ms: u32) {
-        if doubt_ms > 0 {
-            let span = Duration::from_millis(u64::from(doubt_ms));
-            self.directory.doubt(clock::now() + span);
-        }
-    }
-}
-
 /// One entry host.
 pub struct Node {
     /// Its settings.
--- a/crates/alderglade-serve/src/node/hosts.rs
+++ b/crates/alderglade-serve/src/node/hosts.rs
@@ -1,10 +1,12 @@
-//! The other entry hosts' addresses, from the store and from what they send.
+//! The entry hosts' addresses, from the store and from what hosts send.
+//!
+//! The store lists this host too, so its own address may be among them.
 
 use alderglade_core::Name;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// Another entry host.
+/// An entry host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Host {
     /// Its name.
@@ -13,7 +15,7 @@
     pub address: SocketAddr,
 }
 
-/// All that are known.
+/// All entry hosts that are known, with this one where the store has listed it.
 #[derive(Debug, Default)]
 pub struct Hosts {
     by_name: HashMap<Name, SocketAddr>,
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -36,6 +36,7 @@
         self.state.borrow().relay.role() != Role::Follower
     }
 
+    /// Says whether and how the store should be asked about a topic now.
     fn due(&self, topic: Topic) -> Option<Errand> {
         let now = clock::now();
         let chance = rand::rng().random::<f64>();
@@ -62,12 +63,11 @@
         let now = clock::now();
         let state = self.state.borrow();
         let watches = state.relay.role() == Role::Watcher;
-        let doubt = state.directory.doubt_left(now).as_millis();
         Word {
             in_contact: watches && self.store.get().answered_within(IN_CONTACT, now),
             config: state.config_version(),
             servers: state.directory.digest(),
-            doubt_ms: u32::try_from(doubt).unwrap_or(u32::MAX),
+            doubt_ms: state.doubt_ms(now),
         }
     }
 
@@ -83,18 +83,15 @@
         let old = Relay::is_old(age, self.settings.revocation);
         let heard = state.book.heard(&self.settings.domain, now);
         let watchers = heard.filter(|host| host.word.in_contact && (old || host.near));
+        let address = |host: Neighbour<'_>| state.hosts.get(host.name);
         if old {
-            return watchers
-                .filter_map(|host| state.hosts.get(host.name))
-                .collect();
+            return watchers.filter_map(address).collect();
         }
         if !beat.is_multiple_of(ASK_EVERY) {
             return Vec::new();
         }
         let one = watchers.choose(&mut rand::rng());
-        one.and_then(|host| state.hosts.get(host.name))
-            .into_iter()
-            .collect()
+        one.and_then(address).into_iter().collect()
     }
 
     /// Answers a peer's question; a host without any word of the store has no answer.
@@ -169,11 +166,11 @@
         if state.relay.role() != Role::Watcher {
             return;
         }
-        let doubt = state.directory.doubt_left(clock::now()).as_millis();
+        let doubt_ms = state.doubt_ms(clock::now());
         state.outbox.push(Message::Servers(Servers {
             after,
             position,
-            doubt_ms: u32::try_from(doubt).unwrap_or(u32::MAX),
+            doubt_ms,
             changes: changes.to_vec(),
         }));
     }
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -86,15 +86,7 @@
             News::ConfigUnreadable(problem) => {
                 event::write(&Record::ConfigUnreadable { problem: &problem });
             }
-            News::Servers { all, position } => {
-                let mut state = self.state.borrow_mut();
-                state.directory.replace(all, now);
-                state.servers_position = position;
-                state.listed = true;
-                drop(state);
-                self.learnt.notify_waiters();
-                self.tell_servers();
-            }
+            News::Servers { all, position } => self.take_list(all, position, now),
             News::Changes { changes, position } => self.take_changes(&changes, position),
             News::Host(host) => self.state.borrow_mut().hosts.insert(host),
             News::HostGone(name) => self.state.borrow_mut().hosts.remove(&name),
@@ -117,6 +109,18 @@
         self.state.borrow().config.clone()
     }
 
+    /// Takes the whole list of backend servers.
+    fn take_list(&self, all: Vec<Server>, position: u64, now: Time) {
+        let mut state = self.state.borrow_mut();
+        state.directory.replace(all, now);
+        state.servers_position = position;
+        state.listed = true;
+        drop(state);
+        self.learnt.notify_waiters();
+        self.tell_servers();
+    }
+
+    /// Takes changes of backend servers, and has them passed on.
     fn take_changes(&self, changes: &[Change], position: u64) {
         let mut state = self.state.borrow_mut();
         let after = state.servers_position;
@@ -130,6 +134,7 @@
         self.book_changed.notify_one();
     }
 
+    /// Takes a configuration, unless one as new is in force.
     fn take_config(&self, config: Config) {
         let mut state = self.state.borrow_mut();
         let before = state.config.as_ref().map(|config| config.version);
@@ -161,6 +166,7 @@
         event::write(&Record::ServersChanged { known, leaving });
     }
 
+    /// Notes that a call to the store failed; tells it of the first.
     fn store_lost(&self, problem: &str) {
         let contact = self.store.get();
         if contact.lost_at.is_some() {
@@ -174,6 +180,7 @@
         event::write(&Record::StoreLost { problem });
     }
 
+    /// Notes that the store answered; where it was away, wakes what waits for it.
     fn store_answered(&self, now: Time) {
         let Contact { lost_at, answered } = self.store.get();
         self.store.set(Contact {
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -39,6 +39,7 @@
     }
 }
 
+/// Tells peers what has changed as soon as it has, but for the time in which changes are collected.
 async fn tell_changes(node: Rc<Node>, teller: tell::Teller) {
     loop {
         node.book_changed.notified().await;
@@ -48,6 +49,7 @@
     }
 }
 
+/// Tells operators that a message can't be written or read.
 fn tell_fault(problem: &str) {
     event::write(&Record::PeerFault { problem });
 }
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -1,7 +1,6 @@
 //! Takes messages of other entry hosts.
 
-use super::tell::send_bytes;
-use super::{COLLECT, tell_fault};
+use super::{COLLECT, tell, tell_fault};
 use crate::clock;
 use crate::event::{self, Record};
 use crate::node::{Host, Node};
@@ -33,6 +32,7 @@
     }
 }
 
+/// Takes a message, and answers a question.
 async fn take(node: &Node, socket: &UdpSocket, message: Message, sender: SocketAddr) {
     match message {
         Message::Notice(notice) => take_notice(node, &notice, sender),
@@ -42,6 +42,7 @@
     }
 }
 
+/// Takes what a peer holds and what it tells of the servers and the store.
 fn take_notice(node: &Node, notice: &Notice, sender: SocketAddr) {
     let now = clock::now();
     let mut state = node.state.borrow_mut();
@@ -71,11 +72,8 @@
 
 /// Tells a peer the age of this host's word of the store, if it has one.
 async fn answer(node: &Node, socket: &UdpSocket, ask: Ask, sender: SocketAddr) {
-    let Some(confirmation) = node.confirm(ask) else {
-        return;
-    };
-    match postcard::to_stdvec(&Message::Confirmation(confirmation)) {
-        Ok(bytes) => send_bytes(socket, &bytes, &[sender]).await,
-        Err(error) => tell_fault(&error.to_string()),
+    if let Some(confirmation) = node.confirm(ask) {
+        let message = Message::Confirmation(confirmation);
+        tell::send(socket, &message, &[sender]).await;
     }
 }
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -66,6 +66,7 @@
         }
     }
 
+    /// Tells all hosts some holdings, in as many notices as they take; in one where there are none.
     async fn notices(&self, holdings: Vec<Holding>, whole: bool) {
         let mut chunks: Vec<Vec<Holding>> =
             holdings.chunks(HOLDINGS).map(<[Holding]>::to_vec).collect();
@@ -80,6 +81,7 @@
         }
     }
 
+    /// Makes the next notice.
     fn notice(&self, holdings: Vec<Holding>, whole: bool) -> Notice {
         self.sequence.set(self.sequence.get() + 1);
         let word = self.node.word();
@@ -99,17 +101,18 @@
     }
 
     async fn send(&self, message: &Message, hosts: &[SocketAddr]) {
-        match postcard::to_stdvec(message) {
-            Ok(bytes) => send_bytes(&self.socket, &bytes, hosts).await,
-            Err(error) => tell_fault(&error.to_string()),
-        }
+        send(&self.socket, message, hosts).await;
     }
 }
 
-/// Sends one datagram to each of some hosts.
-pub(super) async fn send_bytes(socket: &UdpSocket, bytes: &[u8], hosts: &[SocketAddr]) {
+/// Sends a message to each of some hosts, in one datagram.
+pub(super) async fn send(socket: &UdpSocket, message: &Message, hosts: &[SocketAddr]) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) => bytes,
+        Err(error) => return tell_fault(&error.to_string()),
+    };
     for host in hosts {
-        if let Err(error) = socket.send_to(bytes, host).await {
+        if let Err(error) = socket.send_to(&bytes, host).await {
             // A host that is gone refuses; its entry in the store is replaced or removed.
             log::debug!("message to {host}: {error}");
         }
