What a request may do is a type of its own

Unclear before: `admit` gave a bare pair of route and maybe-workspace; the wait for a fresh host was said to be for its configuration only, though it is for the first list of servers too.

Now `Admission` names both, and the constant says what is waited for.

--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::translate::Ask;
 use crate::{generate, unary};
+use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::config::{Access, Config, Kind, Route};
 use alderglade_core::request::Refusal;
@@ -24,8 +25,8 @@
 /// balancer has noticed and sends it elsewhere.
 const ELSEWHERE: Duration = Duration::from_millis(300);
 
-/// How long a request waits at a host that has just started for its configuration. Where all hosts
-/// start at once, the store gives it to each of them within about 300 ms.
+/// How long a request waits at a host that has just started for its configuration and its first list of
+/// servers. Where all hosts start at once, the store gives them to each within about 300 ms.
 const START_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Answers one request.
@@ -96,6 +97,7 @@
     answer::refusal(refusal)
 }
 
+/// Takes a request in: it may be served, its body has come, and its service is known.
 async fn let_in(
     node: &Rc<Node>,
     head: Parts,
@@ -105,7 +107,7 @@
 ) -> Result<Job, Refusal> {
     let config = node.config_soon(START_PATIENCE).await;
     let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, ELSEWHERE))?;
-    let (route, workspace) = admit(node, &config, &head, &ask)?;
+    let Admission { route, workspace } = admit(node, &config, &head, &ask)?;
     let time_limit = match ask.time_limit {
         Some(limit) => limit.min(route.time_limit),
         None => route.time_limit,
@@ -130,14 +132,17 @@
     })
 }
 
+/// What a request may do.
+struct Admission {
+    /// The route that it takes.
+    route: Route,
+    /// The workspace that it is for; none on a public route.
+    workspace: Option<Name>,
+}
+
 /// Finds the route and checks the key. A host whose word of the store is too old to trust keys
 /// refuses what it would have to judge by them, and denies nothing.
-fn admit(
-    node: &Node,
-    config: &Config,
-    head: &Parts,
-    ask: &Ask,
-) -> Result<(Route, Option<alderglade_core::Name>), Refusal> {
+fn admit(node: &Node, config: &Config, head: &Parts, ask: &Ask) -> Result<Admission, Refusal> {
     let trusted = node.trusts_keys();
     let cut_off = || Refusal::new(ErrorKind::PlatformUnavailable, ELSEWHERE);
     let host = head.headers.get(http::header::HOST);
@@ -150,13 +155,20 @@
         });
     };
     match config.access(route, ask.key.as_deref()) {
-        Access::Open => Ok((route.clone(), None)),
+        Access::Open => Ok(Admission {
+            route: route.clone(),
+            workspace: None,
+        }),
         _ if !trusted => Err(cut_off()),
-        Access::Workspace(name) => Ok((route.clone(), Some(name))),
+        Access::Workspace(name) => Ok(Admission {
+            route: route.clone(),
+            workspace: Some(name),
+        }),
         Access::Denied => Err(Refusal::new(ErrorKind::Unauthorized, Duration::ZERO)),
     }
 }
 
+/// Takes a whole body, within its bound and its time.
 async fn read(body: Incoming, most: usize, ends: Time) -> Result<Bytes, Refusal> {
     let collect = Limited::new(body, most).collect();
     match tokio::time::timeout_at(clock::instant(ends), collect).await {
