Keep the digest of the servers with each change; place without copying servers

The digest was made anew from all servers for each notice and each look at the store's word, and each placement copied every server of its service. Both grow with the servers and stand where a host spends its time.

Change: the directory keeps the sum with each change of an entry; placement borrows the directory beside the book.

Test: `the_digest_is_that_of_the_servers_that_are_open`, after any changes against a directory that has just listed them.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -49,12 +49,24 @@
     missing_until: Option<Time>,
 }
 
+impl Entry {
+    /// Gives what the entry adds to the directory's digest: nothing where the server is leaving.
+    fn digest(&self) -> u64 {
+        if self.server.leaving {
+            return 0;
+        }
+        xxh3_64(self.server.id.as_bytes())
+    }
+}
+
 /// The servers, as one host knows them.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<Name, Entry>,
     /// Until when entries may be missing in the store although their servers live.
     doubtful_until: Option<Time>,
+    /// The sum of the entries' digests, kept with each change: every notice tells it.
+    digest: u64,
 }
 
 impl Directory {
@@ -116,16 +128,19 @@
 
     /// Drops the servers whose time to come back has passed; says whether any was dropped.
     pub fn expire(&mut self, now: Time) -> bool {
-        let before = self.entries.len();
-        self.entries
-            .retain(|_, entry| entry.missing_until.is_none_or(|until| until > now));
-        before != self.entries.len()
+        let is_over = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
+        let over = self.entries.values().filter(|entry| is_over(entry));
+        let over: Vec<Name> = over.map(|entry| entry.server.id.clone()).collect();
+        over.iter().for_each(|id| self.remove(id));
+        !over.is_empty()
     }
 
     /// Marks a server as leaving on a peer's word.
     pub fn mark_leaving(&mut self, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
+            let before = entry.digest();
             entry.server.leaving = true;
+            self.digest = self.digest.wrapping_sub(before);
         }
     }
 
@@ -137,9 +152,7 @@
 
     /// Gives a digest of the servers that new work may go to; the same for every host that knows the same.
     pub fn digest(&self) -> u64 {
-        let open = self.entries.values().filter(|e| !e.server.leaving);
-        open.map(|entry| xxh3_64(entry.server.id.as_bytes()))
-            .fold(0, u64::wrapping_add)
+        self.digest
     }
 
     /// Gives a server that new work may go to.
@@ -189,16 +202,22 @@
             server,
             missing_until: None,
         };
+        self.remove(&entry.server.id);
+        self.digest = self.digest.wrapping_add(entry.digest());
         self.entries.insert(entry.server.id.clone(), entry);
     }
 
+    fn remove(&mut self, id: &str) {
+        if let Some(entry) = self.entries.remove(id) {
+            self.digest = self.digest.wrapping_sub(entry.digest());
+        }
+    }
+
     /// Takes that a server's entry is gone; the server is kept for a while where the entry may come back.
     fn lose(&mut self, id: &str, now: Time) {
         let doubtful_until = self.doubtful_until.filter(|until| *until > now);
         match doubtful_until {
-            None => {
-                self.entries.remove(id);
-            }
+            None => self.remove(id),
             Some(until) => {
                 if let Some(entry) = self.entries.get_mut(id) {
                     entry.missing_until.get_or_insert(until);
--- a/crates/alderglade-core/tests/testsuite/fleet/directory.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/directory.rs
@@ -1,5 +1,6 @@
 //! Backend servers that come, leave, crash and lapse while the store is away.
 
+use crate::each_seed;
 use alderglade_core::fleet::directory::{Change, Directory, GRACE, Server};
 use alderglade_core::time::Time;
 use std::time::Duration;
@@ -103,3 +104,26 @@
     assert!(!directory.expire(back + GRACE / 2));
     assert!(directory.expire(back + GRACE));
 }
+
+/// However a host has come to know its servers, its digest is that of one that has just listed them.
+#[test]
+fn the_digest_is_that_of_the_servers_that_are_open() {
+    each_seed(120, |u| {
+        let mut directory = Directory::default();
+        for step in 0..u.int_in_range(1..=60)? {
+            let now = Time::from_millis(step * 300);
+            let id = format!("s{}", u.int_in_range(0..=5)?);
+            match u.int_in_range(0..=6)? {
+                0 => directory.apply(Change::Gone(id.into()), now),
+                1 => directory.mark_leaving(&id),
+                2 => directory.store_lost(),
+                3 => directory.store_returned(now, u.arbitrary()?),
+                4 => drop(directory.expire(now)),
+                5 => directory.replace(vec![server(&id, false), server("s9", true)], now),
+                _ => directory.apply(Change::Known(server(&id, u.ratio(1, 4)?)), now),
+            }
+            assert_eq!(directory.digest(), known(&usable(&directory)).digest());
+        }
+        Ok(())
+    });
+}
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -3,7 +3,9 @@
 use super::{Node, State};
 use crate::clock;
 use alderglade_core::Name;
+use alderglade_core::fleet::book::Book;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::health::Health;
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::Engine;
 use alderglade_core::time::Time;
@@ -27,14 +29,12 @@
     at: Time,
 }
 
-impl State {
-    /// Says whether a server should be passed over where others can serve: it has failed, or it lies in
-    /// another failure domain that seems cut off from this one.
-    fn doubts(&self, own_domain: &Name, server: &Server, now: Time) -> bool {
-        let elsewhere = server.domain != *own_domain;
-        let cut_off = elsewhere && self.book.is_cut_off(&server.domain, now);
-        cut_off || self.health.doubted(&server.id, now)
-    }
+/// Says whether a server should be passed over where others can serve: it has failed, or it lies in
+/// another failure domain that seems cut off from the own one.
+fn doubts(book: &Book, health: &Health, own_domain: &Name, server: &Server, now: Time) -> bool {
+    let elsewhere = server.domain != *own_domain;
+    let cut_off = elsewhere && book.is_cut_off(&server.domain, now);
+    cut_off || health.doubted(&server.id, now)
 }
 
 impl Node {
@@ -43,16 +43,21 @@
         let now = clock::now();
         let own_domain = &self.settings.domain;
         let mut state = self.state.borrow_mut();
-        let servers: Vec<Server> = state.directory.of_service(service).cloned().collect();
-        servers
-            .into_iter()
+        let State {
+            directory,
+            book,
+            health,
+            ..
+        } = &mut *state;
+        directory
+            .of_service(service)
             .map(|server| Engine {
-                load: state.book.total(&server.id),
-                ahead: state.book.ahead(&server.id, now),
+                id: server.id.clone(),
+                load: book.total(&server.id),
+                ahead: book.ahead(&server.id, now),
                 figures,
                 near: server.domain == *own_domain,
-                doubted: state.doubts(own_domain, &server, now),
-                id: server.id,
+                doubted: doubts(book, health, own_domain, server, now),
             })
             .collect()
     }
@@ -87,7 +92,8 @@
         let calls = state.calls.get(&server.id).copied().unwrap_or(0);
         let busy = f64::from(calls) / f64::from(server.slots.max(1));
         let far = FAR * one_if(server.domain != *domain);
-        let doubted = DOUBTED * one_if(state.doubts(domain, server, now));
+        let doubted = doubts(&state.book, &state.health, domain, server, now);
+        let doubted = DOUBTED * one_if(doubted);
         let tried = TRIED * one_if(tried.contains(&server.id));
         busy + far + doubted + tried + state.health.failing(&server.id)
     }
