Refuse held long prompts within a quarter of their aim; log why they are held

Change: a prompt that can't be sent at once is refused after 22 in 100 of its aim, with when to come back, and has not run; one whose caller has come back (it waits for less time than its route allows) is held for 45 in 100 of its time. Log event 3407 `held` gives the reason, once for each.

Tests: `a_giant_that_is_held_is_given_up_within_a_quarter_of_its_aim`, `a_giant_whose_caller_has_come_back_is_held_for_less_than_half_of_its_time`; not run on the code before, which has no such refusal.

--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -2,7 +2,7 @@
 //! lets the prompt wait.
 
 use super::parts::{self, Costed};
-use super::{Decision, Engine, MOST_PARTS, Shared, Work, patience, timing};
+use super::{Decision, Engine, MOST_PARTS, Reason, Shared, Wait, Work, patience, timing};
 use std::time::Duration;
 
 /// The reading time of one part that a long prompt is cut to, in milliseconds; from a trial on the
@@ -12,6 +12,9 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// Engine counts that are tried for a prompt read in parts.
 const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, MOST_PARTS];
+/// When a caller should come back whose prompt is given up early; callers come back after a third of their
+/// time at most, and the longer they stay away, the more has changed.
+const LATER: Duration = Duration::from_millis(4_000);
 /// When a caller should come back whose prompt can't be read in its time.
 const TOO_LATE: Duration = Duration::from_millis(2_000);
 
@@ -21,13 +24,24 @@
     let whole = pool[0].figures.read(work.prompt);
     let widest = ((whole / PART).ceil() as usize).clamp(1, pool.len().min(MOST_PARTS));
     let quickest = whole / widest as f64 + timing::idle_pass(pool[0]);
-    match cheapest(work, &pool, whole, widest, state.pressure) {
-        None => wait_or_refuse(work, quickest),
-        Some(costed) if patience::should_wait(work, &costed, quickest, whole, state) => {
-            Decision::Wait(LOOK_AGAIN)
-        }
-        Some(costed) => Decision::Send(costed.plan),
+    let Some(costed) = cheapest(work, &pool, whole, widest, state.pressure) else {
+        return wait_or_refuse(work, quickest);
+    };
+    match patience::reason_to_wait(work, &costed, quickest, whole, state) {
+        Some(reason) => hold(work, reason),
+        None => Decision::Send(costed.plan),
+    }
+}
+
+/// Holds a prompt back, or gives it up where it has been held for long enough.
+fn hold(work: &Work, reason: Reason) -> Decision {
+    if patience::is_spent(work) {
+        return Decision::Refuse(LATER);
     }
+    Decision::Wait(Wait {
+        look_again: LOOK_AGAIN,
+        reason,
+    })
 }
 
 /// Lists the engines that aren't doubted, or all where each of them is.
@@ -72,5 +86,5 @@
     if patience::first_event_left(work) < reading {
         return Decision::Refuse(TOO_LATE);
     }
-    Decision::Wait(LOOK_AGAIN)
+    hold(work, Reason::Memory)
 }
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -42,6 +42,8 @@
     pub waited: Duration,
     /// How long its caller still waits.
     pub left: Duration,
+    /// Whether its caller was refused before and has come back.
+    pub came_back: bool,
     /// What it is worth, where an ordinary short reply is worth about one.
     pub worth: f64,
     /// Servers that have failed it.
@@ -96,12 +98,46 @@
 pub enum Decision {
     /// Send it.
     Send(Plan),
-    /// Look again after this time.
-    Wait(Duration),
+    /// Look again later.
+    Wait(Wait),
     /// It can't be answered in its time; it would help to come back after this.
     Refuse(Duration),
 }
 
+/// A prompt is held back for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wait {
+    /// When to look again.
+    pub look_again: Duration,
+    /// Why it is held.
+    pub reason: Reason,
+}
+
+/// Why a prompt is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No engines together have the memory free.
+    Memory,
+    /// As many prompts as may take up many engines at once are being read.
+    Giants,
+    /// It would be late now, and may be in time when the engines have read what they have.
+    Busy,
+    /// Others would lose more by it than it gains.
+    Harm,
+}
+
+impl Reason {
+    /// Gives the name of the reason in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Reason::Memory => "memory",
+            Reason::Giants => "giants",
+            Reason::Busy => "busy",
+            Reason::Harm => "harm",
+        }
+    }
+}
+
 /// What concerns all engines of a service together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shared {
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -3,7 +3,7 @@
 use super::cost::{LATE_WORTH, lateness};
 use super::parts::Costed;
 use super::timing::millis;
-use super::{Plan, Shared, Work};
+use super::{Plan, Reason, Shared, Work};
 
 /// Prompts that take up many engines are read one for each so many engines at a time, over all hosts.
 const ENGINES_A_GIANT: usize = 9;
@@ -11,14 +11,14 @@
 /// ordinary long prompt is worth about eight for each second that reading it takes.
 const ENGINE_SECOND: f64 = 2.0;
 
-/// Says whether a prompt should wait for better conditions than those of its best plan.
-pub(super) fn should_wait(
+/// Says why a prompt should wait for better conditions than those of its best plan, if it should.
+pub(super) fn reason_to_wait(
     work: &Work,
     costed: &Costed,
     quickest: f64,
     whole: f64,
     state: &Shared,
-) -> bool {
+) -> Option<Reason> {
     /// A chance of being late above which a plan counts as late.
     const LATE: f64 = 0.5;
     let patience = patience(work, &costed.plan);
@@ -29,15 +29,32 @@
     } = *state;
     let most_giants = (engines / ENGINES_A_GIANT).max(1);
     if costed.plan.giant && giants as usize >= most_giants && patience < 1.0 {
-        return true;
+        return Some(Reason::Giants);
     }
     let late = lateness(work, millis(costed.plan.first_event)) > LATE;
     let may_be_in_time = lateness(work, quickest) < LATE;
     if late && may_be_in_time {
-        return true;
+        return Some(Reason::Busy);
     }
     let price = ENGINE_SECOND * pressure * whole / 1_000.0;
-    costed.harm + price > patience * work.worth
+    let too_dear = costed.harm + price > patience * work.worth;
+    too_dear.then_some(Reason::Harm)
+}
+
+/// Says whether a prompt that is still held should be given up: its caller is told to come back, at once
+/// where it has not been told so before.
+pub(super) fn is_spent(work: &Work) -> bool {
+    /// The part of its aim for which a prompt is held at first. Nearly all prompts that are served in time are
+    /// sent within it, and by the users' pages a refusal costs nothing up to a quarter of the aim.
+    const FIRST: f64 = 0.22;
+    /// The part of its time for which one is held whose caller has come back; by the users' pages one must
+    /// not be held in vain for half of it.
+    const SECOND: f64 = 0.45;
+    let waited = millis(work.waited);
+    if work.came_back {
+        return waited > SECOND * (waited + millis(work.left));
+    }
+    waited > FIRST * millis(work.aim)
 }
 
 /// Gives the cost, as a part of the prompt's own worth, at which it is sent: little while it can
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -35,6 +35,7 @@
         aim: Duration::from_millis(300),
         waited: Duration::ZERO,
         left: Duration::from_secs(10),
+        came_back: false,
         worth: worth(5_000),
         avoid: Vec::new(),
     }
@@ -137,13 +138,48 @@
 
 #[test]
 fn a_giant_waits_while_others_would_pause_too_long() {
+    let decision = choose(&long(400_000), &crowded(), &CALM);
+    assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
+}
+
+/// Engines at which a giant would make many answers late.
+fn crowded() -> Vec<Engine> {
     let mut engines = engines(18);
     for engine in &mut engines {
         engine.load.running = 6;
         engine.load.at_risk[0] = 6 * 1_300;
     }
-    let decision = choose(&long(400_000), &engines, &CALM);
-    assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
+    engines
+}
+
+/// From bench runs: of the prompts that were still held after a quarter of their aim nearly none was
+/// served in time, and most were held until their callers left.
+#[test]
+fn a_giant_that_is_held_is_given_up_within_a_quarter_of_its_aim() {
+    let mut work = long(400_000);
+    work.waited = Duration::from_millis(500);
+    let early = choose(&work, &crowded(), &CALM);
+    assert!(matches!(early, Decision::Wait(_)), "{early:?}");
+    work.waited = Duration::from_millis(600);
+    let decision = choose(&work, &crowded(), &CALM);
+    let Decision::Refuse(after) = decision else {
+        panic!("held for longer: {decision:?}");
+    };
+    assert!(after >= Duration::from_secs(2), "{after:?}");
+}
+
+#[test]
+fn a_giant_whose_caller_has_come_back_is_held_for_less_than_half_of_its_time() {
+    let mut work = long(400_000);
+    work.came_back = true;
+    work.waited = Duration::from_millis(4_000);
+    work.left = Duration::from_millis(6_000);
+    let early = choose(&work, &crowded(), &CALM);
+    assert!(matches!(early, Decision::Wait(_)), "{early:?}");
+    work.waited = Duration::from_millis(4_600);
+    work.left = Duration::from_millis(5_400);
+    let decision = choose(&work, &crowded(), &CALM);
+    assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
 }
 
 /// From a bench run: a prompt that was late anyhow was held until its caller left, because its own
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -62,6 +62,14 @@
         clock::now().since(self.arrived)
     }
 
+    /// Says whether its caller has probably asked before: it waits for less time than the route allows.
+    pub fn came_back(&self) -> bool {
+        /// Callers whose time is as long as their route's say so to the millisecond.
+        const SURE: Duration = Duration::from_millis(100);
+        let limit = self.ask.time_limit;
+        limit.is_some_and(|limit| limit + SURE < self.route.time_limit)
+    }
+
     /// Gives what the caller says of the prompt; one that says nothing counts as an ordinary short one.
     pub fn prompt(&self) -> Prompt {
         self.ask.prompt.unwrap_or(ORDINARY)
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -71,13 +71,15 @@
 pub(super) const BROKEN_OFF: Kind = warn(3405, "broken_off");
 /// The caller left before its answer was whole.
 pub(super) const CALLER_LEFT: Kind = info(3406, "caller_left");
+/// A prompt is held back for now.
+pub(super) const HELD: Kind = info(3407, "held");
 /// Memory could not be set aside for a prompt.
 pub(super) const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
 /// Memory was not given back; it lapses by itself.
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 24] = [
+pub const ALL: [Kind; 25] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -100,6 +102,7 @@
     REFUSED,
     BROKEN_OFF,
     CALLER_LEFT,
+    HELD,
     MEMORY_REFUSED,
     MEMORY_NOT_RELEASED,
 ];
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -166,6 +166,21 @@
         /// The request.
         id: &'a str,
     },
+    /// A prompt is held back for now; told once for each reason.
+    Held {
+        /// The request.
+        id: &'a str,
+        /// Why: `memory`, `giants`, `busy` or `harm`.
+        reason: &'a str,
+        /// The length of its prompt in tokens.
+        prompt: u64,
+        /// How long it has waited, in milliseconds.
+        waited_ms: u64,
+        /// Prompts being read that take up many engines at once, over all hosts.
+        giants: u32,
+        /// How much the engines have had to read lately, from `0.0` to `1.0`.
+        pressure: f64,
+    },
     /// Memory could not be set aside for a prompt.
     MemoryRefused {
         /// The request.
@@ -225,6 +240,7 @@
             Record::Refused { .. } => &kind::REFUSED,
             Record::BrokenOff { .. } => &kind::BROKEN_OFF,
             Record::CallerLeft { .. } => &kind::CALLER_LEFT,
+            Record::Held { .. } => &kind::HELD,
             Record::MemoryRefused { .. } => &kind::MEMORY_REFUSED,
             Record::MemoryNotReleased { .. } => &kind::MEMORY_NOT_RELEASED,
         }
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -17,7 +17,7 @@
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::life::{Life, Sent, Waiting};
-use alderglade_core::fleet::placement::Plan;
+use alderglade_core::fleet::placement::{Plan, Reason};
 use alderglade_core::request::Refusal;
 use http::Response;
 use std::rc::Rc;
@@ -60,6 +60,8 @@
     pub reserves: u32,
     /// Servers that have failed the request.
     pub avoid: Vec<Name>,
+    /// Why it was held back so far.
+    pub held_for: Vec<Reason>,
 }
 
 /// Serves a generation. `in_flight` goes with the stream.
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -2,11 +2,12 @@
 
 use super::{COME_BACK, Tries};
 use crate::attempt::Job;
+use crate::event::{self, Record};
 use crate::node::Node;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::life::{Life, Waiting};
 use alderglade_core::fleet::pass::Figures;
-use alderglade_core::fleet::placement::{self, Decision, Plan, Shared, Work};
+use alderglade_core::fleet::placement::{self, Decision, Plan, Reason, Shared, Work};
 use alderglade_core::request::Refusal;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,7 +26,7 @@
 pub(super) async fn place(
     node: &Rc<Node>,
     job: &Job,
-    tries: &Tries,
+    tries: &mut Tries,
     life: &Life<Waiting>,
 ) -> Result<Plan, Refusal> {
     loop {
@@ -44,11 +45,31 @@
                 return Err(life.refuse(ErrorKind::Draining, COME_BACK));
             }
             Decision::Refuse(after) => return Err(life.refuse(ErrorKind::Overloaded, after)),
-            Decision::Wait(pause) => tokio::time::sleep(pause).await,
+            Decision::Wait(wait) => {
+                tell_held(node, job, tries, wait.reason);
+                tokio::time::sleep(wait.look_again).await;
+            }
         }
     }
 }
 
+/// Writes why a prompt is held, once for each reason.
+fn tell_held(node: &Node, job: &Job, tries: &mut Tries, reason: Reason) {
+    if tries.held_for.contains(&reason) {
+        return;
+    }
+    tries.held_for.push(reason);
+    let giants = node.state.borrow().book.giants();
+    event::write(&Record::Held {
+        id: &job.ask.id,
+        reason: reason.label(),
+        prompt: job.prompt().tokens,
+        waited_ms: job.waited().as_millis() as u64,
+        giants,
+        pressure: node.recent_pressure(),
+    });
+}
+
 /// Gives the longest that an answer is expected to take from now to its end.
 fn answer_time(node: &Node, job: &Job, plan: &Plan) -> Duration {
     let stride = figures(node, job).map_or(1, |figures| u64::from(figures.stride.max(1)));
@@ -103,6 +124,7 @@
         aim: job.route.aim,
         waited: job.waited(),
         left: job.left(),
+        came_back: job.came_back(),
         worth: placement::worth(prompt.tokens),
         avoid: tries.avoid.clone(),
     }
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -74,6 +74,11 @@
         mean
     }
 
+    /// Gives the recent mean of the pressure on the engines.
+    pub fn recent_pressure(&self) -> f64 {
+        self.pressure.get().mean
+    }
+
     /// Picks the plain backend server with the fewest own calls that hasn't been tried.
     pub fn pick(&self, service: &str, tried: &[Name]) -> Option<Server> {
         let now = clock::now();
