Hosts that lose their way to the store are unready within a second

Cause: in a failure domain that was cut off, only the hosts that watch the store noticed. The others asked for callers until the watchers' word was 3.6 s old and a call of their own had failed, and then refused what they were sent; silent cuts were noticed when a watch of 1.5 s had not ended after 2.5 s.

Change: `fleet::reach`. A host that goes by watchers is cut off when it has heard none in contact for 0.6 s; one that hears no other failure domain any more is so at once, and asks the store, until the store is shown to be in reach. One that the store refuses asks other watchers for their word at each heartbeat, so that it serves on. Log event 3204 `store_reach`.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -253,6 +253,13 @@
             .is_some_and(|heard| now.since(*heard) > CUT_OFF)
     }
 
+    /// Says whether all failure domains but the own one seem cut off, and there are such.
+    pub fn is_isolated(&self, own_domain: &str, now: Time) -> bool {
+        let mut others = self.domains.keys().filter(|name| ***name != *own_domain);
+        let heard_before = others.clone().next().is_some();
+        heard_before && others.all(|domain| self.is_cut_off(domain, now))
+    }
+
     /// Gives the hosts heard of within [`CUT_OFF`]; `domain` is the own failure domain.
     pub fn heard<'a>(
         &'a self,
--- a/crates/alderglade-core/src/fleet/freshness.rs
+++ b/crates/alderglade-core/src/fleet/freshness.rs
@@ -22,6 +22,11 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Gives the time up to which the host knows all that the store had accepted.
+    pub fn confirmed(&self) -> Option<Time> {
+        self.confirmed
+    }
+
     /// Gives the age of the last confirmation, if there was one.
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.confirmed.map(|at| now.since(at))
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -15,5 +15,6 @@
 pub mod pass;
 pub mod placement;
 pub mod progress;
+pub mod reach;
 pub mod relay;
 pub mod sse;
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/reach.rs
@@ -0,0 +1,57 @@
+//! Whether a host is in reach of the store, by itself or through other hosts.
+//!
+//! A host whose word of the store grows old must refuse what needs a key. Callers should be sent
+//! elsewhere well before that, so a host that has lost its way to the store says so within a second. One that
+//! the store refuses goes on by other hosts' word, but is no place for new callers.
+
+use crate::time::Time;
+use std::time::Duration;
+
+/// How long a host may be without a sign of the store before it counts as cut off. Long enough for a few
+/// calls in a row to fail, or for another host to step in as a watcher; short beside the five seconds
+/// after which a host that is cut off refuses keys.
+pub const PATIENCE: Duration = Duration::from_millis(600);
+
+/// What a host sees of its way to the store at a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sight {
+    /// Whether its last own call to the store has failed.
+    pub refused: bool,
+    /// Whether it asks the store itself, or hears a host that does and is answered.
+    pub informed: bool,
+    /// Whether it hears nobody of any other failure domain, though it has before.
+    pub isolated: bool,
+    /// Up to when it knows all that the store had accepted.
+    pub confirmed: Option<Time>,
+}
+
+/// A host's way to the store.
+#[derive(Debug, Default)]
+pub struct Reach {
+    /// When it was last in reach.
+    touched: Time,
+    /// Since when it has heard nobody of any other failure domain.
+    isolated_since: Option<Time>,
+    /// Whether nothing has shown yet that the store is in reach although the host is isolated.
+    suspected: bool,
+}
+
+impl Reach {
+    /// Takes what the host sees now. Returns whether the host has just become isolated, so that the store
+    /// should be asked at once.
+    pub fn look(&mut self, sight: &Sight, now: Time) -> bool {
+        let before = self.isolated_since;
+        self.isolated_since = sight.isolated.then_some(before.unwrap_or(now));
+        let confirmed = |since: Time| sight.confirmed.is_some_and(|at| at >= since);
+        self.suspected = self.isolated_since.is_some_and(|since| !confirmed(since));
+        if sight.informed && !sight.refused {
+            self.touched = now;
+        }
+        before.is_none() && sight.isolated
+    }
+
+    /// Says whether the host should get no new connections.
+    pub fn is_cut_off(&self, now: Time) -> bool {
+        self.suspected || now.since(self.touched) > PATIENCE
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -212,6 +212,31 @@
     assert!(!receiver.is_cut_off("south", heard + CUT_OFF * 9));
 }
 
+#[test]
+fn a_host_is_isolated_where_it_hears_no_other_domain_any_more() {
+    let mut receiver = Book::default();
+    let mut sender = Book::default();
+    let late = Time(0) + CUT_OFF * 2;
+    assert!(
+        !receiver.is_isolated("south", late),
+        "nobody was ever heard"
+    );
+    receiver.hear(&notice("a", 1, 1, true, &mut sender), Time(0));
+    assert!(!receiver.is_isolated("south", Time(0) + CUT_OFF));
+    assert!(receiver.is_isolated("south", late));
+    assert!(
+        !receiver.is_isolated("north", late),
+        "its own domain is silent"
+    );
+    let mut other = notice("b", 1, 1, true, &mut sender);
+    other.domain = "west".into();
+    receiver.hear(&other, late);
+    assert!(
+        !receiver.is_isolated("south", late),
+        "another domain is heard"
+    );
+}
+
 /// However notices are lost, doubled and reordered, one whole notice makes the view exact.
 #[test]
 fn one_whole_notice_makes_good_all_that_was_lost() {
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod pass;
 mod placement;
 mod progress;
+mod reach;
 mod relay;
 mod sse;
 
--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -21,11 +21,12 @@
 /// Fields of a line that every line has.
 const COMMON: [&str; 5] = ["at_ms", "n", "level", "event", "id"];
 /// Events that say how a host stands, beside any request.
-const STANDING: [&str; 7] = [
+const STANDING: [&str; 8] = [
     "config_in_force",
     "servers_changed",
     "store_lost",
     "store_back",
+    "store_reach",
     "peer_joined",
     "peer_lost",
     "stopping",
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -51,6 +51,8 @@
 pub(super) const STORE_BACK: Kind = info(3202, "store_back");
 /// The host begins or ends to watch the store for others.
 pub(super) const STORE_ROLE: Kind = info(3203, "store_role");
+/// The host counts as cut off from the store, or no longer does.
+pub(super) const STORE_REACH: Kind = info(3204, "store_reach");
 /// Another entry host came, or came back.
 pub(super) const PEER_JOINED: Kind = info(3301, "peer_joined");
 /// Another entry host is silent; what it held lapses.
@@ -79,7 +81,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 25] = [
+pub const ALL: [Kind; 26] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -92,6 +94,7 @@
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
+    STORE_REACH,
     PEER_JOINED,
     PEER_LOST,
     PEER_FAULT,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -80,6 +80,19 @@
         /// The age of the host's word of the store, in milliseconds.
         store_age_ms: Option<u64>,
     },
+    /// The host counts as cut off from the store, or no longer does.
+    StoreReach {
+        /// Whether it counts as cut off, and so asks for no new connections.
+        cut_off: bool,
+        /// Whether its last own call to the store has failed.
+        refused: bool,
+        /// Whether it asks the store itself, or hears a host that does and is answered.
+        informed: bool,
+        /// Whether it hears nobody of any other failure domain.
+        isolated: bool,
+        /// The age of the host's word of the store, in milliseconds.
+        store_age_ms: Option<u64>,
+    },
     /// Another entry host came, or came back.
     PeerJoined {
         /// The host.
@@ -230,6 +243,7 @@
             Record::StoreLost { .. } => &kind::STORE_LOST,
             Record::StoreBack { .. } => &kind::STORE_BACK,
             Record::StoreRole { .. } => &kind::STORE_ROLE,
+            Record::StoreReach { .. } => &kind::STORE_REACH,
             Record::PeerJoined { .. } => &kind::PEER_JOINED,
             Record::PeerLost { .. } => &kind::PEER_LOST,
             Record::PeerFault { .. } => &kind::PEER_FAULT,
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -98,11 +98,11 @@
     }
 
     /// Says whether new connections should come here: the host knows what to serve, isn't stopping, and
-    /// has not been without the store for long enough to count as cut off.
+    /// isn't cut off from the store.
     pub fn ready(&self) -> bool {
         let state = self.state.borrow();
         let known = state.config.is_some() && !state.directory.is_empty();
-        known && !self.is_stopping() && !self.store.get().cut_off()
+        known && !self.is_stopping() && !state.reach.is_cut_off(clock::now())
     }
 
     /// Says whether keys may be trusted now.
@@ -214,6 +214,7 @@
             .connections
             .set(self.client.opened().cast_signed());
         drop(state);
+        self.look_for_store();
         self.word_changed.notify_waiters();
         for peer in &silent {
             event::write(&Record::PeerLost { peer });
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -6,6 +6,7 @@
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
+use alderglade_core::fleet::reach::Sight;
 use alderglade_core::fleet::relay::{self, Errand, Neighbour, Own, Relay, Role, Topic, Word};
 use alderglade_core::time::Time;
 use rand::RngExt;
@@ -71,6 +72,29 @@
         errand
     }
 
+    /// Looks whether the store is in reach, and has it asked at once where that is in doubt.
+    pub(super) fn look_for_store(&self) {
+        let now = clock::now();
+        let state = &mut *self.state.borrow_mut();
+        let domain = &self.settings.domain;
+        let asks = state.relay.role() != Role::Follower;
+        let mut heard = state.book.heard(domain, now);
+        let sight = Sight {
+            refused: self.store.get().is_lost(),
+            informed: asks || heard.any(|host| host.word.in_contact),
+            isolated: state.book.is_isolated(domain, now),
+            confirmed: state.freshness.confirmed(),
+        };
+        let was_cut_off = state.reach.is_cut_off(now);
+        if state.reach.look(&sight, now) {
+            self.store_back.notify_waiters();
+        }
+        let cut_off = state.reach.is_cut_off(now);
+        if cut_off != was_cut_off {
+            tell_reach(cut_off, &sight, state.freshness.age(now));
+        }
+    }
+
     /// Gives what this host knows of the store.
     fn own(&self, state: &State, now: Time) -> Own<'_> {
         Own {
@@ -97,15 +121,17 @@
     }
 
     /// Names the hosts to ask for the age of their word at a heartbeat, with the question: a watcher of
-    /// the own failure domain now and then, every watcher where the own word is old.
+    /// the own failure domain now and then, every watcher where the own word is old or the store doesn't
+    /// answer this host.
     pub fn questions(&self, beat: u64) -> Vec<SocketAddr> {
         let now = clock::now();
         let state = self.state.borrow();
-        if state.relay.role() != Role::Follower {
+        let lost = self.store.get().is_lost();
+        if state.relay.role() != Role::Follower && !lost {
             return Vec::new();
         }
         let age = state.freshness.age(now);
-        let old = Relay::is_old(age, self.settings.revocation);
+        let old = lost || Relay::is_old(age, self.settings.revocation);
         let heard = state.book.heard(&self.settings.domain, now);
         let watchers = heard.filter(|host| host.word.in_contact && (old || host.near));
         let address = |host: Neighbour<'_>| state.hosts.get(host.name);
@@ -230,6 +256,17 @@
     }
 }
 
+/// Writes whether the host has lost or found its way to the store, and by what.
+fn tell_reach(cut_off: bool, sight: &Sight, age: Option<Duration>) {
+    event::write(&Record::StoreReach {
+        cut_off,
+        refused: sight.refused,
+        informed: sight.informed,
+        isolated: sight.isolated,
+        store_age_ms: age.map(|age| age.as_millis() as u64),
+    });
+}
+
 /// Writes which role the host has taken, and why.
 fn tell_role(role: Role, own: &Own<'_>, heard: &[Neighbour<'_>]) {
     let near = heard.iter().filter(|host| host.near);
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -12,6 +12,7 @@
 use alderglade_core::fleet::freshness::Freshness;
 use alderglade_core::fleet::health::Health;
 use alderglade_core::fleet::message::Message;
+use alderglade_core::fleet::reach::Reach;
 use alderglade_core::fleet::relay::Relay;
 use alderglade_core::time::Time;
 use std::collections::HashMap;
@@ -31,6 +32,8 @@
     pub health: Health,
     /// The age of the store's word.
     pub freshness: Freshness,
+    /// Whether the store is in reach.
+    pub(super) reach: Reach,
     /// The entry hosts' addresses.
     pub hosts: Hosts,
     /// Who asks the store.
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -13,9 +13,6 @@
 /// The store was away for so long that entries of servers may have lapsed: they go after three missed
 /// heartbeats of 1.2 s, the first of which may have been due at once.
 const LAPSED_AFTER: Duration = Duration::from_millis(2_000);
-/// How long the store may be away before the host counts as cut off. Long enough for a few calls in a
-/// row to fail; short beside the five seconds after which a host that is cut off refuses keys.
-const CUT_OFF: Duration = Duration::from_millis(600);
 
 /// What the store has told.
 #[derive(Debug)]
@@ -60,12 +57,6 @@
 }
 
 impl Contact {
-    /// Says whether the store has been away for longer than a broken connection takes to mend.
-    pub fn cut_off(&self) -> bool {
-        self.lost_at
-            .is_some_and(|at| clock::now().since(at) > CUT_OFF)
-    }
-
     /// Says whether the last call failed.
     pub fn is_lost(&self) -> bool {
         self.lost_at.is_some()
