Let heartbeats between hosts grow rarer with their number; tell the end of a giant's reading at once

Cause: each host told each other one four times a second whether or not anything had changed, and all that it holds once a second: 300 datagrams a second at 76 hosts, more than its changes.

Change: `fleet::heartbeat`. Hosts that don't watch the store say how long their next notice may take: 10 ms a host, 250 ms to a second; silence is judged by that. No heartbeat where something was told within the interval. All that is held is told every second, or every 2.5 intervals.

Small sites keep their interval.

Tests: `fleet::heartbeat`, `a_host_with_rare_heartbeats_may_be_silent_for_longer`, `a_giant_counts_until_its_first_token`.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -13,6 +13,7 @@
 pub use load::{Load, PAUSE_CLASSES, PauseClass};
 pub use notice::{Holding, Notice};
 
+use super::heartbeat;
 use super::pass::Figures;
 use super::progress::{Ahead, Pace, Progress};
 use super::relay::Neighbour;
@@ -22,14 +23,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-/// A host not heard of for this long holds nothing any more: four heartbeats of 250 ms, and one more
-/// for a notice on its way.
-pub const LAPSE: Duration = Duration::from_millis(1_250);
-/// A failure domain none of whose hosts was heard of for this long may be cut off: two heartbeats of
-/// 250 ms, and one more for a notice on its way.
+/// A failure domain none of whose hosts was heard of for this long may be cut off: two of the shortest
+/// heartbeats, and more than half of another for a notice on its way.
 pub const CUT_OFF: Duration = Duration::from_millis(650);
-/// What was placed at a server is told in whole notices for this long after: in two of them.
-const TOLD_FOR: Duration = Duration::from_millis(2_000);
 
 /// What this host holds at a server.
 #[derive(Debug, Default)]
@@ -104,17 +100,21 @@
     }
 
     /// Notes that a prompt has been read: its first token has come.
-    pub fn read(&mut self, id: HoldId, now: Time) {
+    ///
+    /// Returns whether peers should be told at once: there is room for another prompt that takes up many
+    /// engines.
+    pub fn read(&mut self, id: HoldId, now: Time) -> bool {
         let Some(hold) = self.holds.get_mut(&id) else {
-            return;
+            return false;
         };
-        self.own_giants -= u32::from(hold.giant);
-        hold.giant = false;
+        let was_giant = std::mem::replace(&mut hold.giant, false);
+        self.own_giants -= u32::from(was_giant);
         let server = hold.first.clone();
         let pace = self.pace(&server);
         if let (Some(pace), Some(engine)) = (pace, self.engines.get_mut(&server)) {
             engine.progress.ended(pace, now);
         }
+        was_giant
     }
 
     /// Notes that a request is over.
@@ -179,7 +179,8 @@
 
     /// Gives all that this host holds, and what it has placed lately.
     pub fn whole(&self, now: Time) -> Vec<Holding> {
-        let told = |own: &Own| !own.load.holds_nothing() || now.since(own.changed) < TOLD_FOR;
+        let told =
+            |own: &Own| !own.load.holds_nothing() || now.since(own.changed) < heartbeat::TOLD_FOR;
         let own = self.own.iter().filter(|(_, own)| told(own));
         let holdings = own.map(|(server, own)| Holding {
             server: server.clone(),
@@ -237,7 +238,7 @@
         let silent = self
             .peers
             .iter()
-            .filter(|(_, peer)| now.since(peer.heard) > LAPSE)
+            .filter(|(_, peer)| now.since(peer.heard) > heartbeat::lapse(peer.interval))
             .map(|(name, _)| name.clone());
         let silent: Vec<Name> = silent.collect();
         for name in &silent {
@@ -260,13 +261,13 @@
         heard_before && others.all(|domain| self.is_cut_off(domain, now))
     }
 
-    /// Gives the hosts heard of within [`CUT_OFF`]; `domain` is the own failure domain.
+    /// Gives the hosts that have kept to their heartbeats; `domain` is the own failure domain.
     pub fn heard<'a>(
         &'a self,
         domain: &'a Name,
         now: Time,
     ) -> impl Iterator<Item = Neighbour<'a>> + Clone {
-        let lately = move |peer: &Peer| now.since(peer.heard) <= CUT_OFF;
+        let lately = move |peer: &Peer| now.since(peer.heard) <= heartbeat::heard(peer.interval);
         let peers = self.peers.iter().filter(move |(_, peer)| lately(peer));
         peers.map(move |(name, peer)| Neighbour {
             name,
--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -7,6 +7,7 @@
 use crate::fleet::health::Refusing;
 use crate::fleet::relay::Word;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// A host's holdings at one server, as told to its peers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +43,8 @@
     pub incarnation: u64,
     /// Rises with each notice of the lifetime.
     pub sequence: u64,
+    /// The longest time until the sender's next notice, in milliseconds.
+    pub interval_ms: u32,
     /// Whether `holdings` is all that the sender holds; otherwise it is what has changed.
     pub whole: bool,
     /// Prompts that the sender is having read and that take up many engines at once.
@@ -55,3 +58,10 @@
     /// What it holds.
     pub holdings: Vec<Holding>,
 }
+
+impl Notice {
+    /// Gives the longest time until the sender's next notice.
+    pub fn interval(&self) -> Duration {
+        Duration::from_millis(u64::from(self.interval_ms))
+    }
+}
--- a/crates/alderglade-core/src/fleet/book/peer.rs
+++ b/crates/alderglade-core/src/fleet/book/peer.rs
@@ -8,6 +8,7 @@
 use crate::fleet::relay::Word;
 use crate::time::Time;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// Another host.
 #[derive(Debug)]
@@ -20,6 +21,8 @@
     sequence: u64,
     /// When that came.
     pub(super) heard: Time,
+    /// The longest time until its next notice.
+    pub(super) interval: Duration,
     /// Prompts that it is having read and that take up many engines at once.
     pub(super) giants: u32,
     /// What it knows of the store.
@@ -38,6 +41,7 @@
             incarnation: notice.incarnation,
             sequence: 0,
             heard: now,
+            interval: notice.interval(),
             giants: 0,
             word: Word::default(),
             loads: HashMap::new(),
@@ -55,6 +59,7 @@
     pub(super) fn hear(&mut self, notice: &Notice, now: Time) {
         self.sequence = notice.sequence;
         self.heard = now;
+        self.interval = notice.interval();
         self.giants = notice.giants;
         self.word = notice.word;
     }
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod freshness;
 pub mod health;
+pub mod heartbeat;
 pub mod life;
 pub mod message;
 pub mod pass;
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -3,17 +3,22 @@
 use super::{figures, hold};
 use crate::each_seed;
 use alderglade_core::Name;
-use alderglade_core::fleet::book::{Book, CUT_OFF, Hold, LAPSE, Load, Notice, PauseClass};
+use alderglade_core::fleet::book::{Book, CUT_OFF, Hold, Load, Notice, PauseClass};
+use alderglade_core::fleet::heartbeat;
 use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use std::time::Duration;
 
+/// After this time without a notice nothing is held by a host whose heartbeats come every 250 ms.
+const LAPSE: Duration = Duration::from_millis(1_250);
+
 fn notice(host: &str, incarnation: u64, sequence: u64, whole: bool, book: &mut Book) -> Notice {
     Notice {
         host: host.into(),
         domain: "north".into(),
         incarnation,
         sequence,
+        interval_ms: 250,
         whole,
         giants: book.own_giants(),
         word: Word::default(),
@@ -78,7 +83,8 @@
     };
     let id = book.hold(giant, Time(0));
     assert_eq!(book.giants(), 1);
-    book.read(id, Time(0));
+    assert!(book.read(id, Time(0)), "peers may read another one");
+    assert!(!book.read(id, Time(0)), "once is enough");
     assert_eq!(book.giants(), 0);
     book.release(id, Time(0));
     assert_eq!(book.giants(), 0);
@@ -196,6 +202,22 @@
     assert_eq!(receiver.hosts(), 1);
 }
 
+#[test]
+fn a_host_with_rare_heartbeats_may_be_silent_for_longer() {
+    let mut receiver = Book::default();
+    let mut sender = Book::default();
+    let mut rare = notice("a", 1, 1, true, &mut sender);
+    rare.interval_ms = 1_000;
+    receiver.hear(&rare, Time(0));
+    let domain = Name::from("north");
+    let heard = |book: &Book, at| book.heard(&domain, at).count();
+    assert_eq!(heard(&receiver, Time::from_millis(2_600)), 1);
+    assert_eq!(heard(&receiver, Time::from_millis(2_601)), 0);
+    let lapse = heartbeat::lapse(Duration::from_millis(1_000));
+    assert!(receiver.expire(Time(0) + lapse).is_empty());
+    assert_eq!(receiver.expire(Time(1) + lapse).len(), 1);
+}
+
 #[test]
 fn a_domain_whose_hosts_are_all_silent_seems_cut_off() {
     let mut receiver = Book::default();
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod freshness;
 mod health;
+mod heartbeat;
 mod life;
 mod message;
 mod pass;
--- a/crates/alderglade-serve/src/node/guard.rs
+++ b/crates/alderglade-serve/src/node/guard.rs
@@ -33,11 +33,12 @@
 
     /// Notes that the prompt has been read.
     pub fn read(&mut self) {
-        self.node
-            .state
-            .borrow_mut()
-            .book
-            .read(self.id, clock::now());
+        let mut state = self.node.state.borrow_mut();
+        let tell = state.book.read(self.id, clock::now());
+        drop(state);
+        if tell {
+            self.node.book_changed.notify_one();
+        }
     }
 }
 
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -5,6 +5,7 @@
 use crate::event::{self, Record};
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
+use alderglade_core::fleet::heartbeat;
 use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
 use alderglade_core::fleet::reach::Sight;
 use alderglade_core::fleet::relay::{self, Errand, Neighbour, Own, Relay, Role, Topic, Word};
@@ -107,6 +108,13 @@
         }
     }
 
+    /// Gives the longest time from one notice of this host to the next.
+    pub fn heartbeat(&self) -> Duration {
+        let state = self.state.borrow();
+        let watches = state.relay.role() == Role::Watcher;
+        heartbeat::interval(state.book.hosts(), watches)
+    }
+
     /// Gives what this host tells its peers of the store.
     pub fn word(&self) -> Word {
         let now = clock::now();
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -7,15 +7,12 @@
 
 use crate::event::{self, Record};
 use crate::node::Node;
+use alderglade_core::fleet::heartbeat;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
-/// The time between two notices where nothing changes.
-const HEARTBEAT: Duration = Duration::from_millis(250);
-/// Heartbeats from one whole notice to the next; what a lost notice told is made good within a second.
-const WHOLE_EVERY: u64 = 4;
 /// How long changes are collected before they are told; a fraction of the way between hosts.
 const COLLECT: Duration = Duration::from_millis(1);
 
@@ -25,16 +22,12 @@
     let teller = tell::Teller::new(node.clone(), socket.clone());
     tokio::task::spawn_local(hear::run(node.clone(), socket));
     tokio::task::spawn_local(tell_changes(node.clone(), teller.clone()));
-    let mut beat = tokio::time::interval(HEARTBEAT);
+    let mut beat = tokio::time::interval(heartbeat::SHORTEST);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     for number in 0u64.. {
         beat.tick().await;
         node.tick();
-        if number.is_multiple_of(WHOLE_EVERY) {
-            teller.whole().await;
-        } else {
-            teller.changes().await;
-        }
+        teller.heartbeat().await;
         teller.ask(number).await;
     }
 }
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -4,8 +4,9 @@
 use crate::clock;
 use crate::node::Node;
 use alderglade_core::fleet::book::{Holding, Notice};
+use alderglade_core::fleet::heartbeat::{Due, Schedule};
 use alderglade_core::fleet::message::{Ask, Message};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -20,6 +21,8 @@
     socket: Rc<UdpSocket>,
     /// The number of the last notice.
     sequence: Rc<Cell<u64>>,
+    /// When hosts were last told something.
+    schedule: Rc<RefCell<Schedule>>,
 }
 
 impl Teller {
@@ -29,17 +32,32 @@
             node,
             socket,
             sequence: Rc::default(),
+            schedule: Rc::default(),
+        }
+    }
+
+    /// Tells all hosts what a heartbeat should, if one is due.
+    pub(super) async fn heartbeat(&self) {
+        let interval = self.node.heartbeat();
+        let due = self.schedule.borrow().due(interval, clock::now());
+        match due {
+            Some(Due::Whole) => self.whole().await,
+            Some(Due::Changes) => self.changes().await,
+            None => {}
         }
     }
 
     /// Tells all hosts all that this one holds.
-    pub(super) async fn whole(&self) {
-        let holdings = self.node.state.borrow().book.whole(clock::now());
+    async fn whole(&self) {
+        let now = clock::now();
+        self.schedule.borrow_mut().note(Due::Whole, now);
+        let holdings = self.node.state.borrow().book.whole(now);
         self.notices(holdings, true).await;
     }
 
     /// Tells all hosts what has changed.
     pub(super) async fn changes(&self) {
+        self.schedule.borrow_mut().note(Due::Changes, clock::now());
         let holdings = self.node.state.borrow_mut().book.take_changes();
         self.notices(holdings, false).await;
     }
@@ -85,12 +103,14 @@
     fn notice(&self, holdings: Vec<Holding>, whole: bool) -> Notice {
         self.sequence.set(self.sequence.get() + 1);
         let word = self.node.word();
+        let interval = self.node.heartbeat();
         let state = self.node.state.borrow();
         Notice {
             host: self.node.settings.host.clone(),
             domain: self.node.settings.domain.clone(),
             incarnation: self.node.incarnation.get(),
             sequence: self.sequence.get(),
+            interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             whole,
             giants: state.book.own_giants(),
             word,
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -129,6 +129,7 @@
             domain: "domain-1".into(),
             incarnation: 1,
             sequence: self.sequence,
+            interval_ms: 1_000,
             whole,
             giants: 0,
             word: Word::default(),
