Ask engines that seem slow, and pass slow ones over on every host

Cause: nobody noticed slow engines.

Learning the pace from answers alone: on an engine that reads all the time pauses are long too.

Change: three pauses in a row of 2.2 idle passes or more make a host ask the engine for its report (at most every three seconds); one that says that it is 1.5 times slower or more is passed over for three seconds by all hosts, and asked again by the host that knew it last. The word goes with notices, as that of servers that refuse. Log event 3105 `server_slow`; the metric is now `alderglade_passed_over_servers`. Orders and questions to engines share one call (`order.rs`).

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -138,6 +138,11 @@
         engine.map_or(Ahead::default(), |engine| engine.progress.ahead(pace, now))
     }
 
+    /// Gives the length of a pass of an engine that reads nothing, in milliseconds, if it states its timing.
+    pub fn idle_pass(&self, server: &str) -> Option<f64> {
+        self.pace(server).map(|pace| pace.idle)
+    }
+
     /// Gives what all hosts together hold at a server.
     pub fn total(&self, server: &str) -> Load {
         self.totals.get(server).copied().unwrap_or_default()
--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -4,7 +4,7 @@
 
 use super::Load;
 use crate::Name;
-use crate::fleet::health::Refusing;
+use crate::fleet::health::PassedOver;
 use crate::fleet::relay::Word;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -53,8 +53,8 @@
     pub word: Word,
     /// Servers that the sender knows to be leaving.
     pub leaving: Vec<Name>,
-    /// Servers that refuse work, as the sender was told by servers.
-    pub refusing: Vec<Refusing>,
+    /// Servers that refuse work or are slow, as the sender was told by servers.
+    pub passed_over: Vec<PassedOver>,
     /// What it holds.
     pub holdings: Vec<Holding>,
 }
--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -4,8 +4,8 @@
 //! grows with each failure in a row. It is tried again by ordinary requests when the time is over, so
 //! that a few bad answers never empty a service: where all are doubted, all are used.
 //!
-//! Hosts tell each other only which servers refuse work by another server's word: that is true for
-//! everybody, while silence may lie in the host's own link.
+//! Hosts tell each other only what servers say: which of them refuse work, by another one's word, and which are
+//! slow, by their own. That is true for everybody, while silence may lie in the host's own link.
 
 use crate::Name;
 use crate::time::Time;
@@ -17,9 +17,12 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// The longest time out; short enough to find a server that is back within two seconds.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-/// How long a server is passed over that refuses work: most of them are leaving, which the store tells
-/// within this time unless it is away.
-const REFUSING: Duration = Duration::from_secs(3);
+/// How long a server is passed over that refuses work or is slow: most of those that refuse are leaving, which
+/// the store tells within this time unless it is away; slow ones are asked again before it is over.
+const PASSED_OVER: Duration = Duration::from_secs(3);
+/// The least time between two questions of this host to a server how slow it is: they are priced like health
+/// checks.
+const ASK_AGAIN: Duration = Duration::from_secs(3);
 /// The weight of the newest answer in the share of failures.
 const NEWEST: f64 = 0.15;
 /// A share of failures above which a server counts as failing.
@@ -45,15 +48,17 @@
     silences: u32,
     /// Until when it is passed over because of how own calls ended.
     out_until: Time,
-    /// Until when it is passed over because another server says that it refuses work.
-    refusing_until: Time,
+    /// Until when it is passed over by a server's word.
+    passed_over_until: Time,
     /// Whether this host was told so by a server itself.
     first_hand: bool,
+    /// When this host last asked it how slow it is.
+    asked: Option<Time>,
 }
 
-/// A server that refuses work, as hosts tell each other.
+/// A server that refuses work or is slow, as hosts tell each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusing {
+pub struct PassedOver {
     /// The server.
     pub server: Name,
     /// How much longer it is passed over, in milliseconds.
@@ -87,46 +92,66 @@
         }
     }
 
-    /// Notes that a server refuses work, on another server's word.
-    pub fn note_refusing(&mut self, id: &Name, now: Time) {
+    /// Notes a server's word that one refuses work, or is slow.
+    pub fn note_passed_over(&mut self, id: &Name, now: Time) {
         let record = self.records.entry(id.clone()).or_default();
-        record.refusing_until = now + REFUSING;
+        record.passed_over_until = now + PASSED_OVER;
         record.first_hand = true;
     }
 
-    /// Takes a peer's word that a server refuses work.
-    pub fn hear_refusing(&mut self, told: &Refusing, now: Time) {
-        let left = Duration::from_millis(u64::from(told.left_ms)).min(REFUSING);
+    /// Says whether this host should ask a server now how slow it is, and notes that it does.
+    pub fn ask_slowdown(&mut self, id: &Name, now: Time) -> bool {
+        let record = self.records.entry(id.clone()).or_default();
+        let lately = record.asked.is_some_and(|at| now.since(at) < ASK_AGAIN);
+        let known = record.passed_over_until > now;
+        if lately || known {
+            return false;
+        }
+        record.asked = Some(now);
+        true
+    }
+
+    /// Says whether this host has the latest word that a server is to be passed over, and so looks after it.
+    pub fn looks_after(&self, id: &str) -> bool {
+        self.records.get(id).is_some_and(|record| record.first_hand)
+    }
+
+    /// Takes a peer's word that a server refuses work or is slow.
+    pub fn hear_passed_over(&mut self, told: &PassedOver, now: Time) {
+        let left = Duration::from_millis(u64::from(told.left_ms)).min(PASSED_OVER);
         let until = now + left;
         let record = self.records.entry(told.server.clone()).or_default();
-        if until > record.refusing_until {
-            record.refusing_until = until;
+        if until > record.passed_over_until {
+            record.passed_over_until = until;
             record.first_hand = false;
         }
     }
 
-    /// Lists the servers that refuse work as this host was told by a server itself.
-    pub fn told_refusing(&self, now: Time) -> Vec<Refusing> {
+    /// Lists the servers that are passed over as this host was told by a server itself.
+    pub fn told_passed_over(&self, now: Time) -> Vec<PassedOver> {
         let records = self.records.iter();
-        let own = records.filter(|(_, record)| record.first_hand && record.refusing_until > now);
-        own.map(|(id, record)| Refusing {
+        let own = records.filter(|(_, record)| record.first_hand && record.passed_over_until > now);
+        own.map(|(id, record)| PassedOver {
             server: id.clone(),
-            left_ms: u32::try_from(record.refusing_until.left(now).as_millis()).unwrap_or(u32::MAX),
+            left_ms: u32::try_from(record.passed_over_until.left(now).as_millis())
+                .unwrap_or(u32::MAX),
         })
         .collect()
     }
 
-    /// Gives how many servers refuse work, by anybody's word.
-    pub fn refusing(&self, now: Time) -> usize {
+    /// Gives how many servers are passed over by any server's word.
+    pub fn passed_over(&self, now: Time) -> usize {
         let records = self.records.values();
-        records.filter(|record| record.refusing_until > now).count()
+        records
+            .filter(|record| record.passed_over_until > now)
+            .count()
     }
 
     /// Says whether a server should be passed over now where others can serve.
     pub fn doubted(&self, id: &str, now: Time) -> bool {
         self.records
             .get(id)
-            .is_some_and(|record| record.out_until.max(record.refusing_until) > now)
+            .is_some_and(|record| record.out_until.max(record.passed_over_until) > now)
     }
 
     /// Gives the share of a server's recent calls that failed, from `0.0` to `1.0`.
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -18,4 +18,5 @@
 pub mod progress;
 pub mod reach;
 pub mod relay;
+pub mod slowdown;
 pub mod sse;
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/slowdown.rs
@@ -0,0 +1,38 @@
+//! Suspects engines of working more slowly than their service states.
+//!
+//! The pauses between an answer's events are the engine's passes. One long pass is a prompt that is read; several
+//! in a row are worth a question to the engine, which knows how slow it is.
+
+/// A pause this many times that of a pass without reading is long. Busy engines read for about as long as their
+/// token steps take.
+const LONG: f64 = 2.2;
+/// Long pauses in a row that make a suspicion.
+const IN_A_ROW: u32 = 3;
+/// An engine that takes this many times the stated times is passed over where others can serve. Less than that is
+/// within what the engines of one service differ by.
+const SLOW: f64 = 1.5;
+
+/// Says whether an engine that takes this many times the stated times is slow.
+pub fn is_slow(slowdown: f64) -> bool {
+    slowdown >= SLOW
+}
+
+/// What the pauses of one answer say of its engine.
+#[derive(Debug, Default)]
+pub struct Suspicion {
+    /// Long pauses in a row.
+    long: u32,
+}
+
+impl Suspicion {
+    /// Takes a pause and the length of a pass without reading, in the same unit. Returns whether the engine should
+    /// be asked how slow it is.
+    pub fn note(&mut self, pause: f64, idle_pass: f64) -> bool {
+        if pause < LONG * idle_pass {
+            self.long = 0;
+            return false;
+        }
+        self.long += 1;
+        self.long.is_multiple_of(IN_A_ROW)
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -23,7 +23,7 @@
         giants: book.own_giants(),
         word: Word::default(),
         leaving: Vec::new(),
-        refusing: Vec::new(),
+        passed_over: Vec::new(),
         holdings: if whole {
             book.whole(Time(0))
         } else {
--- a/crates/alderglade-core/tests/testsuite/fleet/health.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/health.rs
@@ -1,7 +1,7 @@
 //! What is learnt of servers from calls, and how it is forgotten.
 
 use alderglade_core::Name;
-use alderglade_core::fleet::health::{Health, Outcome, Refusing};
+use alderglade_core::fleet::health::{Health, Outcome, PassedOver};
 use alderglade_core::time::Time;
 
 #[test]
@@ -51,18 +51,18 @@
 fn a_server_that_refuses_work_is_passed_over_on_a_peers_word_too() {
     let id: Name = "a".into();
     let mut told = Health::default();
-    told.note_refusing(&id, Time(0));
+    told.note_passed_over(&id, Time(0));
     let later = Time::from_millis(1_000);
-    let words = told.told_refusing(later);
+    let words = told.told_passed_over(later);
     assert_eq!(words.len(), 1);
     let mut other = Health::default();
-    other.hear_refusing(&words[0], later);
+    other.hear_passed_over(&words[0], later);
     for health in [&told, &other] {
         assert!(health.doubted("a", Time::from_millis(2_999)));
         assert!(!health.doubted("a", Time::from_millis(3_000)));
     }
     assert!(
-        other.told_refusing(later).is_empty(),
+        other.told_passed_over(later).is_empty(),
         "what was only heard isn't told again"
     );
 }
@@ -70,10 +70,10 @@
 #[test]
 fn no_peer_has_a_server_passed_over_for_longer_than_a_servers_word_counts() {
     let mut health = Health::default();
-    let told = Refusing {
+    let told = PassedOver {
         server: "a".into(),
         left_ms: u32::MAX,
     };
-    health.hear_refusing(&told, Time(0));
+    health.hear_passed_over(&told, Time(0));
     assert!(!health.doubted("a", Time::from_millis(3_000)));
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod reach;
 mod relay;
+mod slowdown;
 mod sse;
 
 use alderglade_core::fleet::book::{Hold, Load};
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -45,6 +45,8 @@
 pub(super) const SERVERS_CHANGED: Kind = info(3103, "servers_changed");
 /// A backend server refuses work, by another one's word.
 pub(super) const SERVER_REFUSING: Kind = info(3104, "server_refusing");
+/// A backend server says that it is slow.
+pub(super) const SERVER_SLOW: Kind = warn(3105, "server_slow");
 /// The store gives no answer.
 pub(super) const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store answers again.
@@ -81,7 +83,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 26] = [
+pub const ALL: [Kind; 27] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -91,6 +93,7 @@
     CONFIG_UNREADABLE,
     SERVERS_CHANGED,
     SERVER_REFUSING,
+    SERVER_SLOW,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -59,6 +59,13 @@
         /// The server that says so.
         by: &'a str,
     },
+    /// A backend server says that it is slow.
+    ServerSlow {
+        /// The server.
+        server: &'a str,
+        /// How many times the stated times it takes.
+        slowdown: f64,
+    },
     /// The store gives no answer.
     StoreLost {
         /// What was seen.
@@ -240,6 +247,7 @@
             Record::ConfigUnreadable { .. } => &kind::CONFIG_UNREADABLE,
             Record::ServersChanged { .. } => &kind::SERVERS_CHANGED,
             Record::ServerRefusing { .. } => &kind::SERVER_REFUSING,
+            Record::ServerSlow { .. } => &kind::SERVER_SLOW,
             Record::StoreLost { .. } => &kind::STORE_LOST,
             Record::StoreBack { .. } => &kind::STORE_BACK,
             Record::StoreRole { .. } => &kind::STORE_ROLE,
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -32,7 +32,7 @@
     /// Backend servers known.
     pub servers: IntGauge,
     /// Backend servers that refuse work, by any server's word.
-    pub refusing: IntGauge,
+    pub passed_over: IntGauge,
     /// Entry hosts heard of, with this one.
     pub hosts: IntGauge,
     /// Requests in hand.
@@ -71,7 +71,10 @@
             store_age: IntGauge::new("alderglade_store_age_ms", "Age of the store's last word.")?,
             config: IntGauge::new("alderglade_config_version", "Configuration in force.")?,
             servers: IntGauge::new("alderglade_servers", "Backend servers known.")?,
-            refusing: IntGauge::new("alderglade_refusing_servers", "Servers that refuse work.")?,
+            passed_over: IntGauge::new(
+                "alderglade_passed_over_servers",
+                "Servers passed over by any server's word.",
+            )?,
             hosts: IntGauge::new("alderglade_hosts", "Entry hosts heard of.")?,
             in_flight: IntGauge::new("alderglade_in_flight", "Requests in hand.")?,
             tickets: IntGauge::new("alderglade_tickets", "Prompts with memory set aside.")?,
@@ -102,7 +105,7 @@
             Box::new(self.store_age.clone()),
             Box::new(self.config.clone()),
             Box::new(self.servers.clone()),
-            Box::new(self.refusing.clone()),
+            Box::new(self.passed_over.clone()),
             Box::new(self.hosts.clone()),
             Box::new(self.in_flight.clone()),
             Box::new(self.tickets.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -158,7 +158,7 @@
         let (id, slots) = (server.id.clone(), i64::from(server.slots));
         let may_be_full = id == *asked && state.book.total(&id).running >= slots;
         if !may_be_full {
-            state.health.note_refusing(&id, clock::now());
+            state.health.note_passed_over(&id, clock::now());
             self.book_changed.notify_one();
             event::write(&Record::ServerRefusing {
                 server: &id,
@@ -205,7 +205,9 @@
         let dropped = state.directory.expire(now);
         let silent = state.book.expire(now);
         let age = state.freshness.age(now);
-        self.metrics.refusing.set(state.health.refusing(now) as i64);
+        self.metrics
+            .passed_over
+            .set(state.health.passed_over(now) as i64);
         self.metrics.hosts.set(state.book.hosts() as i64);
         self.metrics
             .store_age
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -50,8 +50,8 @@
     for id in &notice.leaving {
         state.directory.mark_leaving(id);
     }
-    for refusing in &notice.refusing {
-        state.health.hear_refusing(refusing, now);
+    for told in &notice.passed_over {
+        state.health.hear_passed_over(told, now);
     }
     let joined = state.book.hear(notice, now);
     if joined {
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -115,7 +115,7 @@
             giants: state.book.own_giants(),
             word,
             leaving: state.directory.leaving(),
-            refusing: state.health.told_refusing(clock::now()),
+            passed_over: state.health.told_passed_over(clock::now()),
             holdings,
         }
     }
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -6,8 +6,11 @@
 use crate::event::{self, Record};
 use crate::generate::{self, Open, Tries};
 use crate::node::{InFlight, Node};
+use crate::slowdown;
 use alderglade_core::fleet::config::Kind;
+use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
+use alderglade_core::fleet::slowdown::Suspicion;
 use alderglade_core::fleet::sse::Splitter;
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
@@ -135,11 +138,12 @@
     async fn pass_on(&mut self, open: Open) -> End {
         let Open {
             exchange,
+            server,
             mut held,
             tickets: _tickets,
             mut silence,
-            ..
         } = open;
+        let mut suspicion = Suspicion::default();
         let mut body = exchange.body;
         let mut splitter = Splitter::default();
         let mut read = false;
@@ -153,7 +157,9 @@
             if ready.is_empty() {
                 continue;
             }
-            self.note_event();
+            if let Some(pause) = self.note_event() {
+                self.suspect(&mut suspicion, &server, pause);
+            }
             if !read {
                 read = true;
                 silence = SILENCE;
@@ -208,12 +214,24 @@
         ready
     }
 
-    /// Notes when events leave, for what is told of the stream at its end.
-    fn note_event(&mut self) {
+    /// Notes when events leave, for what is told of the stream at its end. Gives the pause before this one, where it
+    /// isn't the first.
+    fn note_event(&mut self) -> Option<Duration> {
         let now = clock::now();
         self.first_at.get_or_insert(now);
-        if let Some(last) = self.last_at.replace(now) {
-            self.longest_pause = self.longest_pause.max(now.since(last));
+        let last = self.last_at.replace(now)?;
+        let pause = now.since(last);
+        self.longest_pause = self.longest_pause.max(pause);
+        Some(pause)
+    }
+
+    /// Has the engine looked at where its pauses are those of a slow one.
+    fn suspect(&self, suspicion: &mut Suspicion, server: &Server, pause: Duration) {
+        let state = self.node.state.borrow();
+        let idle_pass = state.book.idle_pass(&server.id);
+        drop(state);
+        if idle_pass.is_some_and(|idle| suspicion.note(pause.as_secs_f64() * 1_000.0, idle)) {
+            slowdown::inspect(&self.node, &server.id);
         }
     }
 
--- /dev/null
+++ b/crates/alderglade-serve/src/slowdown.rs
@@ -0,0 +1,63 @@
+//! Asks engines that are suspected of being slow, and has slow ones passed over on every host.
+
+use crate::clock;
+use crate::event::{self, Record};
+use crate::node::Node;
+use crate::order;
+use alderglade_core::Name;
+use alderglade_core::fleet::slowdown;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long after an engine was found slow it is asked again: before it would no longer be passed over.
+const ASK_AGAIN: Duration = Duration::from_millis(2_400);
+
+/// Asks an engine how slow it is, unless that was done lately or it is passed over already. One that is slow is asked
+/// again until it isn't, by the host that found out last.
+pub fn inspect(node: &Rc<Node>, server: &Name) {
+    let asks = {
+        let mut state = node.state.borrow_mut();
+        state.health.ask_slowdown(server, clock::now())
+    };
+    if asks {
+        tokio::task::spawn_local(look_after(node.clone(), server.clone()));
+    }
+}
+
+async fn look_after(node: Rc<Node>, server: Name) {
+    while let Some(slowdown) = ask(&node, &server).await {
+        if !slowdown::is_slow(slowdown) {
+            return;
+        }
+        node.note_slow(&server, slowdown);
+        tokio::time::sleep(ASK_AGAIN).await;
+        if !node.state.borrow().health.looks_after(&server) {
+            return;
+        }
+    }
+}
+
+/// Gives how many times the stated times an engine takes, as it reports it; `None` where it is gone, doesn't answer
+/// or doesn't say.
+async fn ask(node: &Rc<Node>, server: &Name) -> Option<f64> {
+    let address = node.server(server)?.address;
+    let report = order::call(&node.client, address, node.translator.report()).await;
+    match report {
+        Ok(answer) => node.translator.slowdown(answer.body()),
+        Err(error) => {
+            log::debug!("no report of {server}: {error}");
+            None
+        }
+    }
+}
+
+impl Node {
+    /// Notes that a server says that it is slow, and has peers told.
+    fn note_slow(&self, server: &Name, slowdown: f64) {
+        let mut state = self.state.borrow_mut();
+        state.health.note_passed_over(server, clock::now());
+        drop(state);
+        self.book_changed.notify_one();
+        event::write(&Record::ServerSlow { server, slowdown });
+    }
+}
--- a/crates/alderglade-serve/src/ticket.rs
+++ b/crates/alderglade-serve/src/ticket.rs
@@ -3,22 +3,19 @@
 //! All shares are taken or none. They are renewed while the prompt is served and given back on every
 //! path; after a kill of this process they lapse by themselves, because each is held only briefly.
 
-use crate::client::Client;
 use crate::event::{self, Record};
 use crate::node::Node;
-use crate::translate::Order;
+use crate::order;
 use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::placement::Share;
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use bytes::Bytes;
+use http::{Response, StatusCode};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{AbortHandle, JoinHandle};
 
-/// How long an order to an engine may take. Engines answer at once; the rest is the way.
-const ORDER: Duration = Duration::from_millis(800);
 /// What is taken off the time that memory may stay unused, so that it lapses before.
 const LAPSE_MARGIN: Duration = Duration::from_millis(600);
 /// How often memory is renewed within the time that it is held for.
@@ -43,7 +40,7 @@
 /// What an engine said to the order to set a share aside.
 struct Reply {
     taken: Taken,
-    result: Result<StatusCode, String>,
+    result: Result<Response<Bytes>, order::Error>,
 }
 
 /// All shares of one prompt; dropped, they are given back.
@@ -70,7 +67,7 @@
             let order = node.translator.reserve(&taken.name, share, hold);
             let client = node.client.clone();
             orders.push(tokio::task::spawn_local(async move {
-                let result = call(&client, taken.address, order).await;
+                let result = order::call(&client, taken.address, order).await;
                 Reply { taken, result }
             }));
         }
@@ -109,7 +106,7 @@
                 tokio::time::sleep(hold / RENEWALS).await;
                 for one in &taken {
                     let order = node.translator.reserve(&one.name, &one.share, hold);
-                    if let Err(problem) = call(&node.client, one.address, order).await {
+                    if let Err(problem) = order::call(&node.client, one.address, order).await {
                         log::debug!("memory at {} not renewed: {problem}", one.server);
                     }
                 }
@@ -151,9 +148,9 @@
 fn granted(request: &str, reply: Reply) -> bool {
     let Reply { taken, result } = reply;
     let problem = match result {
-        Ok(StatusCode::OK) => return true,
-        Ok(status) => status.to_string(),
-        Err(problem) => problem,
+        Ok(answer) if answer.status() == StatusCode::OK => return true,
+        Ok(answer) => answer.status().to_string(),
+        Err(error) => error.to_string(),
     };
     event::write(&Record::MemoryRefused {
         id: request,
@@ -167,9 +164,9 @@
     let mut problem = String::new();
     for _ in 0..RELEASE_TRIES {
         let order = node.translator.release(&taken.name);
-        match call(&node.client, taken.address, order).await {
+        match order::call(&node.client, taken.address, order).await {
             Ok(_) => return,
-            Err(seen) => problem = seen,
+            Err(error) => problem = error.to_string(),
         }
         tokio::time::sleep(RELEASE_PAUSE).await;
     }
@@ -178,35 +175,3 @@
         problem: &problem,
     });
 }
-
-async fn call(
-    client: &Rc<Client>,
-    address: SocketAddr,
-    order: Order,
-) -> Result<StatusCode, String> {
-    let mut request = Request::new(Full::new(order.body));
-    *request.method_mut() = order.method;
-    *request.uri_mut() = order
-        .path
-        .parse()
-        .map_err(|error| format!("path of the order: {error}"))?;
-    let headers = request.headers_mut();
-    headers.insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static(order.content_type),
-    );
-    let host = http::HeaderValue::from_str(&address.to_string());
-    headers.insert(
-        http::header::HOST,
-        host.map_err(|error| format!("host of the order: {error}"))?,
-    );
-    let exchange = async {
-        let exchange = client.send(address, request, false).await?;
-        exchange.collect().await
-    };
-    match tokio::time::timeout(ORDER, exchange).await {
-        Err(_) => Err("no answer in time".to_string()),
-        Ok(Err(error)) => Err(error.to_string()),
-        Ok(Ok(response)) => Ok(response.status()),
-    }
-}
--- a/crates/alderglade-serve/src/translate.rs
+++ b/crates/alderglade-serve/src/translate.rs
@@ -81,7 +81,7 @@
     pub genuine: bool,
 }
 
-/// A call that changes memory at an engine.
+/// A call to an engine beside the requests that it serves.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Order {
     /// The method.
@@ -118,4 +118,10 @@
 
     /// Gives the order that gives memory back.
     fn release(&self, ticket: &str) -> Order;
+
+    /// Gives the call that asks an engine for a report on itself.
+    fn report(&self) -> Order;
+
+    /// Reads in such a report how many times the stated times the engine takes, if it says so.
+    fn slowdown(&self, report: &[u8]) -> Option<f64>;
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -134,7 +134,7 @@
             giants: 0,
             word: Word::default(),
             leaving: Vec::new(),
-            refusing: Vec::new(),
+            passed_over: Vec::new(),
             holdings: if whole {
                 self.book.whole(Time(0))
             } else {
