Give up silent servers before the callers of short streams leave

Cause: a stream was taken to another server after 1.9 to 2.4 seconds of silence, whatever its caller's patience; callers of short replies leave after two.

Tests: `fleet::caller`; the bound on silence itself was not run red, since it was a constant above the callers' patience.

--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod book;
 pub mod budget;
+pub mod caller;
 pub mod config;
 pub mod directory;
 pub mod freshness;
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -38,6 +38,8 @@
     pub memory: u64,
     /// The time from its arrival to the first event that earns its full worth.
     pub aim: Duration,
+    /// The time from its arrival to the first event after which its caller leaves.
+    pub patience: Duration,
     /// How long it has waited.
     pub waited: Duration,
     /// How long its caller still waits.
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -83,12 +83,8 @@
 pub(super) fn first_event_left(work: &Work) -> f64 {
     /// What an answer takes after its first event, at most, in milliseconds.
     const WRITING: f64 = 2_000.0;
-    /// Callers leave when they have waited this many times the aim. From the users' pages.
-    const AIMS: f64 = 4.0;
-    /// They wait at least this long, in milliseconds.
-    const LEAST: f64 = 2_000.0;
     /// What is kept for estimates that are too low, in milliseconds.
     const MARGIN: f64 = 300.0;
-    let caller = (AIMS * millis(work.aim)).max(LEAST) - millis(work.waited);
+    let caller = millis(work.patience) - millis(work.waited);
     caller.min(millis(work.left) - WRITING) - MARGIN
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod book;
 mod budget;
+mod caller;
 mod config;
 mod directory;
 mod freshness;
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -33,6 +33,7 @@
         prompt: 5_000,
         memory: 6_400,
         aim: Duration::from_millis(300),
+        patience: Duration::from_millis(2_000),
         waited: Duration::ZERO,
         left: Duration::from_secs(10),
         came_back: false,
@@ -46,6 +47,7 @@
         prompt,
         memory: prompt + 800,
         aim: Duration::from_millis(2_500),
+        patience: Duration::from_millis(10_000),
         left: Duration::from_secs(15),
         worth: worth(prompt),
         ..short()
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::translate::{Ask, Dispatch, Helper, Prompt, Reply};
 use alderglade_core::Name;
 use alderglade_core::fleet::book::PauseClass;
+use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::{Kind, Route};
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
@@ -62,6 +63,15 @@
         clock::now().since(self.arrived)
     }
 
+    /// Gives how long its caller waits for the first or the next event.
+    pub fn patience(&self) -> Duration {
+        let longest_pause = match self.route.kind {
+            Kind::Stream { longest_pause, .. } => longest_pause,
+            Kind::Idempotent | Kind::NonIdempotent => Duration::ZERO,
+        };
+        caller::patience(self.route.aim, longest_pause)
+    }
+
     /// Says whether its caller has probably asked before: it waits for less time than the route allows.
     pub fn came_back(&self) -> bool {
         /// Callers whose time is as long as their route's say so to the millisecond.
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -14,6 +14,7 @@
 use crate::translate::Helper;
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
+use alderglade_core::fleet::caller;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::life::{Life, Sent, Waiting};
@@ -106,7 +107,8 @@
         tries.all += 1;
         tell_placed(job, &plan, tries.all, node);
         let sent = life.send();
-        let silence = plan.first_event * LATE_FACTOR + LATE;
+        let patience = job.patience().saturating_sub(job.waited());
+        let silence = caller::silence(patience).min(plan.first_event * LATE_FACTOR + LATE);
         let last_event = last_event.clone();
         match send(node, job, tries, &server, helpers, last_event, silence).await {
             Ok(exchange) => {
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -122,6 +122,7 @@
         prompt: prompt.tokens,
         memory: prompt.tokens + out,
         aim: job.route.aim,
+        patience: job.patience(),
         waited: job.waited(),
         left: job.left(),
         came_back: job.came_back(),
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::generate::{self, Open, Tries};
 use crate::node::{InFlight, Node};
 use crate::slowdown;
+use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Kind;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
@@ -24,8 +25,8 @@
 
 /// Pieces that wait for a slow caller before the server is slowed down.
 const PIECES: usize = 8;
-/// How long a stream that runs may stay silent before it is taken elsewhere. Callers give a stream up
-/// after two seconds at least; a dead server's work stands still for one and a half.
+/// How long a stream that runs may stay silent before it is taken elsewhere, where its caller waits for much longer:
+/// a dead server's work stands still for one and a half seconds.
 const SILENCE: Duration = Duration::from_millis(1_900);
 
 /// How a server's part of a stream ended.
@@ -162,7 +163,7 @@
             }
             if !read {
                 read = true;
-                silence = SILENCE;
+                silence = SILENCE.min(caller::silence(self.job.patience()));
                 held.read();
             }
             if self.pieces.send(Ok(ready.into())).await.is_err() {
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -188,6 +188,7 @@
         prompt,
         memory: prompt + 1_000,
         aim: Duration::from_millis(2_500),
+        patience: Duration::from_millis(10_000),
         waited: Duration::ZERO,
         came_back: false,
         left: Duration::from_secs(15),
