Write long prompts' answers on engines that write already

Cause: the answer of a long prompt went to the emptiest of its engines, so that digests and reviews were spread over all engines that had none.

Change: the first of a prompt's engines is the one with most running answers among those where its part harms nobody, that have the memory, aren't crowded, and would read it about as soon. The others are chosen as before.

Tests: `a_long_prompt_is_answered_where_others_write_already` (red before), `a_long_prompt_is_answered_elsewhere_where_others_would_suffer`.

--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -18,6 +18,12 @@
     f64::from(engine.figures.slots) * PACKED
 }
 
+/// Gives the running answers at an engine from which on long prompts' answers go elsewhere: three quarters of the
+/// places, which leaves some for short prompts whose placements are still on their way.
+pub(super) fn crowded(engine: &Engine) -> i64 {
+    i64::from(engine.figures.slots) * 3 / 4
+}
+
 /// Gives the worth of short prompts that will come while `count` engines are taken up for the time of a
 /// part, and that the other engines can't take.
 pub(super) fn crowding(pool: &[&Engine], count: usize, part: f64) -> f64 {
--- a/crates/alderglade-core/src/fleet/placement/parts.rs
+++ b/crates/alderglade-core/src/fleet/placement/parts.rs
@@ -42,7 +42,10 @@
 ) -> Option<Costed> {
     let ranked = rank(pool, part);
     let chosen = &ranked[..count];
-    let (first, shares) = place_memory(work, &ranked, chosen)?;
+    let (first, shares) = match beside_others(work, pool, chosen, part) {
+        Some(engine) => (engine, Vec::new()),
+        None => place_memory(work, &ranked, chosen)?,
+    };
     let first_event = first_event(chosen, part, pressure);
     let harmed: f64 = chosen.iter().map(|engine| cost::harm(engine, part)).sum();
     let plan = Plan {
@@ -73,6 +76,35 @@
     ranked.into_iter().map(|(_, engine)| engine).collect()
 }
 
+/// Finds the engine that answers where most others write already and none of them suffers from the part.
+///
+/// An answer holds up prompts that take long to read for as long as it is written. Kept to engines that write
+/// anyway, answers leave others free for such prompts.
+fn beside_others<'a>(
+    work: &Work,
+    pool: &[&'a Engine],
+    chosen: &[&Engine],
+    part: f64,
+) -> Option<&'a Engine> {
+    /// Worth of running answers that may be lost, where an ordinary short reply is worth about one.
+    const HARMLESS: f64 = 0.05;
+    /// How much later than at the chosen engines the part may be read, in milliseconds: about one pass.
+    const LATER: f64 = 60.0;
+    if chosen.len() < 2 {
+        return None;
+    }
+    let latest = slowest(chosen, part) + LATER;
+    let writing = pool.iter().copied().filter(|engine| {
+        let running = engine.load.running;
+        running > 0 && running < cost::crowded(engine)
+    });
+    writing
+        .filter(|engine| timing::free(engine) >= work.memory as i64)
+        .filter(|engine| cost::harm(engine, part) < HARMLESS)
+        .filter(|engine| timing::first_event(engine, part) < latest)
+        .max_by_key(|engine| engine.load.running)
+}
+
 /// Finds the engine that answers: the chosen one with most memory, else the best of all that has
 /// enough. Where none has, the memory is shared between the chosen ones.
 fn place_memory<'a>(
@@ -97,7 +129,11 @@
 /// Gives the time to the first event in milliseconds: that of the slowest engine.
 fn first_event(chosen: &[&Engine], part: f64, pressure: f64) -> f64 {
     // Parts of prompts that follow are read first, as much as there is to read.
-    let part = part * (1.0 + pressure);
+    slowest(chosen, part * (1.0 + pressure))
+}
+
+/// Gives the time to the first event at the engine where it is longest, in milliseconds.
+fn slowest(chosen: &[&Engine], part: f64) -> f64 {
     chosen
         .iter()
         .map(|engine| timing::first_event(engine, part))
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -115,6 +115,33 @@
     assert!(plan.first_event < Duration::from_millis(600));
 }
 
+/// Engines without answers are what prompts that take long to read need.
+#[test]
+fn a_long_prompt_is_answered_where_others_write_already() {
+    let mut engines = engines(18);
+    for engine in &mut engines[15..] {
+        engine.load.running = 3;
+        engine.load.at_risk[0] = 3 * 1_300;
+    }
+    let plan = plan(choose(&long(45_000), &engines, &CALM));
+    assert!(*plan.first >= *"e15", "{}", plan.first);
+    for helper in &plan.helpers {
+        assert!(**helper < *"e15", "{helper}");
+    }
+}
+
+#[test]
+fn a_long_prompt_is_answered_elsewhere_where_others_would_suffer() {
+    let mut engines = engines(18);
+    for engine in &mut engines[15..] {
+        engine.load.running = 3;
+        engine.load.at_risk[0] = 3 * 1_300;
+        engine.ahead.queued = 150.0;
+    }
+    let plan = plan(choose(&long(45_000), &engines, &CALM));
+    assert!(*plan.first < *"e15", "{}", plan.first);
+}
+
 #[test]
 fn a_prompt_bigger_than_one_memory_is_spread_over_several() {
     let plan = plan(choose(&long(500_000), &engines(18), &CALM));
