The fleet's new modules say each thing once, by its own name

The modules for heartbeats, reach, slow servers and held prompts came in one after the other. Read together, some logic stood twice and some names meant two things.

- Why a long prompt is held stands in `placement::wait`; the conditions in `placement::patience` are functions with names.
The cost that is borne for a prompt is no longer called patience, which is the caller's.
- Whether an engine has room for a prompt, and whether a server is passed over by a server's word, is said in one place each.
- The time between whole notices is a function beside the heartbeat's others.
- `Reach` names its last sign of the store, and notes isolation by itself.
- `Health::begin_question` says that it notes the question; its pause no longer has the name of the one in alderglade-serve, which is another figure.

Nothing behaves otherwise; no test is changed.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -107,7 +107,7 @@
         let Some(hold) = self.holds.get_mut(&id) else {
             return false;
         };
-        let was_giant = std::mem::replace(&mut hold.giant, false);
+        let was_giant = std::mem::take(&mut hold.giant);
         self.own_giants -= u32::from(was_giant);
         let server = hold.first.clone();
         let pace = self.pace(&server);
--- a/crates/alderglade-core/src/fleet/caller.rs
+++ b/crates/alderglade-core/src/fleet/caller.rs
@@ -1,8 +1,12 @@
 //! How long callers of streams wait before they leave, and how long their servers may therefore be silent.
+//!
+//! Who leaves gets nothing, however good the answer would have been: a silent server is given up while another one
+//! can still begin.
 
 use std::time::Duration;
 
-/// A caller waits at least this long for the next event. This and the two factors are from the users' pages.
+/// A caller waits at least this long for the first or the next event. This and the two factors are from the users'
+/// pages.
 const LEAST: Duration = Duration::from_millis(2_000);
 /// A caller waits for this many times the aim, if that is longer.
 const AIMS: u32 = 4;
--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -20,9 +20,9 @@
 /// How long a server is passed over that refuses work or is slow: most of those that refuse are leaving, which
 /// the store tells within this time unless it is away; slow ones are asked again before it is over.
 const PASSED_OVER: Duration = Duration::from_secs(3);
-/// The least time between two questions of this host to a server how slow it is: they are priced like health
-/// checks.
-const ASK_AGAIN: Duration = Duration::from_secs(3);
+/// The least time between two questions of this host to a server how slow it is, where it isn't known to be: they
+/// are priced like health checks.
+const QUESTIONS_APART: Duration = Duration::from_secs(3);
 /// The weight of the newest answer in the share of failures.
 const NEWEST: f64 = 0.15;
 /// A share of failures above which a server counts as failing.
@@ -50,12 +50,28 @@
     out_until: Time,
     /// Until when it is passed over by a server's word.
     passed_over_until: Time,
-    /// Whether this host was told so by a server itself.
+    /// Whether this host has that word from a server, not from a peer.
     first_hand: bool,
     /// When this host last asked it how slow it is.
     asked: Option<Time>,
 }
 
+impl Record {
+    /// Says whether the server is passed over now by a server's word.
+    fn is_passed_over(&self, now: Time) -> bool {
+        self.passed_over_until > now
+    }
+
+    /// Gives what this host tells its peers of the server.
+    fn told(&self, id: &Name, now: Time) -> PassedOver {
+        let left = self.passed_over_until.left(now).as_millis();
+        PassedOver {
+            server: id.clone(),
+            left_ms: u32::try_from(left).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 /// A server that refuses work or is slow, as hosts tell each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedOver {
@@ -92,19 +108,20 @@
         }
     }
 
-    /// Notes a server's word that one refuses work, or is slow.
+    /// Notes what a server has told this host: that another one refuses work, or that it is slow itself.
     pub fn note_passed_over(&mut self, id: &Name, now: Time) {
         let record = self.records.entry(id.clone()).or_default();
         record.passed_over_until = now + PASSED_OVER;
         record.first_hand = true;
     }
 
-    /// Says whether this host should ask a server now how slow it is, and notes that it does.
-    pub fn ask_slowdown(&mut self, id: &Name, now: Time) -> bool {
+    /// Says whether this host should ask a server now how slow it is, and if so, notes that it does.
+    pub fn begin_question(&mut self, id: &Name, now: Time) -> bool {
         let record = self.records.entry(id.clone()).or_default();
-        let lately = record.asked.is_some_and(|at| now.since(at) < ASK_AGAIN);
-        let known = record.passed_over_until > now;
-        if lately || known {
+        let lately = record
+            .asked
+            .is_some_and(|at| now.since(at) < QUESTIONS_APART);
+        if lately || record.is_passed_over(now) {
             return false;
         }
         record.asked = Some(now);
@@ -130,28 +147,21 @@
     /// Lists the servers that are passed over as this host was told by a server itself.
     pub fn told_passed_over(&self, now: Time) -> Vec<PassedOver> {
         let records = self.records.iter();
-        let own = records.filter(|(_, record)| record.first_hand && record.passed_over_until > now);
-        own.map(|(id, record)| PassedOver {
-            server: id.clone(),
-            left_ms: u32::try_from(record.passed_over_until.left(now).as_millis())
-                .unwrap_or(u32::MAX),
-        })
-        .collect()
+        let own = records.filter(|(_, record)| record.first_hand && record.is_passed_over(now));
+        own.map(|(id, record)| record.told(id, now)).collect()
     }
 
     /// Gives how many servers are passed over by any server's word.
     pub fn passed_over(&self, now: Time) -> usize {
         let records = self.records.values();
-        records
-            .filter(|record| record.passed_over_until > now)
-            .count()
+        records.filter(|record| record.is_passed_over(now)).count()
     }
 
     /// Says whether a server should be passed over now where others can serve.
     pub fn doubted(&self, id: &str, now: Time) -> bool {
         self.records
             .get(id)
-            .is_some_and(|record| record.out_until.max(record.passed_over_until) > now)
+            .is_some_and(|record| record.out_until > now || record.is_passed_over(now))
     }
 
     /// Gives the share of a server's recent calls that failed, from `0.0` to `1.0`.
--- a/crates/alderglade-core/src/fleet/heartbeat.rs
+++ b/crates/alderglade-core/src/fleet/heartbeat.rs
@@ -19,14 +19,15 @@
 /// The time without a notice after which a host no longer counts as heard, in intervals: two, and more than
 /// half of another for a notice on its way.
 const HEARD: f64 = 2.6;
-/// The shortest time from one notice of all that a host holds to the next.
-const WHOLE_EVERY: Duration = Duration::from_millis(1_000);
-/// That time in intervals, where these are long.
+/// The least time from one whole notice, of all that a host holds, to the next.
+const LEAST_WHOLE: Duration = Duration::from_millis(1_000);
+/// The least time from one whole notice to the next in intervals, which is longer where these are.
 const WHOLE_INTERVALS: f64 = 2.5;
-/// How long a host tells in such notices what it has placed: two of them, where the interval is longest.
+/// How long a host tells in whole notices what it has placed: in two of them, where the interval is longest.
 pub const TOLD_FOR: Duration = Duration::from_millis(5_000);
 
-/// Gives the interval of a host that knows of `hosts`, itself among them.
+/// Gives the interval of a host that knows of so many `hosts`, itself among them; `watches` says whether it watches
+/// the store.
 pub fn interval(hosts: usize, watches: bool) -> Duration {
     if watches {
         return SHORTEST;
@@ -35,7 +36,7 @@
     PER_HOST.saturating_mul(hosts).clamp(SHORTEST, LONGEST)
 }
 
-/// Gives the time without a notice after which a host with this interval holds nothing any more.
+/// Gives the time without a notice after which a host with this interval counts as dead, and holds nothing any more.
 pub fn lapse(interval: Duration) -> Duration {
     interval.max(SHORTEST) * LAPSE
 }
@@ -45,6 +46,11 @@
     interval.max(SHORTEST).mul_f64(HEARD)
 }
 
+/// Gives the time from one whole notice to the next of a host with this interval.
+fn whole(interval: Duration) -> Duration {
+    LEAST_WHOLE.max(interval.mul_f64(WHOLE_INTERVALS))
+}
+
 /// What a host should tell its peers now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Due {
@@ -67,10 +73,7 @@
     /// Says what is due, where heartbeats come at `interval`.
     pub fn due(&self, interval: Duration, now: Time) -> Option<Due> {
         let over = |last: Option<Time>, span| last.is_none_or(|at| now.since(at) >= span);
-        if over(
-            self.whole,
-            WHOLE_EVERY.max(interval.mul_f64(WHOLE_INTERVALS)),
-        ) {
+        if over(self.whole, whole(interval)) {
             return Some(Due::Whole);
         }
         over(self.told, interval).then_some(Due::Changes)
--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -18,7 +18,7 @@
     f64::from(engine.figures.slots) * PACKED
 }
 
-/// Gives the running answers at an engine from which on long prompts' answers go elsewhere: three quarters of the
+/// Gives the running answers at an engine from which on long prompts are answered elsewhere: three quarters of the
 /// places, which leaves some for short prompts whose placements are still on their way.
 pub(super) fn crowded(engine: &Engine) -> i64 {
     i64::from(engine.figures.slots) * 3 / 4
--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -12,9 +12,9 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// Engine counts that are tried for a prompt read in parts.
 const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, MOST_PARTS];
-/// When a caller should come back whose prompt is given up early; callers come back after a third of their
-/// time at most, and the longer they stay away, the more has changed.
-const LATER: Duration = Duration::from_millis(4_000);
+/// When a caller should come back whose prompt is given up after it was held; callers come back after a third of
+/// their time at most, and the longer they stay away, the more has changed.
+const GIVEN_UP: Duration = Duration::from_millis(4_000);
 /// When a caller should come back whose prompt can't be read in its time.
 const TOO_LATE: Duration = Duration::from_millis(2_000);
 
@@ -36,7 +36,7 @@
 /// Holds a prompt back, or gives it up where it has been held for long enough.
 fn hold(work: &Work, reason: Reason) -> Decision {
     if patience::is_spent(work) {
-        return Decision::Refuse(LATER);
+        return Decision::Refuse(GIVEN_UP);
     }
     Decision::Wait(Wait {
         look_again: LOOK_AGAIN,
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -7,7 +7,8 @@
 //! time runs out. Some engines are left to short prompts.
 //!
 //! `short` and `long` choose for the two kinds of prompts, `parts` lays a long prompt out over
-//! engines, `patience` says when it should wait; they all weigh by `cost` and `timing`.
+//! engines, `patience` says whether it should wait, and `wait` tells callers why; they all weigh by `cost` and
+//! `timing`.
 
 mod cost;
 mod long;
@@ -15,6 +16,9 @@
 mod patience;
 mod short;
 mod timing;
+mod wait;
+
+pub use wait::{Reason, Wait};
 
 use super::book::Load;
 use super::pass::Figures;
@@ -106,40 +110,6 @@
     Refuse(Duration),
 }
 
-/// A prompt is held back for now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Wait {
-    /// When to look again.
-    pub look_again: Duration,
-    /// Why it is held.
-    pub reason: Reason,
-}
-
-/// Why a prompt is held back.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// No engines together have the memory free.
-    Memory,
-    /// As many prompts as may take up many engines at once are being read.
-    Giants,
-    /// It would be late now, and may be in time when the engines have read what they have.
-    Busy,
-    /// Others would lose more by it than it gains.
-    Harm,
-}
-
-impl Reason {
-    /// Gives the name of the reason in logs.
-    pub fn label(self) -> &'static str {
-        match self {
-            Reason::Memory => "memory",
-            Reason::Giants => "giants",
-            Reason::Busy => "busy",
-            Reason::Harm => "harm",
-        }
-    }
-}
-
 /// What concerns all engines of a service together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shared {
--- a/crates/alderglade-core/src/fleet/placement/parts.rs
+++ b/crates/alderglade-core/src/fleet/placement/parts.rs
@@ -76,7 +76,8 @@
     ranked.into_iter().map(|(_, engine)| engine).collect()
 }
 
-/// Finds the engine that answers where most others write already and none of them suffers from the part.
+/// Finds the engine that answers a prompt read by several: of those that write other answers, and can take this one
+/// without making them late, the one that writes most.
 ///
 /// An answer holds up prompts that take long to read for as long as it is written. Kept to engines that write
 /// anyway, answers leave others free for such prompts.
@@ -88,7 +89,7 @@
 ) -> Option<&'a Engine> {
     /// Worth of running answers that may be lost, where an ordinary short reply is worth about one.
     const HARMLESS: f64 = 0.05;
-    /// How much later than at the chosen engines the part may be read, in milliseconds: about one pass.
+    /// How much later than at the slowest chosen engine the part may be read, in milliseconds: about one pass.
     const LATER: f64 = 60.0;
     if chosen.len() < 2 {
         return None;
@@ -99,7 +100,7 @@
         running > 0 && running < cost::crowded(engine)
     });
     writing
-        .filter(|engine| timing::free(engine) >= work.memory as i64)
+        .filter(|engine| has_room(engine, work))
         .filter(|engine| cost::harm(engine, part) < HARMLESS)
         .filter(|engine| timing::first_event(engine, part) < latest)
         .max_by_key(|engine| engine.load.running)
@@ -112,21 +113,25 @@
     ranked: &[&'a Engine],
     chosen: &[&'a Engine],
 ) -> Option<(&'a Engine, Vec<Share>)> {
-    let has_room = |engine: &Engine| timing::free(engine) >= work.memory as i64;
     let roomiest = chosen
         .iter()
         .max_by_key(|engine| timing::free(engine))
         .copied()?;
-    if has_room(roomiest) {
+    if has_room(roomiest, work) {
         return Some((roomiest, Vec::new()));
     }
-    match ranked.iter().find(|engine| has_room(engine)) {
+    match ranked.iter().find(|engine| has_room(engine, work)) {
         Some(engine) => Some((engine, Vec::new())),
         None => Some((roomiest, shares(work, chosen)?)),
     }
 }
 
-/// Gives the time to the first event in milliseconds: that of the slowest engine.
+/// Says whether an engine has the memory free for the whole prompt and its answer.
+fn has_room(engine: &Engine, work: &Work) -> bool {
+    timing::free(engine) >= work.memory as i64
+}
+
+/// Gives the time to the first event in milliseconds, which the slowest of the chosen engines sets.
 fn first_event(chosen: &[&Engine], part: f64, pressure: f64) -> f64 {
     // Parts of prompts that follow are read first, as much as there is to read.
     slowest(chosen, part * (1.0 + pressure))
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -1,4 +1,7 @@
-//! How long a long prompt is held back for better conditions.
+//! Whether a long prompt is held back for better conditions, and for how long.
+//!
+//! A prompt bears little harm to others while it has time, and more and more as it runs out. One that is still held
+//! after a part of its time is given up, so that its caller learns of it while it can still come back.
 
 use super::cost::{LATE_WORTH, lateness};
 use super::parts::Costed;
@@ -12,6 +15,9 @@
 const ENGINE_SECOND: f64 = 2.0;
 
 /// Says why a prompt should wait for better conditions than those of its best plan, if it should.
+///
+/// `whole` is the time that reading all of it takes on one engine, `quickest` the time to its first event where
+/// the engines have nothing else to read; both are in milliseconds.
 pub(super) fn reason_to_wait(
     work: &Work,
     costed: &Costed,
@@ -19,28 +25,32 @@
     whole: f64,
     state: &Shared,
 ) -> Option<Reason> {
-    /// A chance of being late above which a plan counts as late.
-    const LATE: f64 = 0.5;
-    let patience = patience(work, &costed.plan);
-    let Shared {
-        giants,
-        pressure,
-        engines,
-    } = *state;
-    let most_giants = (engines / ENGINES_A_GIANT).max(1);
-    if costed.plan.giant && giants as usize >= most_giants && patience < 1.0 {
+    let borne = borne(work, &costed.plan);
+    if costed.plan.giant && giants_are_full(state) && borne < 1.0 {
         return Some(Reason::Giants);
     }
-    let late = lateness(work, millis(costed.plan.first_event)) > LATE;
-    let may_be_in_time = lateness(work, quickest) < LATE;
-    if late && may_be_in_time {
+    if may_be_in_time_later(work, &costed.plan, quickest) {
         return Some(Reason::Busy);
     }
-    let price = ENGINE_SECOND * pressure * whole / 1_000.0;
-    let too_dear = costed.harm + price > patience * work.worth;
+    let price = ENGINE_SECOND * state.pressure * whole / 1_000.0;
+    let too_dear = costed.harm + price > borne * work.worth;
     too_dear.then_some(Reason::Harm)
 }
 
+/// Says whether as many prompts as may take up many engines at once are being read.
+fn giants_are_full(state: &Shared) -> bool {
+    let most = (state.engines / ENGINES_A_GIANT).max(1);
+    state.giants as usize >= most
+}
+
+/// Says whether a prompt would be late by its best plan, and in time where the engines had nothing else to read.
+fn may_be_in_time_later(work: &Work, plan: &Plan, quickest: f64) -> bool {
+    /// A chance of being late above which a plan counts as late.
+    const LATE: f64 = 0.5;
+    let late = lateness(work, millis(plan.first_event)) > LATE;
+    late && lateness(work, quickest) < LATE
+}
+
 /// Says whether a prompt that is still held should be given up: its caller is told to come back, at once
 /// where it has not been told so before.
 pub(super) fn is_spent(work: &Work) -> bool {
@@ -57,9 +67,9 @@
     waited > FIRST * millis(work.aim)
 }
 
-/// Gives the cost, as a part of the prompt's own worth, at which it is sent: little while it can
-/// wait, much when its time runs out.
-fn patience(work: &Work, plan: &Plan) -> f64 {
+/// Gives the cost that is borne for a prompt, as a part of its own worth: little while it can wait, much when
+/// its time runs out.
+fn borne(work: &Work, plan: &Plan) -> f64 {
     /// The cost that is always borne.
     const AT_FIRST: f64 = 0.3;
     /// The cost that is borne at the end.
--- a/crates/alderglade-core/src/fleet/reach.rs
+++ b/crates/alderglade-core/src/fleet/reach.rs
@@ -28,8 +28,8 @@
 /// A host's way to the store.
 #[derive(Debug, Default)]
 pub struct Reach {
-    /// When it was last in reach.
-    touched: Time,
+    /// When there was last a sign of the store.
+    last_sign: Time,
     /// Since when it has heard nobody of any other failure domain.
     isolated_since: Option<Time>,
     /// Whether nothing has shown yet that the store is in reach although the host is isolated.
@@ -40,18 +40,24 @@
     /// Takes what the host sees now. Returns whether the host has just become isolated, so that the store
     /// should be asked at once.
     pub fn look(&mut self, sight: &Sight, now: Time) -> bool {
-        let before = self.isolated_since;
-        self.isolated_since = sight.isolated.then_some(before.unwrap_or(now));
-        let confirmed = |since: Time| sight.confirmed.is_some_and(|at| at >= since);
-        self.suspected = self.isolated_since.is_some_and(|since| !confirmed(since));
+        let was_isolated = self.isolated_since.is_some();
+        self.note_isolation(sight, now);
         if sight.informed && !sight.refused {
-            self.touched = now;
+            self.last_sign = now;
         }
-        before.is_none() && sight.isolated
+        sight.isolated && !was_isolated
     }
 
-    /// Says whether the host should get no new connections.
+    /// Suspects the store of being out of reach while the host is isolated, until it has confirmed something since.
+    fn note_isolation(&mut self, sight: &Sight, now: Time) {
+        let since = self.isolated_since.unwrap_or(now);
+        self.isolated_since = sight.isolated.then_some(since);
+        let confirmed = sight.confirmed.is_some_and(|at| at >= since);
+        self.suspected = sight.isolated && !confirmed;
+    }
+
+    /// Says whether the host counts as cut off from the store, and so should get no new connections.
     pub fn is_cut_off(&self, now: Time) -> bool {
-        self.suspected || now.since(self.touched) > PATIENCE
+        self.suspected || now.since(self.last_sign) > PATIENCE
     }
 }
--- a/crates/alderglade-core/src/fleet/slowdown.rs
+++ b/crates/alderglade-core/src/fleet/slowdown.rs
@@ -12,7 +12,7 @@
 /// within what the engines of one service differ by.
 const SLOW: f64 = 1.5;
 
-/// Says whether an engine that takes this many times the stated times is slow.
+/// Says whether an engine is slow that takes this many times the stated times.
 pub fn is_slow(slowdown: f64) -> bool {
     slowdown >= SLOW
 }
--- a/crates/alderglade-serve/src/slowdown.rs
+++ b/crates/alderglade-serve/src/slowdown.rs
@@ -17,7 +17,7 @@
 pub fn inspect(node: &Rc<Node>, server: &Name) {
     let asks = {
         let mut state = node.state.borrow_mut();
-        state.health.ask_slowdown(server, clock::now())
+        state.health.begin_question(server, clock::now())
     };
     if asks {
         tokio::task::spawn_local(look_after(node.clone(), server.clone()));
