A request that was let in has a module of its own; streams are passed on step by step

`attempt` held both the request and one send of it, and what a caller bears was read out of the route's kind in three places.

- `job` says what a request's caller wants and how long it waits; `attempt` is left with the send.
- `Kind::longest_pause` and `Prompt::likely_out` stand for what was written out at each use.
- `Relay::pass_on` was one long loop over six loose variables: what one server sends is now a `Part`, and waiting, noting and handing on are steps.
- How long a server may stay silent before its first event is a function.
- The gauge of servers passed over, and the module that asks slow engines, say what they are for.

Nothing behaves otherwise; no test is changed.

--- a/crates/alderglade-core/src/fleet/config.rs
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -35,6 +35,14 @@
             Kind::Stream { resumable, .. } => resumable,
         }
     }
+
+    /// Gives the longest pause between events for which an answer is still in time, where there are events.
+    pub fn longest_pause(self) -> Option<Duration> {
+        match self {
+            Kind::Stream { longest_pause, .. } => Some(longest_pause),
+            Kind::Idempotent | Kind::NonIdempotent => None,
+        }
+    }
 }
 
 /// A service that a route leads to, with its share of the requests.
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -1,98 +1,17 @@
-//! One request that was let in, and one send of it to a backend server.
+//! One send of a request to a backend server, and what became of it.
 
 use crate::client::{Error, Exchange};
-use crate::clock;
 use crate::event::{self, Record};
+use crate::job::Job;
 use crate::node::Node;
-use crate::translate::{Ask, Dispatch, Helper, Prompt, Reply};
-use alderglade_core::Name;
-use alderglade_core::fleet::book::PauseClass;
-use alderglade_core::fleet::caller;
-use alderglade_core::fleet::config::{Kind, Route};
+use crate::translate::{Dispatch, Helper, Reply};
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
-use alderglade_core::time::Time;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// What a prompt counts as whose caller says nothing of it: an ordinary short one.
-const ORDINARY: Prompt = Prompt {
-    tokens: 5_000,
-    most_out: 1_000,
-    expected_out: None,
-};
-
-/// A request that was read whole and let in.
-pub struct Job {
-    /// What its caller says.
-    pub ask: Ask,
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// The headers as they came.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-    /// Its route.
-    pub route: Route,
-    /// The service that it goes to.
-    pub service: Name,
-    /// The workspace that it is served for.
-    pub workspace: Option<Name>,
-    /// The version of the configuration that let it in.
-    pub config: u64,
-    /// When its head came.
-    pub arrived: Time,
-    /// When it must be over.
-    pub ends: Time,
-}
-
-impl Job {
-    /// Gives the time that is left.
-    pub fn left(&self) -> Duration {
-        self.ends.left(clock::now())
-    }
-
-    /// Gives the time since it came.
-    pub fn waited(&self) -> Duration {
-        clock::now().since(self.arrived)
-    }
-
-    /// Gives how long its caller waits for the first or the next event.
-    pub fn patience(&self) -> Duration {
-        let longest_pause = match self.route.kind {
-            Kind::Stream { longest_pause, .. } => longest_pause,
-            Kind::Idempotent | Kind::NonIdempotent => Duration::ZERO,
-        };
-        caller::patience(self.route.aim, longest_pause)
-    }
-
-    /// Says whether its caller has probably asked before: it waits for less time than the route allows.
-    pub fn came_back(&self) -> bool {
-        /// Callers whose time is as long as their route's say so to the millisecond.
-        const SURE: Duration = Duration::from_millis(100);
-        let limit = self.ask.time_limit;
-        limit.is_some_and(|limit| limit + SURE < self.route.time_limit)
-    }
-
-    /// Gives what the caller says of the prompt; one that says nothing counts as an ordinary short one.
-    pub fn prompt(&self) -> Prompt {
-        self.ask.prompt.unwrap_or(ORDINARY)
-    }
-
-    /// Gives the pauses that its answer bears.
-    pub fn pauses(&self) -> PauseClass {
-        match self.route.kind {
-            Kind::Stream { longest_pause, .. } => PauseClass::of(longest_pause),
-            Kind::Idempotent | Kind::NonIdempotent => PauseClass::Long,
-        }
-    }
-}
 
 /// What became of a send whose answer doesn't count.
 #[derive(Debug)]
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -1,9 +1,9 @@
 //! Takes one request from a caller's connection: who it is for, what it may do, who serves it.
 
 use crate::answer::{self, Content};
-use crate::attempt::Job;
 use crate::clock;
 use crate::event::{self, Record};
+use crate::job::Job;
 use crate::node::Node;
 use crate::translate::Ask;
 use crate::{generate, unary};
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -4,10 +4,11 @@
 mod take;
 
 use crate::answer::Content;
-use crate::attempt::{self, Job, Miss};
+use crate::attempt::{self, Miss};
 use crate::client::Exchange;
 use crate::event::{self, Record};
 use crate::forward;
+use crate::job::Job;
 use crate::node::{Held, InFlight, Node};
 use crate::relay;
 use crate::ticket::Tickets;
@@ -61,7 +62,7 @@
     pub reserves: u32,
     /// Servers that have failed the request.
     pub avoid: Vec<Name>,
-    /// Why it was held back so far.
+    /// Why it has been held back so far, which is written once for each reason.
     pub held_for: Vec<Reason>,
 }
 
@@ -107,8 +108,7 @@
         tries.all += 1;
         tell_placed(job, &plan, tries.all, node);
         let sent = life.send();
-        let patience = job.patience().saturating_sub(job.waited());
-        let silence = caller::silence(patience).min(plan.first_event * LATE_FACTOR + LATE);
+        let silence = silence(job, &plan);
         let last_event = last_event.clone();
         match send(node, job, tries, &server, helpers, last_event, silence).await {
             Ok(exchange) => {
@@ -128,6 +128,14 @@
     }
 }
 
+/// Gives how long a server may stay silent before its first event: until that is too late, or its caller might leave
+/// before another server begins.
+fn silence(job: &Job, plan: &Plan) -> Duration {
+    let late = plan.first_event * LATE_FACTOR + LATE;
+    let patience = job.patience().saturating_sub(job.waited());
+    caller::silence(patience).min(late)
+}
+
 /// Sends a generation to one server and waits for the head of an answer that counts: for `silence` where
 /// it may be sent elsewhere, else as long as its caller waits.
 async fn send(
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -1,8 +1,8 @@
 //! Waits until a prompt should be sent, and says to which engines.
 
 use super::{COME_BACK, Tries};
-use crate::attempt::Job;
 use crate::event::{self, Record};
+use crate::job::Job;
 use crate::node::Node;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::life::{Life, Waiting};
@@ -116,8 +116,8 @@
 /// Gives what placement must know of a prompt.
 fn work(job: &Job, tries: &Tries, stride: u32) -> Work {
     let prompt = job.prompt();
-    let expected = prompt.expected_out.unwrap_or(prompt.most_out);
-    let out = expected.max(u64::from(stride)).min(prompt.most_out.max(1));
+    let likely = prompt.likely_out();
+    let out = likely.max(u64::from(stride)).min(prompt.most_out.max(1));
     Work {
         prompt: prompt.tokens,
         memory: prompt.tokens + out,
--- a/crates/alderglade-serve/src/generate/take.rs
+++ b/crates/alderglade-serve/src/generate/take.rs
@@ -1,6 +1,6 @@
 //! What a plan takes at each engine: as the book notes it, and as the answering server is told.
 
-use crate::attempt::Job;
+use crate::job::Job;
 use crate::node::Node;
 use crate::ticket::Tickets;
 use crate::translate::Helper;
@@ -12,9 +12,8 @@
 pub(super) fn hold(job: &Job, plan: &Plan) -> Hold {
     let prompt = job.prompt();
     let reading = (plan.part * 1_000.0) as u64;
-    let expected = prompt.expected_out.unwrap_or(prompt.most_out);
     let shared: u64 = plan.shares.iter().map(|share| share.tokens).sum();
-    let memory = (prompt.tokens + expected).saturating_sub(shared);
+    let memory = (prompt.tokens + prompt.likely_out()).saturating_sub(shared);
     let mut at_risk = [0; PAUSE_CLASSES];
     at_risk[job.pauses() as usize] = (placement::worth(prompt.tokens) * 1_000.0) as i64;
     let own_share = share_at(plan, &plan.first);
--- /dev/null
+++ b/crates/alderglade-serve/src/job.rs
@@ -0,0 +1,82 @@
+//! A request that was let in: what its caller wants, and how long it waits.
+
+use crate::clock;
+use crate::translate::{Ask, Prompt};
+use alderglade_core::Name;
+use alderglade_core::fleet::book::PauseClass;
+use alderglade_core::fleet::caller;
+use alderglade_core::fleet::config::Route;
+use alderglade_core::time::Time;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use std::time::Duration;
+
+/// What a prompt counts as whose caller says nothing of it: an ordinary short one.
+const ORDINARY: Prompt = Prompt {
+    tokens: 5_000,
+    most_out: 1_000,
+    expected_out: None,
+};
+
+/// A request that was read whole and let in.
+pub struct Job {
+    /// What its caller says.
+    pub ask: Ask,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// The headers as they came.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: Name,
+    /// The workspace that it is served for.
+    pub workspace: Option<Name>,
+    /// The version of the configuration that let it in.
+    pub config: u64,
+    /// When its head came.
+    pub arrived: Time,
+    /// When it must be over.
+    pub ends: Time,
+}
+
+impl Job {
+    /// Gives the time that is left.
+    pub fn left(&self) -> Duration {
+        self.ends.left(clock::now())
+    }
+
+    /// Gives the time since it came.
+    pub fn waited(&self) -> Duration {
+        clock::now().since(self.arrived)
+    }
+
+    /// Gives how long its caller waits for the first or the next event.
+    pub fn patience(&self) -> Duration {
+        let longest_pause = self.route.kind.longest_pause();
+        caller::patience(self.route.aim, longest_pause.unwrap_or(Duration::ZERO))
+    }
+
+    /// Says whether its caller has probably asked before: it waits for less time than the route allows.
+    pub fn came_back(&self) -> bool {
+        /// How much less counts. Callers whose time is as long as their route's say so to the millisecond.
+        const SURE: Duration = Duration::from_millis(100);
+        let limit = self.ask.time_limit;
+        limit.is_some_and(|limit| limit + SURE < self.route.time_limit)
+    }
+
+    /// Gives what the caller says of the prompt; one that says nothing counts as an ordinary short one.
+    pub fn prompt(&self) -> Prompt {
+        self.ask.prompt.unwrap_or(ORDINARY)
+    }
+
+    /// Gives the pauses that its answer bears.
+    pub fn pauses(&self) -> PauseClass {
+        let longest_pause = self.route.kind.longest_pause();
+        longest_pause.map_or(PauseClass::Long, PauseClass::of)
+    }
+}
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod forward;
 pub mod generate;
+pub mod job;
 pub mod listen;
 pub mod metrics;
 pub mod node;
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -31,7 +31,7 @@
     pub config: IntGauge,
     /// Backend servers known.
     pub servers: IntGauge,
-    /// Backend servers that refuse work, by any server's word.
+    /// Backend servers that are passed over by any server's word.
     pub passed_over: IntGauge,
     /// Entry hosts heard of, with this one.
     pub hosts: IntGauge,
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -1,11 +1,12 @@
 //! Passes a stream on, event by event, and takes it up elsewhere when its server fails.
 
 use crate::answer::{BrokenOff, Content};
-use crate::attempt::{self, Job};
+use crate::attempt;
 use crate::clock;
 use crate::event::{self, Record};
 use crate::generate::{self, Open, Tries};
-use crate::node::{InFlight, Node};
+use crate::job::Job;
+use crate::node::{Held, InFlight, Node};
 use crate::slowdown;
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Kind;
@@ -57,6 +58,21 @@
     _in_flight: InFlight,
 }
 
+/// What one server sends of a stream.
+struct Part {
+    server: Server,
+    body: Incoming,
+    splitter: Splitter,
+    /// The placement in the book.
+    held: Held,
+    /// Whether the prompt has been read: the first event has come.
+    read: bool,
+    /// How long the server may stay silent.
+    silence: Duration,
+    /// What its pauses say of the server.
+    suspicion: Suspicion,
+}
+
 /// Starts passing a stream on and gives the head of the answer.
 pub fn start(
     node: &Rc<Node>,
@@ -140,52 +156,57 @@
         let Open {
             exchange,
             server,
-            mut held,
+            held,
             tickets: _tickets,
-            mut silence,
+            silence,
         } = open;
-        let mut suspicion = Suspicion::default();
-        let mut body = exchange.body;
-        let mut splitter = Splitter::default();
-        let mut read = false;
-        loop {
-            let data = match self.next(&mut body, silence).await {
-                Ok(Some(data)) => data,
-                Ok(None) => break,
-                Err(end) => return end,
-            };
-            let ready = self.take_events(&mut splitter, &data);
+        let mut part = Part {
+            server,
+            body: exchange.body,
+            splitter: Splitter::default(),
+            held,
+            read: false,
+            silence,
+            suspicion: Suspicion::default(),
+        };
+        match self.pass_on_events(&mut part).await {
+            Ok(()) => exchange.connection.recycle(),
+            Err(end) => return end,
+        }
+        End::Whole
+    }
+
+    /// Passes on each event as it becomes whole, and what follows the last one.
+    async fn pass_on_events(&mut self, part: &mut Part) -> Result<(), End> {
+        while let Some(data) = self.next(part).await? {
+            let ready = self.take_events(&mut part.splitter, &data);
             if ready.is_empty() {
                 continue;
             }
-            if let Some(pause) = self.note_event() {
-                self.suspect(&mut suspicion, &server, pause);
-            }
-            if !read {
-                read = true;
-                silence = SILENCE.min(caller::silence(self.job.patience()));
-                held.read();
-            }
-            if self.pieces.send(Ok(ready.into())).await.is_err() {
-                return End::CallerLeft;
-            }
+            self.note_events(part);
+            self.hand_on(ready).await?;
         }
-        let rest = splitter.rest();
-        if !rest.is_empty() && self.pieces.send(Ok(rest.to_vec().into())).await.is_err() {
-            return End::CallerLeft;
+        let rest = part.splitter.rest().to_vec();
+        if rest.is_empty() {
+            return Ok(());
         }
-        exchange.connection.recycle();
-        End::Whole
+        self.hand_on(rest).await
+    }
+
+    /// Gives bytes to the caller.
+    async fn hand_on(&self, bytes: Vec<u8>) -> Result<(), End> {
+        let sent = self.pieces.send(Ok(bytes.into())).await;
+        sent.map_err(|_| End::CallerLeft)
     }
 
     /// Waits for the next bytes of a server; gives `None` after the last ones. Silence ends the
     /// server's part only where the stream may be resumed elsewhere.
-    async fn next(&self, body: &mut Incoming, silence: Duration) -> Result<Option<Bytes>, End> {
+    async fn next(&self, part: &mut Part) -> Result<Option<Bytes>, End> {
         let ends = clock::instant(self.job.ends);
         let may_resume = self.may_resume();
         loop {
             let frame = tokio::select! {
-                frame = tokio::time::timeout(silence, body.frame()) => frame,
+                frame = tokio::time::timeout(part.silence, part.body.frame()) => frame,
                 () = self.pieces.closed() => return Err(End::CallerLeft),
                 () = tokio::time::sleep_until(ends) => return Err(End::Expired),
             };
@@ -215,9 +236,22 @@
         ready
     }
 
-    /// Notes when events leave, for what is told of the stream at its end. Gives the pause before this one, where it
-    /// isn't the first.
-    fn note_event(&mut self) -> Option<Duration> {
+    /// Notes that events of a server leave: the first ones show that the prompt has been read, later ones how long
+    /// the server pauses.
+    fn note_events(&mut self, part: &mut Part) {
+        if let Some(pause) = self.note_pause() {
+            self.suspect(part, pause);
+        }
+        if !part.read {
+            part.read = true;
+            part.silence = SILENCE.min(caller::silence(self.job.patience()));
+            part.held.read();
+        }
+    }
+
+    /// Notes when events leave, for what is told of the stream at its end. Gives the pause before these, where they
+    /// aren't the first.
+    fn note_pause(&mut self) -> Option<Duration> {
         let now = clock::now();
         self.first_at.get_or_insert(now);
         let last = self.last_at.replace(now)?;
@@ -227,12 +261,14 @@
     }
 
     /// Has the engine looked at where its pauses are those of a slow one.
-    fn suspect(&self, suspicion: &mut Suspicion, server: &Server, pause: Duration) {
-        let state = self.node.state.borrow();
-        let idle_pass = state.book.idle_pass(&server.id);
-        drop(state);
-        if idle_pass.is_some_and(|idle| suspicion.note(pause.as_secs_f64() * 1_000.0, idle)) {
-            slowdown::inspect(&self.node, &server.id);
+    fn suspect(&self, part: &mut Part, pause: Duration) {
+        let id = &part.server.id;
+        let Some(idle_pass) = self.node.state.borrow().book.idle_pass(id) else {
+            return;
+        };
+        let pause = pause.as_secs_f64() * 1_000.0;
+        if part.suspicion.note(pause, idle_pass) {
+            slowdown::inspect(&self.node, id);
         }
     }
 
@@ -257,11 +293,9 @@
     fn tell_answered(&self) {
         let first = self.first_at.unwrap_or_else(clock::now);
         let first = first.since(self.job.arrived);
-        let bears = match self.job.route.kind {
-            Kind::Stream { longest_pause, .. } => longest_pause,
-            Kind::Idempotent | Kind::NonIdempotent => Duration::MAX,
-        };
-        let in_time = first <= self.job.route.aim && self.longest_pause <= bears;
+        let bears = self.job.route.kind.longest_pause();
+        let steady = bears.is_none_or(|bears| self.longest_pause <= bears);
+        let in_time = first <= self.job.route.aim && steady;
         let met = if in_time { "yes" } else { "no" };
         let metrics = &self.node.metrics;
         metrics.aims.with_label_values(&[met]).inc();
--- a/crates/alderglade-serve/src/slowdown.rs
+++ b/crates/alderglade-serve/src/slowdown.rs
@@ -1,4 +1,7 @@
 //! Asks engines that are suspected of being slow, and has slow ones passed over on every host.
+//!
+//! A slow engine gets no more work that would show when it is quick again. The host that found it slow last therefore
+//! looks after it: asks it on and on, until it isn't slow any more or another host does.
 
 use crate::clock;
 use crate::event::{self, Record};
@@ -9,11 +12,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long after an engine was found slow it is asked again: before it would no longer be passed over.
+/// How long after an engine was found slow it is asked again: before it would no longer be passed over, which is
+/// three seconds after its word.
 const ASK_AGAIN: Duration = Duration::from_millis(2_400);
 
-/// Asks an engine how slow it is, unless that was done lately or it is passed over already. One that is slow is asked
-/// again until it isn't, by the host that found out last.
+/// Asks an engine how slow it is and looks after it if it is, unless it was asked lately or is passed over already.
 pub fn inspect(node: &Rc<Node>, server: &Name) {
     let asks = {
         let mut state = node.state.borrow_mut();
@@ -24,6 +27,7 @@
     }
 }
 
+/// Has an engine passed over for as long as it says that it is slow and this host is the one that looks after it.
 async fn look_after(node: Rc<Node>, server: Name) {
     while let Some(slowdown) = ask(&node, &server).await {
         if !slowdown::is_slow(slowdown) {
--- a/crates/alderglade-serve/src/translate.rs
+++ b/crates/alderglade-serve/src/translate.rs
@@ -29,6 +29,13 @@
     pub expected_out: Option<u64>,
 }
 
+impl Prompt {
+    /// Gives the tokens that the answer is likely to have: the caller's estimate, else the most.
+    pub fn likely_out(&self) -> u64 {
+        self.expected_out.unwrap_or(self.most_out)
+    }
+}
+
 /// What a caller says of its request beside method, path and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -1,11 +1,12 @@
 //! Requests that are answered at once by plain backend servers.
 
 use crate::answer::Content;
-use crate::attempt::{self, Job, Miss};
+use crate::attempt::{self, Miss};
 use crate::client::Exchange;
 use crate::clock;
 use crate::event::{self, Record};
 use crate::forward;
+use crate::job::Job;
 use crate::node::Node;
 use crate::translate::Reply;
 use alderglade_core::Name;
