--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod guard;
 mod hosts;
+mod reach;
 mod relay;
 mod state;
 mod stop;
@@ -46,8 +47,8 @@
     pub state: RefCell<State>,
     /// Figures for operators.
     pub metrics: Metrics,
-    /// Wakes calls to the store that may hang since before it came back.
-    pub store_back: Notify,
+    /// Wakes calls to the store that may hang, and whoever waits to make one: it is back, or may be out of reach.
+    pub ask_store: Notify,
     /// Whether the store answers.
     store: Cell<store::Contact>,
     /// How much the engines have had to read lately.
@@ -80,7 +81,7 @@
             client: Rc::default(),
             state: RefCell::default(),
             metrics: Metrics::new()?,
-            store_back: Notify::new(),
+            ask_store: Notify::new(),
             store: Cell::default(),
             pressure: Cell::default(),
             book_changed: Notify::new(),
@@ -204,17 +205,7 @@
         let mut state = self.state.borrow_mut();
         let dropped = state.directory.expire(now);
         let silent = state.book.expire(now);
-        let age = state.freshness.age(now);
-        self.metrics
-            .passed_over
-            .set(state.health.passed_over(now) as i64);
-        self.metrics.hosts.set(state.book.hosts() as i64);
-        self.metrics
-            .store_age
-            .set(age.map_or(-1, |age| age.as_millis() as i64));
-        self.metrics
-            .connections
-            .set(self.client.opened().cast_signed());
+        self.set_gauges(&state, now);
         drop(state);
         self.look_for_store();
         self.word_changed.notify_waiters();
@@ -226,6 +217,19 @@
         }
     }
 
+    /// Sets the figures for operators that only show how things stand.
+    fn set_gauges(&self, state: &State, now: Time) {
+        let metrics = &self.metrics;
+        let passed_over = state.health.passed_over(now) as i64;
+        metrics.passed_over.set(passed_over);
+        metrics.hosts.set(state.book.hosts() as i64);
+        let age = state.freshness.age(now);
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        metrics.store_age.set(age);
+        let opened = self.client.opened().cast_signed();
+        metrics.connections.set(opened);
+    }
+
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget, Time, usize) -> T) -> T {
         let mut state = self.state.borrow_mut();
         let hosts = state.book.hosts().max(state.hosts.len());
--- /dev/null
+++ b/crates/alderglade-serve/src/node/reach.rs
@@ -0,0 +1,48 @@
+//! Whether the store is in this host's reach, looked at with each heartbeat.
+
+use super::{Node, State};
+use crate::clock;
+use crate::event::{self, Record};
+use alderglade_core::fleet::reach::Sight;
+use alderglade_core::time::Time;
+use std::time::Duration;
+
+impl Node {
+    /// Looks whether the store is in reach, and has it asked at once where that is in doubt.
+    pub(super) fn look_for_store(&self) {
+        let now = clock::now();
+        let state = &mut *self.state.borrow_mut();
+        let sight = self.sight(state, now);
+        let was_cut_off = state.reach.is_cut_off(now);
+        if state.reach.look(&sight, now) {
+            self.ask_store.notify_waiters();
+        }
+        let cut_off = state.reach.is_cut_off(now);
+        if cut_off != was_cut_off {
+            tell_reach(cut_off, &sight, state.freshness.age(now));
+        }
+    }
+
+    /// Gives what this host sees of its way to the store.
+    fn sight(&self, state: &State, now: Time) -> Sight {
+        let domain = &self.settings.domain;
+        let mut heard = state.book.heard(domain, now);
+        Sight {
+            refused: self.store.get().is_lost(),
+            informed: state.asks_store() || heard.any(|host| host.word.in_contact),
+            isolated: state.book.is_isolated(domain, now),
+            confirmed: state.freshness.confirmed(),
+        }
+    }
+}
+
+/// Writes whether the host has lost or found its way to the store, and by what.
+fn tell_reach(cut_off: bool, sight: &Sight, age: Option<Duration>) {
+    event::write(&Record::StoreReach {
+        cut_off,
+        refused: sight.refused,
+        informed: sight.informed,
+        isolated: sight.isolated,
+        store_age_ms: age.map(|age| age.as_millis() as u64),
+    });
+}
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -7,7 +7,6 @@
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::heartbeat;
 use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
-use alderglade_core::fleet::reach::Sight;
 use alderglade_core::fleet::relay::{self, Errand, Neighbour, Own, Relay, Role, Topic, Word};
 use alderglade_core::time::Time;
 use rand::RngExt;
@@ -54,8 +53,8 @@
     }
 
     /// Says whether this host watches the store, or has not found out yet that others do.
-    pub fn watches_store(&self) -> bool {
-        self.state.borrow().relay.role() != Role::Follower
+    pub fn asks_store(&self) -> bool {
+        self.state.borrow().asks_store()
     }
 
     /// Says whether and how the store should be asked about a topic now.
@@ -73,29 +72,6 @@
         errand
     }
 
-    /// Looks whether the store is in reach, and has it asked at once where that is in doubt.
-    pub(super) fn look_for_store(&self) {
-        let now = clock::now();
-        let state = &mut *self.state.borrow_mut();
-        let domain = &self.settings.domain;
-        let asks = state.relay.role() != Role::Follower;
-        let mut heard = state.book.heard(domain, now);
-        let sight = Sight {
-            refused: self.store.get().is_lost(),
-            informed: asks || heard.any(|host| host.word.in_contact),
-            isolated: state.book.is_isolated(domain, now),
-            confirmed: state.freshness.confirmed(),
-        };
-        let was_cut_off = state.reach.is_cut_off(now);
-        if state.reach.look(&sight, now) {
-            self.store_back.notify_waiters();
-        }
-        let cut_off = state.reach.is_cut_off(now);
-        if cut_off != was_cut_off {
-            tell_reach(cut_off, &sight, state.freshness.age(now));
-        }
-    }
-
     /// Gives what this host knows of the store.
     fn own(&self, state: &State, now: Time) -> Own<'_> {
         Own {
@@ -111,17 +87,15 @@
     /// Gives the longest time from one notice of this host to the next.
     pub fn heartbeat(&self) -> Duration {
         let state = self.state.borrow();
-        let watches = state.relay.role() == Role::Watcher;
-        heartbeat::interval(state.book.hosts(), watches)
+        heartbeat::interval(state.book.hosts(), state.watches_store())
     }
 
     /// Gives what this host tells its peers of the store.
     pub fn word(&self) -> Word {
         let now = clock::now();
         let state = self.state.borrow();
-        let watches = state.relay.role() == Role::Watcher;
         Word {
-            in_contact: watches && self.store.get().answered_within(IN_CONTACT, now),
+            in_contact: state.watches_store() && self.store.get().answered_within(IN_CONTACT, now),
             config: state.config_version(),
             servers: state.directory.digest(),
             doubt_ms: state.doubt_ms(now),
@@ -135,7 +109,7 @@
         let now = clock::now();
         let state = self.state.borrow();
         let lost = self.store.get().is_lost();
-        if state.relay.role() != Role::Follower && !lost {
+        if state.asks_store() && !lost {
             return Vec::new();
         }
         let age = state.freshness.age(now);
@@ -184,7 +158,7 @@
         }
         let state = &mut *self.state.borrow_mut();
         // A watcher knows by itself; taken from each other, doubts would last for ever.
-        if state.relay.role() != Role::Watcher {
+        if !state.watches_store() {
             state.take_doubt(word.doubt_ms);
         }
         if word.config > state.config_version() {
@@ -210,7 +184,7 @@
     /// Has what differs between two configurations passed on to the hosts of the own domain, if this host
     /// watches and it is little.
     pub(super) fn tell_config(&self, old: &Config, new: &Config) {
-        if self.state.borrow().relay.role() != Role::Watcher {
+        if !self.state.borrow().watches_store() {
             return;
         }
         let Some(patch) = Patch::between(old, new) else {
@@ -251,7 +225,7 @@
             return;
         }
         let state = &mut *self.state.borrow_mut();
-        if state.relay.role() != Role::Watcher {
+        if !state.watches_store() {
             return;
         }
         let doubt_ms = state.doubt_ms(clock::now());
@@ -264,17 +238,6 @@
     }
 }
 
-/// Writes whether the host has lost or found its way to the store, and by what.
-fn tell_reach(cut_off: bool, sight: &Sight, age: Option<Duration>) {
-    event::write(&Record::StoreReach {
-        cut_off,
-        refused: sight.refused,
-        informed: sight.informed,
-        isolated: sight.isolated,
-        store_age_ms: age.map(|age| age.as_millis() as u64),
-    });
-}
-
 /// Writes which role the host has taken, and why.
 fn tell_role(role: Role, own: &Own<'_>, heard: &[Neighbour<'_>]) {
     let near = heard.iter().filter(|host| host.near);
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -13,7 +13,7 @@
 use alderglade_core::fleet::health::Health;
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::reach::Reach;
-use alderglade_core::fleet::relay::Relay;
+use alderglade_core::fleet::relay::{Relay, Role};
 use alderglade_core::time::Time;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -56,6 +56,16 @@
         self.config.as_ref().map_or(0, |config| config.version)
     }
 
+    /// Says whether the host watches the store for others.
+    pub(super) fn watches_store(&self) -> bool {
+        self.relay.role() == Role::Watcher
+    }
+
+    /// Says whether the host asks the store by itself: it watches, or has not found out yet that others do.
+    pub(super) fn asks_store(&self) -> bool {
+        self.relay.role() != Role::Follower
+    }
+
     /// Says whether the host has learnt what it needs to serve.
     pub(super) fn has_learnt(&self) -> bool {
         self.config.is_some() && self.listed
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -193,6 +193,6 @@
         event::write(&Record::StoreBack {
             age_ms: away.as_millis() as u64,
         });
-        self.store_back.notify_waiters();
+        self.ask_store.notify_waiters();
     }
 }
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -169,10 +169,10 @@
             silence,
             suspicion: Suspicion::default(),
         };
-        match self.pass_on_events(&mut part).await {
-            Ok(()) => exchange.connection.recycle(),
-            Err(end) => return end,
+        if let Err(end) = self.pass_on_events(&mut part).await {
+            return end;
         }
+        exchange.connection.recycle();
         End::Whole
     }
 
