--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -56,12 +56,27 @@
     },
 }
 
-struct Idle {
+/// A connection that is up.
+struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// The task that runs it.
     task: AbortHandle,
+}
+
+/// A connection at rest.
+struct Idle {
+    link: Link,
+    /// When it has rested for as long as it may.
     until: Time,
 }
 
+/// Why the head of an answer didn't come.
+struct Failure {
+    error: Error,
+    /// The request, where nothing of it was sent.
+    unsent: Option<Request<Full<Bytes>>>,
+}
+
 /// Kept connections by address.
 #[derive(Default)]
 pub struct Client {
@@ -109,19 +124,16 @@
         fresh: bool,
     ) -> Result<Exchange, Error> {
         let mut request = request;
-        if !fresh && let Some(idle) = self.take(address) {
-            match self
-                .exchange(address, idle.sender, idle.task, request)
-                .await
-            {
+        if !fresh && let Some(kept) = self.take(address) {
+            let failure = match self.exchange(address, kept, request).await {
                 Ok(exchange) => return Ok(exchange),
-                Err((error, None)) => return Err(error),
-                Err((_, Some(unsent))) => request = unsent,
-            }
+                Err(failure) => failure,
+            };
+            request = failure.unsent.ok_or(failure.error)?;
         }
-        let (sender, task) = self.connect(address).await?;
-        let result = self.exchange(address, sender, task, request).await;
-        result.map_err(|(error, _)| error)
+        let link = self.connect(address).await?;
+        let result = self.exchange(address, link, request).await;
+        result.map_err(|failure| failure.error)
     }
 
     /// Closes the connections that have rested for as long as they may.
@@ -131,7 +143,7 @@
             list.retain(|entry| {
                 let fresh = entry.until > now;
                 if !fresh {
-                    entry.task.abort();
+                    entry.link.task.abort();
                 }
                 fresh
             });
@@ -144,13 +156,14 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
+    /// Sends a request on a connection and waits for the head of the answer.
     async fn exchange(
         self: &Rc<Client>,
         address: SocketAddr,
-        mut sender: http1::SendRequest<Full<Bytes>>,
-        task: AbortHandle,
+        link: Link,
         request: Request<Full<Bytes>>,
-    ) -> Result<Exchange, (Error, Option<Request<Full<Bytes>>>)> {
+    ) -> Result<Exchange, Failure> {
+        let Link { mut sender, task } = link;
         let mut connection = Connection {
             client: self.clone(),
             address,
@@ -161,7 +174,10 @@
         };
         if let Err(error) = sender.ready().await {
             log::debug!("connection to {address} closed at rest: {error}");
-            return Err((Error::NotSent, Some(request)));
+            return Err(Failure {
+                error: Error::NotSent,
+                unsent: Some(request),
+            });
         }
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
@@ -172,7 +188,7 @@
                     Some(_) => Error::NotSent,
                     None => Error::Lost { reason },
                 };
-                return Err((error, unsent));
+                return Err(Failure { error, unsent });
             }
         };
         let (head, body) = response.into_parts();
@@ -186,23 +202,22 @@
         })
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Idle> {
+    /// Takes a connection at rest that is still good, and closes those before it that aren't.
+    fn take(&self, address: SocketAddr) -> Option<Link> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(entry) = list.pop() {
-            if entry.until > now && entry.sender.is_ready() {
-                return Some(entry);
+            if entry.until > now && entry.link.sender.is_ready() {
+                return Some(entry.link);
             }
-            entry.task.abort();
+            entry.link.task.abort();
         }
         None
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(http1::SendRequest<Full<Bytes>>, AbortHandle), Error> {
+    /// Opens a connection.
+    async fn connect(&self, address: SocketAddr) -> Result<Link, Error> {
         let unreachable = |reason: String| Error::Unreachable { reason };
         let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
             .await
@@ -218,7 +233,10 @@
                 log::debug!("connection to {address}: {error}");
             }
         });
-        Ok((sender, task.abort_handle()))
+        Ok(Link {
+            sender,
+            task: task.abort_handle(),
+        })
     }
 }
 
@@ -236,18 +254,12 @@
             if sender.ready().await.is_err() {
                 return;
             }
-            let until = clock::now() + rest;
             let entry = Idle {
-                sender,
-                task,
-                until,
+                link: Link { sender, task },
+                until: clock::now() + rest,
             };
-            client
-                .idle
-                .borrow_mut()
-                .entry(address)
-                .or_default()
-                .push(entry);
+            let mut idle = client.idle.borrow_mut();
+            idle.entry(address).or_default().push(entry);
         });
     }
 }
