What a generation takes up is a type; conditions on ages are said once

They are `Placed` now, made by `take_up`, and the loop is left with tries.
- A guard in `forward` was called `Watch`, which is the store's word; what it does at the end of a connection is a function with its reason beside it.
- `unary` had its own word for what `Kind::repeatable` says; streams never come there.
- How old a word of the store may be is judged in one function of `fleet::relay`; the book's conditions on peers have names.

Nothing behaves otherwise; no test is changed.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -184,9 +184,9 @@
 
     /// Gives all that this host holds, and what it has placed lately.
     pub fn whole(&self, now: Time) -> Vec<Holding> {
-        let told =
-            |own: &Own| !own.load.holds_nothing() || now.since(own.changed) < heartbeat::TOLD_FOR;
-        let own = self.own.iter().filter(|(_, own)| told(own));
+        let is_recent = |own: &Own| now.since(own.changed) < heartbeat::TOLD_FOR;
+        let is_told = |own: &Own| !own.load.holds_nothing() || is_recent(own);
+        let own = self.own.iter().filter(|(_, own)| is_told(own));
         let holdings = own.map(|(server, own)| Holding {
             server: server.clone(),
             load: own.load,
@@ -240,12 +240,9 @@
 
     /// Lets the holdings of silent hosts lapse; gives the names of these hosts.
     pub fn expire(&mut self, now: Time) -> Vec<Name> {
-        let silent = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.since(peer.heard) > heartbeat::lapse(peer.interval))
-            .map(|(name, _)| name.clone());
-        let silent: Vec<Name> = silent.collect();
+        let is_silent = |peer: &Peer| now.since(peer.heard) > heartbeat::lapse(peer.interval);
+        let silent = self.peers.iter().filter(|(_, peer)| is_silent(peer));
+        let silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
         for name in &silent {
             self.forget(name);
         }
@@ -261,9 +258,9 @@
 
     /// Says whether all failure domains but the own one seem cut off, and there are such.
     pub fn is_isolated(&self, own_domain: &str, now: Time) -> bool {
-        let mut others = self.domains.keys().filter(|name| ***name != *own_domain);
-        let heard_before = others.clone().next().is_some();
-        heard_before && others.all(|domain| self.is_cut_off(domain, now))
+        let others = self.domains.keys().filter(|name| ***name != *own_domain);
+        let mut others = others.peekable();
+        others.peek().is_some() && others.all(|domain| self.is_cut_off(domain, now))
     }
 
     /// Gives the hosts that have kept to their heartbeats; `domain` is the own failure domain.
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -124,6 +124,7 @@
 pub struct Relay {
     /// When it began to listen for others.
     began: Option<Time>,
+    /// Whether the host watches the store.
     role: Role,
     /// Since when there have been too few watchers.
     lacking_since: Option<Time>,
@@ -177,17 +178,16 @@
         now: Time,
     ) -> Option<Errand> {
         match self.settle(own, heard, now) {
-            Role::Unsettled => None,
-            Role::Watcher => Some(Errand::Watch),
-            Role::Follower => {
-                let pause = match topic {
-                    Topic::Config => self.config_due(own, heard, now),
-                    Topic::Servers => self.servers_due(own, heard, now),
-                    Topic::Hosts => None,
-                };
-                pause.map(|longest| Errand::Fetch(longest.mul_f64(chance)))
-            }
+            Role::Unsettled => return None,
+            Role::Watcher => return Some(Errand::Watch),
+            Role::Follower => {}
         }
+        let spread = match topic {
+            Topic::Config => self.config_due(own, heard, now),
+            Topic::Servers => self.servers_due(own, heard, now),
+            Topic::Hosts => None,
+        };
+        spread.map(|spread| Errand::Fetch(spread.mul_f64(chance)))
     }
 
     /// Gives the time over which the hosts' calls for the configuration are spread, if one is due.
@@ -203,9 +203,9 @@
         if is_behind(own, heard) {
             return Some(SPREAD);
         }
-        let bound = own.bound.unwrap_or(NO_BOUND);
-        let old = own.age.is_none_or(|age| age > bound.mul_f64(OLD));
-        ((old || own.lost) && self.may_fetch(AGAIN_OLD, now)).then_some(SPREAD)
+        let in_doubt = own.lost || is_older(own.age, own.bound, OLD);
+        let due = in_doubt && self.may_fetch(AGAIN_OLD, now);
+        due.then_some(SPREAD)
     }
 
     /// Gives the time over which the hosts' calls for the servers are spread, if one is due.
@@ -242,11 +242,16 @@
     pub fn is_old(age: Option<Duration>, bound: Option<Duration>) -> bool {
         /// Below the age at which the store itself is asked.
         const EARLIER: f64 = 0.75;
-        let bound = bound.unwrap_or(NO_BOUND);
-        age.is_none_or(|age| age > bound.mul_f64(OLD * EARLIER))
+        is_older(age, bound, OLD * EARLIER)
     }
 }
 
+/// Says whether a word of the store is older than a part of the bound for keys, or there is none.
+fn is_older(age: Option<Duration>, bound: Option<Duration>, part: f64) -> bool {
+    let bound = bound.unwrap_or(NO_BOUND);
+    age.is_none_or(|age| age > bound.mul_f64(part))
+}
+
 /// Says whether a watcher has a newer configuration.
 pub fn is_behind(own: &Own<'_>, heard: &[Neighbour<'_>]) -> bool {
     let mut watchers = heard.iter().filter(|host| host.word.in_contact);
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -43,8 +43,8 @@
         }
     };
     let id = ask.id.clone();
-    let mut guard = Watch {
-        id: id.to_string(),
+    let mut guard = Guard {
+        id: id.clone(),
         done: false,
     };
     let result = let_in(&node, head, body, ask, arrived).await;
@@ -56,23 +56,28 @@
         },
     };
     guard.done = true;
-    // A caller whose connection stays here would come back to a host that is about to refuse it.
     if !node.ready() {
-        let close = HeaderValue::from_static("close");
-        response
-            .headers_mut()
-            .insert(http::header::CONNECTION, close);
+        end_connection(&mut response);
     }
     response
 }
 
-/// Tells when a request is dropped because its caller has left.
-struct Watch {
-    id: String,
+/// Has a caller's connection closed after an answer: a caller whose connection stays here would come back to a host
+/// that is about to refuse it.
+fn end_connection(response: &mut Response<Content>) {
+    let close = HeaderValue::from_static("close");
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONNECTION, close);
+}
+
+/// Writes that a caller has left, where a request is dropped before it is done.
+struct Guard {
+    /// The request.
+    id: Name,
     done: bool,
 }
 
-impl Drop for Watch {
+impl Drop for Guard {
     fn drop(&mut self) {
         if !self.done {
             event::write(&Record::CallerLeft { id: &self.id });
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -51,6 +51,31 @@
     pub silence: Duration,
 }
 
+/// A generation for which all is taken up that its plan needs.
+struct Placed {
+    /// The server that answers.
+    server: Server,
+    /// The servers that read parts or hold memory.
+    helpers: Vec<Helper>,
+    /// The placement in the book.
+    held: Held,
+    /// Memory that was set aside.
+    tickets: Option<Tickets>,
+}
+
+impl Placed {
+    /// Gives the stream that has begun. `silence` is how long it may stay silent.
+    fn open(self, exchange: Exchange, silence: Duration) -> Open {
+        Open {
+            exchange,
+            server: self.server,
+            held: self.held,
+            tickets: self.tickets,
+            silence,
+        }
+    }
+}
+
 /// What is kept over the tries of one generation.
 #[derive(Default)]
 pub struct Tries {
@@ -94,40 +119,46 @@
         if tries.all > 0 && !node.spend_repeat(&job.service) {
             return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
         }
-        let Some(server) = node.server(&plan.first) else {
-            tries.avoid.push(plan.first.clone());
+        let Some(placed) = take_up(node, job, &plan, tries).await else {
             continue;
         };
-        let held = node.hold(take::hold(job, &plan));
-        let Ok(tickets) = set_aside(node, job, &plan, tries).await else {
-            drop(held);
-            tokio::time::sleep(NO_MEMORY_PAUSE).await;
-            continue;
-        };
-        let helpers = take::helpers(node, &plan, tickets.as_ref());
         tries.all += 1;
         tell_placed(job, &plan, tries.all, node);
         let sent = life.send();
         let silence = silence(job, &plan);
-        let last_event = last_event.clone();
-        match send(node, job, tries, &server, helpers, last_event, silence).await {
+        match send(node, job, tries, &placed, last_event.clone(), silence).await {
             Ok(exchange) => {
                 tries.sends += 1;
-                return Ok(Open {
-                    exchange,
-                    server,
-                    held,
-                    tickets,
-                    silence,
-                });
+                return Ok(placed.open(exchange, silence));
             }
-            Err(miss) => life = note_miss(node, tries, &server, sent, miss),
+            Err(miss) => life = note_miss(node, tries, &placed.server, sent, miss),
         }
-        tries.avoid.push(server.id.clone());
+        tries.avoid.push(placed.server.id.clone());
         give_up(job, tries, &life)?;
     }
 }
 
+/// Takes up what a plan needs; gives `None` where its server is gone or the memory can't be set aside, and another
+/// plan must be made.
+async fn take_up(node: &Rc<Node>, job: &Job, plan: &Plan, tries: &mut Tries) -> Option<Placed> {
+    let Some(server) = node.server(&plan.first) else {
+        tries.avoid.push(plan.first.clone());
+        return None;
+    };
+    let held = node.hold(take::hold(job, plan));
+    let Ok(tickets) = set_aside(node, job, plan, tries).await else {
+        drop(held);
+        tokio::time::sleep(NO_MEMORY_PAUSE).await;
+        return None;
+    };
+    Some(Placed {
+        helpers: take::helpers(node, plan, tickets.as_ref()),
+        server,
+        held,
+        tickets,
+    })
+}
+
 /// Gives how long a server may stay silent before its first event: until that is too late, or its caller might leave
 /// before another server begins.
 fn silence(job: &Job, plan: &Plan) -> Duration {
@@ -142,17 +173,18 @@
     node: &Rc<Node>,
     job: &Job,
     tries: &Tries,
-    server: &Server,
-    helpers: Vec<Helper>,
+    placed: &Placed,
     last_event: Option<String>,
     silence: Duration,
 ) -> Result<Exchange, Miss> {
+    let server = &placed.server;
     let more = tries.sends + 1 < job.route.max_attempts && job.route.kind.repeatable();
     let patience = if more {
         silence.min(job.left())
     } else {
         job.left()
     };
+    let helpers = placed.helpers.clone();
     let send = attempt::send(node, job, server, helpers, last_event, tries.all);
     let Ok(answer) = tokio::time::timeout(patience, send).await else {
         attempt::tell(job, server, tries.all, "no answer in the time allowed");
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -11,7 +11,6 @@
 use crate::translate::Reply;
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
-use alderglade_core::fleet::config::Kind;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::life::{Life, Waiting};
@@ -82,7 +81,7 @@
                 life = waiting;
                 sends -= 1;
             }
-            Try::Missed(waiting) if waiting.may_have_run() && !repeatable(job) => {
+            Try::Missed(waiting) if waiting.may_have_run() && !job.route.kind.repeatable() => {
                 return Err(waiting.refuse(ErrorKind::ContactLost, COME_BACK));
             }
             Try::Missed(waiting) => life = waiting,
@@ -124,7 +123,7 @@
     let _call = node.call(&server.id);
     tell_placed(job, server, number);
     let left = job.left();
-    let patience = if more && repeatable(job) {
+    let patience = if more && job.route.kind.repeatable() {
         left.mul_f64(FIRST_TRY)
     } else {
         left
@@ -203,13 +202,9 @@
     Ok(response)
 }
 
-fn repeatable(job: &Job) -> bool {
-    job.route.kind == Kind::Idempotent
-}
-
 /// Says whether a server's failure may be tried again elsewhere.
 fn worth_repeating(job: &Job, response: &Response<Bytes>) -> bool {
-    repeatable(job) && response.status().is_server_error()
+    job.route.kind.repeatable() && response.status().is_server_error()
 }
 
 /// Writes down how an answer went and makes what the caller gets.
