Ask the engines that read a prompt whose first event is very late

Cause: an engine that only helps to read shows in nobody's pauses.

Change: where a prompt that several engines read has its first event later than twice the time expected and 250 ms, each of them is asked how slow it is, at most every three seconds.

Tests: `a_first_event_that_is_very_late_makes_suspicious`, `engines_that_only_help_are_asked_where_the_first_event_is_very_late`.

--- a/crates/alderglade-core/tests/testsuite/fleet/slowdown.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/slowdown.rs
@@ -1,6 +1,7 @@
 //! When an engine is suspected of being slow.
 
-use alderglade_core::fleet::slowdown::{Suspicion, is_slow};
+use alderglade_core::fleet::slowdown::{Suspicion, is_late, is_slow};
+use std::time::Duration;
 
 /// Gives after how many of these pauses the engine is asked, where an idle pass takes 50 ms.
 fn asked_after(pauses: &[f64]) -> Option<usize> {
@@ -31,3 +32,12 @@
     assert!(!is_slow(1.2));
     assert!(is_slow(4.0));
 }
+
+/// From an own day: of nine slow engines the five were never found that only helped to read.
+#[test]
+fn a_first_event_that_is_very_late_makes_suspicious() {
+    let millis = Duration::from_millis;
+    assert!(is_late(millis(200), millis(700)));
+    assert!(!is_late(millis(200), millis(600)));
+    assert!(!is_late(millis(2_000), millis(3_500)));
+}
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -11,6 +11,7 @@
 use crate::job::Job;
 use crate::node::{Held, InFlight, Node};
 use crate::relay;
+use crate::slowdown::Reading;
 use crate::ticket::Tickets;
 use crate::translate::Helper;
 use alderglade_core::Name;
@@ -47,6 +48,8 @@
     pub held: Held,
     /// Memory that was set aside.
     pub tickets: Option<Tickets>,
+    /// Who reads the prompt.
+    pub reading: Reading,
     /// How long the stream may stay silent before it is taken elsewhere.
     pub silence: Duration,
 }
@@ -61,6 +64,8 @@
     held: Held,
     /// Memory that was set aside.
     tickets: Option<Tickets>,
+    /// Who reads the prompt.
+    reading: Reading,
 }
 
 impl Placed {
@@ -71,6 +76,7 @@
             server: self.server,
             held: self.held,
             tickets: self.tickets,
+            reading: self.reading,
             silence,
         }
     }
@@ -156,6 +162,7 @@
         server,
         held,
         tickets,
+        reading: Reading::begin(plan),
     })
 }
 
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::generate::{self, Open, Tries};
 use crate::job::Job;
 use crate::node::{Held, InFlight, Node};
-use crate::slowdown;
+use crate::slowdown::{self, Reading};
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Kind;
 use alderglade_core::fleet::directory::Server;
@@ -65,6 +65,8 @@
     splitter: Splitter,
     /// The placement in the book.
     held: Held,
+    /// Who reads the prompt.
+    reading: Reading,
     /// Whether the prompt has been read: the first event has come.
     read: bool,
     /// How long the server may stay silent.
@@ -158,6 +160,7 @@
             server,
             held,
             tickets: _tickets,
+            reading,
             silence,
         } = open;
         let mut part = Part {
@@ -165,6 +168,7 @@
             body: exchange.body,
             splitter: Splitter::default(),
             held,
+            reading,
             read: false,
             silence,
             suspicion: Suspicion::default(),
@@ -246,6 +250,7 @@
             part.read = true;
             part.silence = SILENCE.min(caller::silence(self.job.patience()));
             part.held.read();
+            part.reading.end(&self.node);
         }
     }
 
--- a/crates/alderglade-serve/src/slowdown.rs
+++ b/crates/alderglade-serve/src/slowdown.rs
@@ -8,7 +8,9 @@
 use crate::node::Node;
 use crate::order;
 use alderglade_core::Name;
+use alderglade_core::fleet::placement::Plan;
 use alderglade_core::fleet::slowdown;
+use alderglade_core::time::Time;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +18,35 @@
 /// three seconds after its word.
 const ASK_AGAIN: Duration = Duration::from_millis(2_400);
 
+/// A prompt that several engines read.
+pub struct Reading {
+    engines: Vec<Name>,
+    began: Time,
+    expected: Duration,
+}
+
+impl Reading {
+    /// Notes that a plan is carried out from now on.
+    pub fn begin(plan: &Plan) -> Reading {
+        let first = std::iter::once(&plan.first);
+        Reading {
+            engines: first.chain(&plan.helpers).cloned().collect(),
+            began: clock::now(),
+            expected: plan.first_event,
+        }
+    }
+
+    /// Takes that the first event has come; where that was very late, has all that read parts looked at. One engine that
+    /// reads alone shows in the pauses of its answer.
+    pub fn end(&self, node: &Rc<Node>) {
+        let took = clock::now().since(self.began);
+        let shared = self.engines.len() > 1;
+        if shared && slowdown::is_late(self.expected, took) {
+            self.engines.iter().for_each(|engine| inspect(node, engine));
+        }
+    }
+}
+
 /// Asks an engine how slow it is and looks after it if it is, unless it was asked lately or is passed over already.
 pub fn inspect(node: &Rc<Node>, server: &Name) {
     let asks = {
