What hosts pass on to each other of the store stands in a module of its own

- `node::outbox` holds what watchers pass on of servers and configuration and how the others take it; `node::relay` is left with who asks the store, and how old its word is.
- `Health` has the time out after silences as a function; the factor `8` that only kept it from overflowing is gone for a product that saturates.
- `forward::serve` reads the head in a step of its own, and the time limit is one expression.

Nothing behaves otherwise; no test is changed.

--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -81,6 +81,12 @@
     pub left_ms: u32,
 }
 
+/// Gives the time out after so many silences in a row.
+fn pause_after(silences: u32) -> Duration {
+    let pause = FIRST_PAUSE.saturating_mul(silences);
+    pause.min(LONGEST_PAUSE)
+}
+
 /// The records of all servers.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -102,8 +108,7 @@
             }
             Outcome::Silent => {
                 record.silences += 1;
-                let pause = FIRST_PAUSE * record.silences.min(8);
-                record.out_until = now + pause.min(LONGEST_PAUSE);
+                record.out_until = now + pause_after(record.silences);
             }
         }
     }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -34,13 +34,9 @@
     let arrived = clock::now();
     let (head, body) = request.into_parts();
     let in_flight = node.enter();
-    let ask = match node.translator.ask(&head.headers) {
+    let ask = match read_head(&node, &head) {
         Ok(ask) => ask,
-        Err(problem) => {
-            log::debug!("a head can't be read: {problem}");
-            let refusal = Refusal::new(ErrorKind::BadRequest, Duration::ZERO);
-            return refuse(&node, "", &refusal, arrived);
-        }
+        Err(refusal) => return refuse(&node, "", &refusal, arrived),
     };
     let id = ask.id.clone();
     let mut guard = Guard {
@@ -113,12 +109,9 @@
     let config = node.config_soon(START_PATIENCE).await;
     let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, ELSEWHERE))?;
     let Admission { route, workspace } = admit(node, &config, &head, &ask)?;
-    let time_limit = match ask.time_limit {
-        Some(limit) => limit.min(route.time_limit),
-        None => route.time_limit,
-    };
-    let ends = arrived + time_limit;
-    let body = read(body, config.limits.body_bytes, ends).await?;
+    let asked = ask.time_limit.unwrap_or(route.time_limit);
+    let ends = arrived + asked.min(route.time_limit);
+    let body = read_body(body, config.limits.body_bytes, ends).await?;
     let draw = rand::rng().random::<f64>();
     let service = route.target(draw).map(|target| target.service.clone());
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoCapacity, ELSEWHERE))?;
@@ -173,8 +166,16 @@
     }
 }
 
+/// Gives what a request's head says.
+fn read_head(node: &Node, head: &Parts) -> Result<Ask, Refusal> {
+    node.translator.ask(&head.headers).map_err(|problem| {
+        log::debug!("a head can't be read: {problem}");
+        Refusal::new(ErrorKind::BadRequest, Duration::ZERO)
+    })
+}
+
 /// Takes a whole body, within its bound and its time.
-async fn read(body: Incoming, most: usize, ends: Time) -> Result<Bytes, Refusal> {
+async fn read_body(body: Incoming, most: usize, ends: Time) -> Result<Bytes, Refusal> {
     let collect = Limited::new(body, most).collect();
     match tokio::time::timeout_at(clock::instant(ends), collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod guard;
 mod hosts;
+mod outbox;
 mod reach;
 mod relay;
 mod state;
@@ -28,7 +29,6 @@
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
-use alderglade_core::fleet::message::Message;
 use alderglade_core::time::Time;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -188,11 +188,6 @@
         self.state.borrow().servers_position
     }
 
-    /// Gives the messages for the hosts of the own failure domain that have not been sent yet.
-    pub fn take_outbox(&self) -> Vec<Message> {
-        std::mem::take(&mut self.state.borrow_mut().outbox)
-    }
-
     /// Gives a server that new work may go to.
     pub fn server(&self, id: &str) -> Option<Server> {
         self.state.borrow().directory.get(id).cloned()
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -1,12 +1,10 @@
-//! What a host asks the store, and what it tells and learns of the store through other hosts.
+//! What a host asks the store, and how it knows through other hosts how old its word of the store is.
 
-use super::{News, Node, State};
+use super::{Node, State};
 use crate::clock;
 use crate::event::{self, Record};
-use alderglade_core::fleet::config::{Config, Patch};
-use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::heartbeat;
-use alderglade_core::fleet::message::{Ask, Confirmation, Message, Servers};
+use alderglade_core::fleet::message::{Ask, Confirmation};
 use alderglade_core::fleet::relay::{self, Errand, Neighbour, Own, Relay, Role, Topic, Word};
 use alderglade_core::time::Time;
 use rand::RngExt;
@@ -14,11 +12,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Changes in one message; some 100 bytes each, below the usual size of a packet. Hosts that are told
-/// of no more than that ask the store.
-const MOST_CHANGES: usize = 12;
-/// The largest difference of configurations that is passed on, in bytes; below the usual size of a packet.
-const LARGEST_PATCH: usize = 1_200;
 /// A host that has watched the store is in contact while it was answered within this time: a watch of
 /// the configuration waits for 1.5 s and may take one more.
 const IN_CONTACT: Duration = Duration::from_millis(2_600);
@@ -165,77 +158,6 @@
             self.word_changed.notify_waiters();
         }
     }
-
-    /// Takes changes of backend servers from a peer that watches the store, unless some before them are
-    /// missing here; the store is asked for these.
-    pub fn take_servers(&self, servers: &Servers) {
-        let mut state = self.state.borrow_mut();
-        let newer = servers.position > state.servers_position;
-        if !newer || servers.after > state.servers_position {
-            return;
-        }
-        state.take_doubt(servers.doubt_ms);
-        state.change_servers(&servers.changes, servers.position);
-        drop(state);
-        self.tell_servers();
-        self.book_changed.notify_one();
-    }
-
-    /// Has what differs between two configurations passed on to the hosts of the own domain, if this host
-    /// watches and it is little.
-    pub(super) fn tell_config(&self, old: &Config, new: &Config) {
-        if !self.state.borrow().watches_store() {
-            return;
-        }
-        let Some(patch) = Patch::between(old, new) else {
-            return;
-        };
-        let message = Message::Config(patch);
-        let length = postcard::to_stdvec(&message).map(|bytes| bytes.len());
-        match length {
-            Ok(length) if length <= LARGEST_PATCH => {
-                self.state.borrow_mut().outbox.push(message);
-            }
-            Ok(length) => log::debug!("{length} bytes have changed; hosts fetch the configuration"),
-            Err(error) => log::warn!("a change of the configuration can't be written: {error}"),
-        }
-    }
-
-    /// Takes a newer configuration from a peer that watches the store. One that applies to another version
-    /// is passed over; the store is asked for the newest.
-    pub fn take_patch(&self, patch: &Patch) {
-        let known = self.state.borrow().config.clone();
-        if let Some(config) = known.and_then(|config| config.patched(patch)) {
-            self.learn(News::Config(config));
-        }
-    }
-
-    /// Gives the addresses of the hosts of the own failure domain that were heard of lately.
-    pub fn near_hosts(&self) -> Vec<SocketAddr> {
-        let now = clock::now();
-        let state = self.state.borrow();
-        let heard = state.book.heard(&self.settings.domain, now);
-        let near = heard.filter(|host| host.near);
-        near.filter_map(|host| state.hosts.get(host.name)).collect()
-    }
-
-    /// Has changes of backend servers passed on to the hosts of the own domain, if this host watches.
-    pub(super) fn tell_changes(&self, after: u64, position: u64, changes: &[Change]) {
-        if changes.is_empty() || changes.len() > MOST_CHANGES {
-            return;
-        }
-        let state = &mut *self.state.borrow_mut();
-        if !state.watches_store() {
-            return;
-        }
-        let doubt_ms = state.doubt_ms(clock::now());
-        state.outbox.push(Message::Servers(Servers {
-            after,
-            position,
-            doubt_ms,
-            changes: changes.to_vec(),
-        }));
-    }
 }
 
 /// Writes which role the host has taken, and why.
