--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -10,8 +10,8 @@
 use alderglade_core::fleet::message::{Message, Servers};
 use std::net::SocketAddr;
 
-/// Changes in one message; some 100 bytes each, below the usual size of a packet. Hosts that are told
-/// of no more than that ask the store.
+/// The most changes of servers in one message; some 100 bytes each, below the usual size of a packet. Where more
+/// has changed, nothing is passed on, and hosts ask the store.
 const MOST_CHANGES: usize = 12;
 /// The largest difference of configurations that is passed on, in bytes; below the usual size of a packet.
 const LARGEST_PATCH: usize = 1_200;
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -1,9 +1,10 @@
 //! Passes a stream on, event by event, and takes it up elsewhere when its server fails.
 
+mod end;
+
 use crate::answer::{BrokenOff, Content};
 use crate::attempt;
 use crate::clock;
-use crate::event::{self, Record};
 use crate::generate::{self, Open, Tries};
 use crate::job::Job;
 use crate::node::{Held, InFlight, Node};
@@ -17,6 +18,7 @@
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::Bytes;
+use end::End;
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -30,18 +32,6 @@
 /// a dead server's work stands still for one and a half seconds.
 const SILENCE: Duration = Duration::from_millis(1_900);
 
-/// How a server's part of a stream ended.
-enum End {
-    /// All of it was passed on.
-    Whole,
-    /// The server failed.
-    Failed(String),
-    /// The request's time is over.
-    Expired,
-    /// The caller has left.
-    CallerLeft,
-}
-
 /// A stream on its way to its caller.
 struct Relay {
     node: Rc<Node>,
@@ -271,42 +261,4 @@
             slowdown::inspect(&self.node, id);
         }
     }
-
-    fn tell_caller_left(&self) {
-        let id = &self.job.ask.id;
-        event::write(&Record::CallerLeft { id });
-    }
-
-    async fn break_off(&self, problem: &str) {
-        event::write(&Record::BrokenOff {
-            id: &self.job.ask.id,
-            problem,
-            took_ms: self.job.waited().as_millis() as u64,
-        });
-        let answers = &self.node.metrics.answers;
-        answers.with_label_values(&["broken_off"]).inc();
-        if self.pieces.send(Err(BrokenOff)).await.is_err() {
-            log::debug!("the caller of {} left as it was told", self.job.ask.id);
-        }
-    }
-
-    fn tell_answered(&self) {
-        let first = self.first_at.unwrap_or_else(clock::now);
-        let first = first.since(self.job.arrived);
-        let bears = self.job.route.kind.longest_pause();
-        let steady = bears.is_none_or(|bears| self.longest_pause <= bears);
-        let in_time = first <= self.job.route.aim && steady;
-        let met = if in_time { "yes" } else { "no" };
-        let metrics = &self.node.metrics;
-        metrics.aims.with_label_values(&[met]).inc();
-        metrics.first.observe(first.as_secs_f64());
-        metrics.answers.with_label_values(&["served"]).inc();
-        event::write(&Record::Answered {
-            id: &self.job.ask.id,
-            status: 200,
-            took_ms: self.job.waited().as_millis() as u64,
-            first_ms: first.as_millis() as u64,
-            longest_pause_ms: self.longest_pause.as_millis() as u64,
-        });
-    }
 }
--- /dev/null
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -0,0 +1,61 @@
+//! How streams end, and what callers and operators are told of it.
+
+use super::Relay;
+use crate::answer::BrokenOff;
+use crate::clock;
+use crate::event::{self, Record};
+
+/// How a server's part of a stream ended.
+pub(super) enum End {
+    /// All of it was passed on.
+    Whole,
+    /// The server failed.
+    Failed(String),
+    /// The request's time is over.
+    Expired,
+    /// The caller has left.
+    CallerLeft,
+}
+
+impl Relay {
+    /// Writes that the caller has left.
+    pub(super) fn tell_caller_left(&self) {
+        let id = &self.job.ask.id;
+        event::write(&Record::CallerLeft { id });
+    }
+
+    /// Breaks the answer off, which shows the caller that it isn't whole.
+    pub(super) async fn break_off(&self, problem: &str) {
+        event::write(&Record::BrokenOff {
+            id: &self.job.ask.id,
+            problem,
+            took_ms: self.job.waited().as_millis() as u64,
+        });
+        let answers = &self.node.metrics.answers;
+        answers.with_label_values(&["broken_off"]).inc();
+        if self.pieces.send(Err(BrokenOff)).await.is_err() {
+            log::debug!("the caller of {} left as it was told", self.job.ask.id);
+        }
+    }
+
+    /// Writes that the stream was passed on as a whole, and whether it was in time.
+    pub(super) fn tell_answered(&self) {
+        let first = self.first_at.unwrap_or_else(clock::now);
+        let first = first.since(self.job.arrived);
+        let bears = self.job.route.kind.longest_pause();
+        let steady = bears.is_none_or(|bears| self.longest_pause <= bears);
+        let in_time = first <= self.job.route.aim && steady;
+        let met = if in_time { "yes" } else { "no" };
+        let metrics = &self.node.metrics;
+        metrics.aims.with_label_values(&[met]).inc();
+        metrics.first.observe(first.as_secs_f64());
+        metrics.answers.with_label_values(&["served"]).inc();
+        event::write(&Record::Answered {
+            id: &self.job.ask.id,
+            status: 200,
+            took_ms: self.job.waited().as_millis() as u64,
+            first_ms: first.as_millis() as u64,
+            longest_pause_ms: self.longest_pause.as_millis() as u64,
+        });
+    }
+}
