One of two hosts that find a server slow at once looks after it; peers hear of a new role at once

Cause, found on reading: a word that a server is to be passed over counts from its arrival, so that of two hosts told at the same moment each took the other's for the later one, gave up its own, and nobody asked the server again. And a host that stops watching the store next spoke after up to a second, while its last notice promised 250 ms: peers counted it as silent.

Change: a peer's word replaces the own only where it ends more than 200 ms later; a change of role is told at once.

Test: `of_two_hosts_that_were_told_at_once_one_at_least_looks_after_the_server` (red before).

--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -20,6 +20,9 @@
 /// How long a server is passed over that refuses work or is slow: most of those that refuse are leaving, which
 /// the store tells within this time unless it is away; slow ones are asked again before it is over.
 const PASSED_OVER: Duration = Duration::from_secs(3);
+/// A peer's word that ends later than the own by no more than this is as old: it was on its way meanwhile. Small beside
+/// the time after which a slow server is asked again.
+const ON_ITS_WAY: Duration = Duration::from_millis(200);
 /// The least time between two questions of this host to a server how slow it is, where it isn't known to be: they
 /// are priced like health checks.
 const QUESTIONS_APART: Duration = Duration::from_secs(3);
@@ -143,7 +146,12 @@
         let left = Duration::from_millis(u64::from(told.left_ms)).min(PASSED_OVER);
         let until = now + left;
         let record = self.records.entry(told.server.clone()).or_default();
-        if until > record.passed_over_until {
+        let as_old = if record.first_hand {
+            ON_ITS_WAY
+        } else {
+            Duration::ZERO
+        };
+        if until > record.passed_over_until + as_old {
             record.passed_over_until = until;
             record.first_hand = false;
         }
--- a/crates/alderglade-core/tests/testsuite/fleet/health.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/health.rs
@@ -77,3 +77,26 @@
     health.hear_passed_over(&told, Time(0));
     assert!(!health.doubted("a", Time::from_millis(3_000)));
 }
+
+/// Two hosts that find a server slow at the same time each hear the other's word a moment later. Were each to give up its
+/// own for it, nobody would ask the server again.
+#[test]
+fn of_two_hosts_that_were_told_at_once_one_at_least_looks_after_the_server() {
+    let id: Name = "a".into();
+    let mut hosts = [Health::default(), Health::default()];
+    for (late, host) in hosts.iter_mut().enumerate() {
+        host.note_passed_over(&id, Time(late as u64 * 200));
+    }
+    let sent = Time::from_millis(1);
+    let words = hosts.each_ref().map(|host| host.told_passed_over(sent));
+    let heard = Time::from_millis(3);
+    hosts[0].hear_passed_over(&words[1][0], heard);
+    hosts[1].hear_passed_over(&words[0][0], heard);
+    assert!(hosts.iter().any(|host| host.looks_after("a")));
+    // One that asks again has the later word.
+    let again = Time::from_millis(2_400);
+    hosts[0].note_passed_over(&id, again);
+    let word = &hosts[0].told_passed_over(again)[0].clone();
+    hosts[1].hear_passed_over(word, again);
+    assert!(!hosts[1].looks_after("a"));
+}
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -61,6 +61,8 @@
         let errand = state.relay.errand(topic, &own, &heard, chance, now);
         if state.relay.role() != before {
             tell_role(state.relay.role(), &own, &heard);
+            // Peers judge its silence by what its last notice says, and watchers are heard more often.
+            self.book_changed.notify_one();
         }
         errand
     }
