--- a/crates/alderglade-core/src/fleet/heartbeat.rs
+++ b/crates/alderglade-core/src/fleet/heartbeat.rs
@@ -11,7 +11,8 @@
 pub const SHORTEST: Duration = Duration::from_millis(250);
 /// The longest interval; a host that dies counts for five of them.
 pub const LONGEST: Duration = Duration::from_millis(1_000);
-/// What each host adds to the interval, so that a host sends at most a hundred heartbeats a second.
+/// What each host adds to the interval, so that with up to a hundred of them a host sends at most a hundred
+/// heartbeats a second.
 const PER_HOST: Duration = Duration::from_millis(10);
 /// Intervals without a notice after which a host holds nothing any more; one of them is for a notice on
 /// its way.
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -7,8 +7,8 @@
 //! time runs out. Some engines are left to short prompts.
 //!
 //! `short` and `long` choose for the two kinds of prompts, `parts` lays a long prompt out over
-//! engines, `patience` says whether it should wait, and `wait` tells callers why; they all weigh by `cost` and
-//! `timing`.
+//! engines, `patience` says whether it should wait, and `wait` holds what operators are told of it; they all
+//! weigh by `cost` and `timing`.
 
 mod cost;
 mod long;
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -11,8 +11,8 @@
 
 /// Hosts of a failure domain that watch the store, so that one may be lost unnoticed.
 pub const WATCHERS: usize = 2;
-/// How long a new host listens for others before it takes a role: two heartbeats of 250 ms, and time
-/// for the store to list the hosts.
+/// How long a new host listens for others before it takes a role: two heartbeats of watchers, which come every
+/// 250 ms, and time for the store to list the hosts.
 pub const SETTLE: Duration = Duration::from_millis(700);
 /// How much later the next host steps in while there are too few watchers; a heartbeat.
 const STEP_IN: Duration = Duration::from_millis(250);
