Hosts of test fleets listen on loopback addresses of their own

Cause: `faults::a_rolling_stop_cuts_nothing_off` was red once with an answer 400 after 1.4 ms, without an error kind, from the address of a stopped host. A host's ports are free once it has ended, and stand-ins of tests that run beside it ask the system for any port of 127.0.0.1. Reproduced on purpose: a stand-in of the platform at the port of a stopped host answers its callers 400 (their body is no object).

Ruled out: a stand-in engine, which was suspected before: it answers 404 on a caller's path. The log of the red run is gone, so that it was a stand-in platform there is the only explanation found, not proved.

Change: each host of a process gets a loopback address of its own, which no stand-in listens on. The new test starts a platform at a stopped host's port; it was red before (400) and is green now (connection refused).

--- a/crates/alderglade-standin/src/fleet.rs
+++ b/crates/alderglade-standin/src/fleet.rs
@@ -10,8 +10,9 @@
 use alderglade_platform::hosts::{ADDRESS, DOMAIN, ENTRY, OPERATOR, ROLE, Spec};
 use alderglade_platform::object::{Kind, Object};
 use sha2::{Digest, Sha256};
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 
 /// The model that engine stand-ins serve.
 pub const MODEL: &str = "assist-llm";
@@ -220,7 +221,18 @@
     pub more: &'a str,
 }
 
-/// Starts an entry host on free ports.
+/// Gives a loopback address that no other host of this process has had.
+///
+/// A host's ports are free again once it has ended, and the system may give them to whoever asks for any port next. Stand-ins
+/// listen on `127.0.0.1`: on an address of its own, a host's ports go to none of them, so that a caller of an ended host
+/// is turned away and never answered by another test's stand-in.
+fn own_address() -> Ipv4Addr {
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    Ipv4Addr::new(127, 1, high, low)
+}
+
+/// Starts an entry host on free ports of a loopback address that is its own.
 ///
 /// # Panics
 ///
@@ -236,9 +248,10 @@
     } else {
         format!(", {}", host.more)
     };
+    let ip = own_address();
     let text = format!(
-        r#"{{"name": "{}", "domain": "{}", "callers": "127.0.0.1:0", "peers": "127.0.0.1:0",
-            "operators": "127.0.0.1:0", "platform": "{}", "list_every_ms": 500{more}}}"#,
+        r#"{{"name": "{}", "domain": "{}", "callers": "{ip}:0", "peers": "{ip}:0",
+            "operators": "{ip}:0", "platform": "{}", "list_every_ms": 500{more}}}"#,
         host.name, host.domain, host.platform
     );
     let path = folder.write(&format!("host-{}.json", host.name), &text);
--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Fleet, PATIENCE, Plan, assert_whole, get, wait, wall_ms};
 use alderglade_standin::client::{self, Answer, Booking};
 use alderglade_standin::fleet::{self, DESK, REVIEW, token};
+use alderglade_standin::platform::Platform;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -183,6 +184,36 @@
     fleet.wait_memory_back();
 }
 
+/// Gives the port of an address.
+fn port(address: &str) -> &str {
+    address.rsplit(':').next().expect("a port")
+}
+
+#[test]
+fn no_stand_in_answers_for_a_host_that_has_stopped() {
+    let mut fleet = Fleet::start(&Plan::default());
+    let stopped = fleet.hosts.remove(0);
+    stopped.process.signal("TERM");
+    let address = stopped.addresses.callers.clone();
+    let mut process = stopped.process;
+    process.wait(PATIENCE).expect("the host stops");
+    // As another test's stand-in may be given it by the system.
+    let stranger = Platform::start(&format!("127.0.0.1:{}", port(&address)));
+    let answer = client::generate(
+        &client::agent(),
+        &client::Ask {
+            host: &address,
+            token: &token(crate::fleet::WORKSPACE),
+            model: fleet::MODEL,
+            class: DESK,
+            prompt: "to a host that is gone",
+            tokens: 1_000,
+            output: 30,
+        },
+    );
+    assert_eq!(answer.status, 0, "{answer:?} from {}", stranger.address());
+}
+
 #[test]
 fn a_booking_runs_once_however_often_it_is_asked_for() {
     let fleet = Fleet::start(&Plan {
