Long prompts that wait stand in one line that all hosts see

Cause: each host looked at its own waiting prompts every 15 ms, and whichever looked first when room came took it.

Change: notices tell what waits at their sender (until when it must go, what reading it takes); a prompt counts those before it as if they were being read when it asks whether as many giants as may are under way. Order: due time, plus a fifth of the reading. Silent hosts' prompts are forgotten with what they held.

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -5,11 +5,13 @@
 //! what a figure has risen by is new work for the engine, and [`Progress`] works out when it is done.
 
 mod hold;
+mod line;
 mod load;
 mod notice;
 mod peer;
 
 pub use hold::{Hold, HoldId, Part};
+pub use line::{Demand, WaitId};
 pub use load::{Load, PAUSE_CLASSES, PauseClass};
 pub use notice::{Holding, Notice};
 
@@ -19,6 +21,7 @@
 use super::relay::Neighbour;
 use crate::Name;
 use crate::time::Time;
+use line::Entry;
 use peer::Peer;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -27,6 +30,10 @@
 /// heartbeats, and more than half of another for a notice on its way.
 pub const CUT_OFF: Duration = Duration::from_millis(650);
 
+/// The most prompts of one host that its peers hear of, those first that came first: more don't fit a packet beside its
+/// holdings, and who is next is long decided among so many.
+const TOLD_WAITING: usize = 48;
+
 /// What this host holds at a server.
 #[derive(Debug, Default)]
 struct Own {
@@ -52,8 +59,10 @@
 pub struct Book {
     /// This host's own placements.
     holds: BTreeMap<HoldId, Hold>,
-    /// The number of the last of them.
+    /// The number of the last of them, or of the last own prompt that waits.
     next: u64,
+    /// This host's own prompts that wait.
+    own_line: BTreeMap<WaitId, Entry>,
     /// What this host holds at each server.
     own: HashMap<Name, Own>,
     /// Prompts that this host is having read and that take up many engines at once.
@@ -159,6 +168,35 @@
         self.own_giants
     }
 
+    /// Takes a prompt into the line of those that wait.
+    pub fn line_up(&mut self, demand: Demand, now: Time) -> WaitId {
+        self.next += 1;
+        let id = WaitId(self.next);
+        self.own_line.insert(id, Entry::new(demand, now));
+        id
+    }
+
+    /// Takes what a prompt in the line needs as it stands now; gives how many prompts go before it, over all hosts.
+    pub fn stand(&mut self, id: WaitId, demand: Demand, now: Time) -> u32 {
+        let own = Entry::new(demand, now);
+        self.own_line.insert(id, own);
+        let peers = self.peers.values().flat_map(|peer| &peer.line);
+        let line = self.own_line.values().chain(peers);
+        let before = line.filter(|other| other.is_before(&own)).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
+    /// Takes a prompt out of the line.
+    pub fn leave_line(&mut self, id: WaitId) {
+        self.own_line.remove(&id);
+    }
+
+    /// Gives what this host's own prompts need that wait.
+    pub fn waiting(&self, now: Time) -> Vec<Demand> {
+        let line = self.own_line.values().take(TOLD_WAITING);
+        line.map(|entry| entry.demand(now)).collect()
+    }
+
     /// Says whether peers should be told something.
     pub fn has_changes(&self) -> bool {
         !self.changed.is_empty()
--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -2,7 +2,7 @@
 //!
 //! Figures are absolute, so that a lost or doubled notice is made good by the next one.
 
-use super::Load;
+use super::{Demand, Load};
 use crate::Name;
 use crate::fleet::health::PassedOver;
 use crate::fleet::relay::Word;
@@ -49,6 +49,8 @@
     pub whole: bool,
     /// Prompts that the sender is having read and that take up many engines at once.
     pub giants: u32,
+    /// Prompts that wait at the sender.
+    pub waiting: Vec<Demand>,
     /// What the sender knows of the store.
     pub word: Word,
     /// Servers that the sender knows to be leaving.
--- a/crates/alderglade-core/src/fleet/book/peer.rs
+++ b/crates/alderglade-core/src/fleet/book/peer.rs
@@ -3,6 +3,7 @@
 //! The reading that a peer has placed is remembered apart from what it holds: a whole notice drops the
 //! holdings, and what was placed before it must not count as new work for the engine.
 
+use super::line::Entry;
 use super::{Holding, Load, Notice};
 use crate::Name;
 use crate::fleet::relay::Word;
@@ -25,6 +26,8 @@
     pub(super) interval: Duration,
     /// Prompts that it is having read and that take up many engines at once.
     pub(super) giants: u32,
+    /// Prompts that wait there.
+    pub(super) line: Vec<Entry>,
     /// What it knows of the store.
     pub(super) word: Word,
     /// What it holds at each server.
@@ -43,6 +46,7 @@
             heard: now,
             interval: notice.interval(),
             giants: 0,
+            line: Vec::new(),
             word: Word::default(),
             loads: HashMap::new(),
             placed: HashMap::new(),
@@ -61,6 +65,8 @@
         self.heard = now;
         self.interval = notice.interval();
         self.giants = notice.giants;
+        let waiting = notice.waiting.iter();
+        self.line = waiting.map(|demand| Entry::new(*demand, now)).collect();
         self.word = notice.word;
     }
 
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -7,10 +7,12 @@
 //! time runs out. Some engines are left to short prompts.
 //!
 //! `short` and `long` choose for the two kinds of prompts, `parts` lays a long prompt out over
-//! engines, `patience` says whether it should wait, and `wait` holds what operators are told of it; they all
+//! engines, `patience` says whether it should wait, and `demand` what the line of those that
+//! wait goes by, and `wait` holds what operators are told of it; they all
 //! weigh by `cost` and `timing`.
 
 mod cost;
+mod demand;
 mod long;
 mod parts;
 mod patience;
@@ -18,6 +20,7 @@
 mod timing;
 mod wait;
 
+pub use demand::demand;
 pub use wait::{Reason, Wait};
 
 use super::book::Load;
@@ -115,6 +118,8 @@
 pub struct Shared {
     /// Prompts being read that take up many engines.
     pub giants: u32,
+    /// Waiting prompts that go before this one, over all hosts.
+    pub before: u32,
     /// How much the engines have to read, from `0.0` (nothing) to `1.0` (all the time).
     pub pressure: f64,
     /// How many engines there are.
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -37,10 +37,10 @@
     too_dear.then_some(Reason::Harm)
 }
 
-/// Says whether as many prompts as may take up many engines at once are being read.
+/// Says whether as many prompts as may take up many engines at once are being read, or go before this one.
 fn giants_are_full(state: &Shared) -> bool {
     let most = (state.engines / ENGINES_A_GIANT).max(1);
-    state.giants as usize >= most
+    (state.giants + state.before) as usize >= most
 }
 
 /// Says whether a prompt would be late by its best plan, and in time where the engines had nothing else to read.
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -21,6 +21,7 @@
         interval_ms: 250,
         whole,
         giants: book.own_giants(),
+        waiting: book.waiting(Time(0)),
         word: Word::default(),
         leaving: Vec::new(),
         passed_over: Vec::new(),
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/fleet/line.rs
@@ -0,0 +1,140 @@
+//! The line of prompts that wait, over several hosts and under lost notices.
+
+use crate::each_seed;
+use alderglade_core::fleet::book::{Book, Demand, Notice, WaitId};
+use alderglade_core::fleet::relay::Word;
+use alderglade_core::time::Time;
+use std::collections::BTreeSet;
+
+const NOW: Time = Time(5_000_000);
+
+fn demand(due_ms: i32, reading_ms: u32) -> Demand {
+    Demand { due_ms, reading_ms }
+}
+
+/// A host with the prompts that wait there.
+struct Host {
+    name: String,
+    book: Book,
+    sequence: u64,
+    waiting: Vec<(WaitId, Demand)>,
+}
+
+impl Host {
+    fn new(number: usize) -> Host {
+        Host {
+            name: format!("h{number}"),
+            book: Book::default(),
+            sequence: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    fn line_up(&mut self, demand: Demand) {
+        let id = self.book.line_up(demand, NOW);
+        self.waiting.push((id, demand));
+    }
+
+    fn notice(&mut self) -> Notice {
+        self.sequence += 1;
+        Notice {
+            host: self.name.as_str().into(),
+            domain: "north".into(),
+            incarnation: 1,
+            sequence: self.sequence,
+            interval_ms: 250,
+            whole: false,
+            giants: 0,
+            waiting: self.book.waiting(NOW),
+            word: Word::default(),
+            leaving: Vec::new(),
+            passed_over: Vec::new(),
+            holdings: Vec::new(),
+        }
+    }
+
+    /// Gives how many prompts go before each of the own ones.
+    fn places(&mut self) -> Vec<u32> {
+        let waiting = self.waiting.iter();
+        let places = waiting.map(|(id, demand)| self.book.stand(*id, *demand, NOW));
+        places.collect()
+    }
+}
+
+fn tell_all(hosts: &mut [Host]) {
+    let notices: Vec<Notice> = hosts.iter_mut().map(Host::notice).collect();
+    for host in hosts {
+        let others = notices.iter().filter(|notice| *notice.host != *host.name);
+        for notice in others {
+            host.book.hear(notice, NOW);
+        }
+    }
+}
+
+#[test]
+fn hosts_that_hear_each_other_agree_who_is_next() {
+    each_seed(200, |u| {
+        let mut hosts: Vec<Host> = (0..u.int_in_range(2..=5)?).map(Host::new).collect();
+        let mut due = BTreeSet::new();
+        for _ in 0..u.int_in_range(1..=20)? {
+            due.insert(u.int_in_range(-5_000..=9_000)?);
+        }
+        for due_ms in &due {
+            let host = u.choose_index(hosts.len())?;
+            let lost = u.ratio(1, 3)?;
+            hosts[host].line_up(demand(*due_ms, 4_000));
+            if !lost {
+                tell_all(&mut hosts);
+            }
+        }
+        tell_all(&mut hosts);
+        let places: BTreeSet<u32> = hosts.iter_mut().flat_map(Host::places).collect();
+        let all: BTreeSet<u32> = (0..due.len() as u32).collect();
+        assert_eq!(places, all);
+        Ok(())
+    });
+}
+
+#[test]
+fn who_is_due_first_goes_first_and_of_two_the_one_that_is_read_sooner() {
+    let mut host = Host::new(0);
+    host.line_up(demand(2_000, 4_000));
+    host.line_up(demand(500, 4_000));
+    host.line_up(demand(2_000, 20_000));
+    assert_eq!(host.places(), [1, 0, 2]);
+}
+
+#[test]
+fn who_has_left_the_line_holds_nobody_up() {
+    let mut hosts = [Host::new(0), Host::new(1)];
+    hosts[0].line_up(demand(100, 4_000));
+    hosts[1].line_up(demand(900, 4_000));
+    tell_all(&mut hosts);
+    assert_eq!(hosts[1].places(), [1]);
+    let (id, _) = hosts[0].waiting[0];
+    hosts[0].book.leave_line(id);
+    tell_all(&mut hosts);
+    assert_eq!(hosts[1].places(), [0]);
+}
+
+#[test]
+fn prompts_of_a_host_that_has_fallen_silent_hold_nobody_up() {
+    let mut hosts = [Host::new(0), Host::new(1)];
+    hosts[0].line_up(demand(100, 4_000));
+    hosts[1].line_up(demand(900, 4_000));
+    tell_all(&mut hosts);
+    let later = Time(NOW.0 + 2_000_000);
+    hosts[1].book.expire(later);
+    assert_eq!(hosts[1].places(), [0]);
+}
+
+#[test]
+fn a_long_line_is_told_in_part_and_stays_small() {
+    let mut host = Host::new(0);
+    for number in 0..500 {
+        host.line_up(demand(number, 4_000));
+    }
+    let told = host.notice().waiting;
+    assert!(told.len() < 100, "{}", told.len());
+    assert_eq!(told[0], demand(0, 4_000));
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod health;
 mod heartbeat;
 mod life;
+mod line;
 mod message;
 mod pass;
 mod placement;
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -12,6 +12,7 @@
 
 const CALM: Shared = Shared {
     giants: 0,
+    before: 0,
     pressure: 0.0,
     engines: 18,
 };
@@ -246,6 +247,21 @@
     assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
 }
 
+#[test]
+fn a_giant_waits_while_as_many_as_may_be_read_go_before_it() {
+    let work = long(400_000);
+    let behind = Shared { before: 2, ..CALM };
+    assert!(matches!(
+        choose(&work, &engines(18), &behind),
+        Decision::Wait(_)
+    ));
+    let next = Shared { before: 1, ..CALM };
+    assert!(matches!(
+        choose(&work, &engines(18), &next),
+        Decision::Send(_)
+    ));
+}
+
 #[test]
 fn more_engines_read_more_giants_at_a_time() {
     let shared = |giants| Shared {
@@ -315,6 +331,7 @@
         work.waited = Duration::from_millis(u.int_in_range(0..=12_000)?);
         let shared = Shared {
             giants: u.int_in_range(0..=3)?,
+            before: u.int_in_range(0..=3)?,
             pressure: f64::from(u.int_in_range(0..=100u8)?) / 100.0,
             engines: engines.len(),
         };
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -3,7 +3,7 @@
 use super::{COME_BACK, Tries};
 use crate::event::{self, Record};
 use crate::job::Job;
-use crate::node::Node;
+use crate::node::{InLine, Node};
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::life::{Life, Waiting};
 use alderglade_core::fleet::pass::Figures;
@@ -29,12 +29,13 @@
     tries: &mut Tries,
     life: &Life<Waiting>,
 ) -> Result<Plan, Refusal> {
+    let mut line = None;
     loop {
         if job.left().is_zero() {
             return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
         }
         let ends_in = node.ends_in();
-        match decide(node, job, tries) {
+        match decide(node, job, tries, &mut line) {
             Decision::Send(plan)
                 if ends_in.is_some_and(|left| answer_time(node, job, &plan) > left) =>
             {
@@ -47,6 +48,7 @@
             Decision::Refuse(after) => return Err(life.refuse(ErrorKind::Overloaded, after)),
             Decision::Wait(wait) => {
                 tell_held(node, job, tries, wait.reason);
+                line.iter_mut().for_each(InLine::tell);
                 tokio::time::sleep(wait.look_again).await;
             }
         }
@@ -93,14 +95,20 @@
     config.service(&job.service)?.engine
 }
 
-/// Gives the decision on a prompt as things stand now.
-fn decide(node: &Node, job: &Job, tries: &Tries) -> Decision {
+/// Gives the decision on a prompt as things stand now. A long one takes its place in `line`.
+fn decide(node: &Rc<Node>, job: &Job, tries: &Tries, line: &mut Option<InLine>) -> Decision {
     let Some(figures) = figures(node, job) else {
         return without_figures(node, job, tries);
     };
     let work = work(job, tries, figures.stride);
     let engines = node.engines(&job.service, figures);
+    let demand = placement::demand(&work, &figures, engines.len());
+    let before = demand.map_or(0, |demand| {
+        let place = line.get_or_insert_with(|| node.line_up(demand));
+        place.stand(demand)
+    });
     let shared = Shared {
+        before,
         giants: node.state.borrow().book.giants(),
         pressure: node.pressure(placement::pressure(&engines)),
         engines: engines.len(),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -13,7 +13,7 @@
 mod stop;
 mod store;
 
-pub use guard::{Call, Held, InFlight};
+pub use guard::{Call, Held, InFlight, InLine};
 pub use hosts::{Host, Hosts};
 pub use state::State;
 pub use store::News;
@@ -25,7 +25,7 @@
 use crate::settings::Settings;
 use crate::translate::Translator;
 use alderglade_core::Name;
-use alderglade_core::fleet::book::Hold;
+use alderglade_core::fleet::book::{Demand, Hold};
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
@@ -129,6 +129,12 @@
         Held::new(self.clone(), id)
     }
 
+    /// Takes a prompt into the line of those that wait, until the guard is dropped.
+    pub fn line_up(self: &Rc<Node>, demand: Demand) -> InLine {
+        let id = self.state.borrow_mut().book.line_up(demand, clock::now());
+        InLine::new(self.clone(), id)
+    }
+
     /// Notes a call to a plain backend server until the guard is dropped.
     pub fn call(self: &Rc<Node>, server: &Name) -> Call {
         *self
--- a/crates/alderglade-serve/src/node/guard.rs
+++ b/crates/alderglade-serve/src/node/guard.rs
@@ -4,7 +4,7 @@
 use super::Node;
 use crate::clock;
 use alderglade_core::Name;
-use alderglade_core::fleet::book::HoldId;
+use alderglade_core::fleet::book::{Demand, HoldId, WaitId};
 use std::rc::Rc;
 
 /// Counts a request in hand.
@@ -51,6 +51,47 @@
     }
 }
 
+/// Keeps a prompt in the line of those that wait.
+pub struct InLine {
+    node: Rc<Node>,
+    id: WaitId,
+    /// Whether peers know of it.
+    told: bool,
+}
+
+impl InLine {
+    /// Keeps a prompt that was taken into the line; peers are told only if it has to wait.
+    pub(super) fn new(node: Rc<Node>, id: WaitId) -> InLine {
+        InLine {
+            node,
+            id,
+            told: false,
+        }
+    }
+
+    /// Takes what the prompt needs as it stands now; gives how many prompts go before it.
+    pub fn stand(&self, demand: Demand) -> u32 {
+        let mut state = self.node.state.borrow_mut();
+        state.book.stand(self.id, demand, clock::now())
+    }
+
+    /// Has peers told that the prompt waits, the first time.
+    pub fn tell(&mut self) {
+        if !std::mem::replace(&mut self.told, true) {
+            self.node.book_changed.notify_one();
+        }
+    }
+}
+
+impl Drop for InLine {
+    fn drop(&mut self) {
+        self.node.state.borrow_mut().book.leave_line(self.id);
+        if self.told {
+            self.node.book_changed.notify_one();
+        }
+    }
+}
+
 /// Counts a call to a plain backend server.
 pub struct Call {
     pub(super) node: Rc<Node>,
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -113,6 +113,7 @@
             interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
             whole,
             giants: state.book.own_giants(),
+            waiting: state.book.waiting(clock::now()),
             word,
             leaving: state.directory.leaving(),
             passed_over: state.health.told_passed_over(clock::now()),
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -132,6 +132,7 @@
             interval_ms: 1_000,
             whole,
             giants: 0,
+            waiting: Vec::new(),
             word: Word::default(),
             leaving: Vec::new(),
             passed_over: Vec::new(),
@@ -177,6 +178,7 @@
     let engines: Vec<Engine> = (0..size.engines).map(engine).collect();
     let shared = Shared {
         giants: 0,
+        before: 0,
         pressure: placement::pressure(&engines),
         engines: engines.len(),
     };
