--- a/crates/alderglade-operator/src/command.rs
+++ b/crates/alderglade-operator/src/command.rs
@@ -40,6 +40,7 @@
   status                show each entry host and its settings revision
   drain HOST            have an entry host finish its work and stop
   explain ID [LOG...]   tell the story of a request from hosts' logs
+  explain --summary     tell from them where worth was lost
   report                show how fast service-level budgets burn
 
 Options:
@@ -159,6 +160,7 @@
     operands: Vec<String>,
     platform: Option<String>,
     json: bool,
+    summary: bool,
     help: bool,
     version: bool,
     explain: Option<String>,
@@ -177,6 +179,7 @@
                 Short('h') | Long("help") => found.help = true,
                 Short('V') | Long("version") => found.version = true,
                 Long("json") => found.json = true,
+                Long("summary") => found.summary = true,
                 Long("platform") => found.platform = Some(text(&mut parser)?),
                 Long("explain") => found.explain = Some(text(&mut parser)?),
                 Long("token") => found.token = Some(text(&mut parser)?),
--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -1,4 +1,6 @@
-//! `alderglade explain`: the story of one request, from the structured logs of entry hosts.
+//! `alderglade explain`: the story of one request, or where worth was lost over all, from the structured logs of entry hosts.
+
+pub mod summary;
 
 use super::{Arguments, Error, usage};
 use crate::shell::Shell;
@@ -10,11 +12,15 @@
 Tell the story of one request from the logs of entry hosts.
 
 Usage: alderglade explain REQUEST-ID [LOG...] [--json]
+       alderglade explain --summary [LOG...] [--json]
 
 Reads the files, or standard input where none is named. What stands before the `{` of a line, such as a
 time and a host, is kept; a line without it is told under the name of its file. Lines that say how the
 host stood before the request (configuration, store, servers, peers) are told too, the last of each kind.
 
+With --summary: how many requests ended in which way, by the length of their prompts, and what worth was lost
+by it (an ordinary short reply is worth about one), the greatest loss first.
+
 Exit codes: 0 told, 1 nothing found or a file can't be read, 2 wrong usage
 ";
 
@@ -110,19 +116,16 @@
 }
 
 pub(super) fn run(arguments: &Arguments, shell: &Shell) -> Result<(), Error> {
+    if arguments.summary {
+        return sum_up(&arguments.operands, shell);
+    }
     let [id, files @ ..] = arguments.operands.as_slice() else {
-        return Err(usage("`alderglade explain` needs a request id"));
+        return Err(usage(
+            "`alderglade explain` needs a request id or `--summary`",
+        ));
     };
-    let mut told = Vec::new();
-    if files.is_empty() {
-        let lines = read("standard input", std::io::stdin().lock())?;
-        told.extend(story(&lines, id));
-    }
-    for file in files {
-        let opened = std::fs::File::open(file).map_err(|cause| log_error(file, &cause))?;
-        let lines = read(file, std::io::BufReader::new(opened))?;
-        told.extend(story(&lines, id));
-    }
+    let logs = read_logs(files)?;
+    let told: Vec<Line> = logs.iter().flat_map(|lines| story(lines, id)).collect();
     if told.is_empty() {
         return Err(Error::NotFound { id: id.clone() });
     }
@@ -131,6 +134,25 @@
     Ok(())
 }
 
+fn sum_up(files: &[String], shell: &Shell) -> Result<(), Error> {
+    let lines: Vec<Line> = read_logs(files)?.into_iter().flatten().collect();
+    let rows = summary::rows(&lines);
+    shell.result(&rows, &summary::table(&rows));
+    Ok(())
+}
+
+/// Reads each of the files, or standard input where none is named.
+fn read_logs(files: &[String]) -> Result<Vec<Vec<Line>>, Error> {
+    if files.is_empty() {
+        return Ok(vec![read("standard input", std::io::stdin().lock())?]);
+    }
+    let logs = files.iter().map(|file| {
+        let opened = std::fs::File::open(file).map_err(|cause| log_error(file, &cause))?;
+        read(file, std::io::BufReader::new(opened))
+    });
+    logs.collect()
+}
+
 fn read(file: &str, reader: impl BufRead) -> Result<Vec<Line>, Error> {
     let mut lines = Vec::new();
     for text in reader.lines() {
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -156,6 +156,10 @@
         first_ms: u64,
         /// The longest pause between two events, in milliseconds.
         longest_pause_ms: u64,
+        /// The time to the first event or the whole answer within which it was in time, in milliseconds.
+        aim_ms: u64,
+        /// The longest pause with which it was in time, in milliseconds, if it has a bound.
+        pause_aim_ms: Option<u64>,
     },
     /// A request was answered with an error kind of the product.
     Refused {
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -56,6 +56,8 @@
             took_ms: self.job.waited().as_millis() as u64,
             first_ms: first.as_millis() as u64,
             longest_pause_ms: self.longest_pause.as_millis() as u64,
+            aim_ms: self.job.route.aim.as_millis() as u64,
+            pause_aim_ms: bears.map(|bears| bears.as_millis() as u64),
         });
     }
 }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -235,5 +235,7 @@
         took_ms: took.as_millis() as u64,
         first_ms: took.as_millis() as u64,
         longest_pause_ms: 0,
+        aim_ms: job.route.aim.as_millis() as u64,
+        pause_aim_ms: None,
     });
 }
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -53,6 +53,41 @@
     );
 }
 
+const MANY: &str = r#"
+  1.0 host-1 {"at_ms":1,"n":3401,"level":"INFO","event":"placed","id":"a","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":60}
+  1.1 host-1 {"at_ms":2,"n":3403,"level":"INFO","event":"answered","id":"a","status":200,"first_ms":80,"longest_pause_ms":60,"aim_ms":300,"pause_aim_ms":250}
+  1.2 host-1 {"at_ms":3,"n":3401,"level":"INFO","event":"placed","id":"b","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":60}
+  1.3 host-2 {"at_ms":4,"n":3402,"level":"WARN","event":"attempt_failed","id":"b","problem":"silence"}
+  1.4 host-2 {"at_ms":5,"n":3403,"level":"INFO","event":"answered","id":"b","status":200,"first_ms":1400,"longest_pause_ms":60,"aim_ms":300,"pause_aim_ms":250}
+  1.5 host-1 {"at_ms":6,"n":3407,"level":"INFO","event":"held","id":"c","reason":"giants","prompt":200000,"waited_ms":0}
+  1.6 host-1 {"at_ms":7,"n":3404,"level":"INFO","event":"refused","id":"c","kind":"overloaded"}
+  1.7 host-1 {"at_ms":8,"n":3401,"level":"INFO","event":"placed","id":"d","server":"e1","prompt":200000,"waited_ms":2000,"expected_ms":900}
+  1.8 host-1 {"at_ms":9,"n":3403,"level":"INFO","event":"answered","id":"d","status":200,"first_ms":3100,"longest_pause_ms":60,"aim_ms":3000,"pause_aim_ms":1000}
+  1.9 host-1 {"at_ms":9,"n":3401,"level":"INFO","event":"placed","id":"e","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":60}
+"#;
+
+#[test]
+fn the_summary_counts_each_request_once_under_what_made_it_lose_most_first() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = write(folder.path(), "many.log", MANY);
+    let output = command(&["explain", "--summary", &log]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let rows: Vec<&str> = text.lines().skip(1).collect();
+    let causes = [
+        "refused (overloaded), held for: giants",
+        "late: held",
+        "no end: its host was killed or cut off",
+        "late: after: silence",
+        "in time",
+    ];
+    assert_eq!(rows.len(), causes.len(), "{text}");
+    for (row, cause) in rows.iter().zip(causes) {
+        assert!(row.ends_with(cause), "{row} is not of {cause}");
+        assert!(row.contains("       1 "), "one request: {row}");
+    }
+}
+
 #[test]
 fn nothing_found_and_unreadable_logs_are_told() {
     let folder = tempfile::tempdir().expect("a folder");
