One boundary of short prompts and one worth of late answers; notices of tests made in one place

Cause: the summary of logs had its own copies of two figures that placement goes by, two test files each built whole notices by hand, and a try at a plain server decided on its patience and on what silence comes to within one long function.

Change: placement's figures are public and used by the summary; tests share an empty notice; the try is split. No behaviour changes.

--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -8,7 +8,7 @@
 /// hosts are still on their way, the rest keeps prompts from waiting for a place.
 const PACKED: f64 = 0.75;
 /// What a late answer still earns, as a part of its worth. From the users' sheets.
-pub(super) const LATE_WORTH: f64 = 0.25;
+pub const LATE_WORTH: f64 = 0.25;
 /// What an engine in another failure domain costs, in milliseconds.
 pub(super) const OTHER_DOMAIN: f64 = 2.0;
 
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -20,6 +20,7 @@
 mod timing;
 mod wait;
 
+pub use cost::LATE_WORTH;
 pub use demand::demand;
 pub use wait::{Reason, Wait};
 
@@ -32,7 +33,7 @@
 /// The most engines that read one prompt: the one that answers and 16 helpers, as the engines allow.
 pub const MOST_PARTS: usize = 17;
 /// Prompts below this many tokens are short: they are read in one part and prefer quiet engines.
-const SHORT_PROMPT: u64 = 12_000;
+pub const SHORT_PROMPT: u64 = 12_000;
 /// When a caller should come back to a service that no engine serves.
 const NO_ENGINES: Duration = Duration::from_millis(1_000);
 
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -1,11 +1,10 @@
 //! The load book under lost, doubled and reordered notices, and under the death of hosts.
 
-use super::{figures, hold};
+use super::{empty_notice, figures, hold};
 use crate::each_seed;
 use alderglade_core::Name;
 use alderglade_core::fleet::book::{Book, CUT_OFF, Hold, Load, Notice, PauseClass};
 use alderglade_core::fleet::heartbeat;
-use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use std::time::Duration;
 
@@ -14,22 +13,15 @@
 
 fn notice(host: &str, incarnation: u64, sequence: u64, whole: bool, book: &mut Book) -> Notice {
     Notice {
-        host: host.into(),
-        domain: "north".into(),
-        incarnation,
-        sequence,
-        interval_ms: 250,
         whole,
         giants: book.own_giants(),
         waiting: book.waiting(Time(0)),
-        word: Word::default(),
-        leaving: Vec::new(),
-        passed_over: Vec::new(),
         holdings: if whole {
             book.whole(Time(0))
         } else {
             book.take_changes()
         },
+        ..empty_notice(host, incarnation, sequence)
     }
 }
 
--- a/crates/alderglade-core/tests/testsuite/fleet/line.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/line.rs
@@ -1,8 +1,8 @@
 //! The line of prompts that wait, over several hosts and under lost notices.
 
+use super::empty_notice;
 use crate::each_seed;
 use alderglade_core::fleet::book::{Book, Demand, Notice, WaitId};
-use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use std::collections::BTreeSet;
 
@@ -38,18 +38,8 @@
     fn notice(&mut self) -> Notice {
         self.sequence += 1;
         Notice {
-            host: self.name.as_str().into(),
-            domain: "north".into(),
-            incarnation: 1,
-            sequence: self.sequence,
-            interval_ms: 250,
-            whole: false,
-            giants: 0,
             waiting: self.book.waiting(NOW),
-            word: Word::default(),
-            leaving: Vec::new(),
-            passed_over: Vec::new(),
-            holdings: Vec::new(),
+            ..empty_notice(&self.name, 1, self.sequence)
         }
     }
 
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -19,8 +19,9 @@
 mod slowdown;
 mod sse;
 
-use alderglade_core::fleet::book::{Hold, Load};
+use alderglade_core::fleet::book::{Hold, Load, Notice};
 use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::relay::Word;
 
 /// The figures of the users' engines.
 fn figures() -> Figures {
@@ -37,6 +38,24 @@
     }
 }
 
+/// A notice of a host of the northern domain that holds nothing.
+fn empty_notice(host: &str, incarnation: u64, sequence: u64) -> Notice {
+    Notice {
+        host: host.into(),
+        domain: "north".into(),
+        incarnation,
+        sequence,
+        interval_ms: 250,
+        whole: false,
+        giants: 0,
+        waiting: Vec::new(),
+        word: Word::default(),
+        leaving: Vec::new(),
+        passed_over: Vec::new(),
+        holdings: Vec::new(),
+    }
+}
+
 /// A request at one server; `reading` in microseconds.
 fn hold(server: &str, reading: u64, memory: i64) -> Hold {
     Hold {
--- a/crates/alderglade-operator/src/command/explain/summary.rs
+++ b/crates/alderglade-operator/src/command/explain/summary.rs
@@ -4,14 +4,14 @@
 //! first: a thousand late short replies may weigh less than ten long prompts that were refused.
 
 use super::Line;
-use alderglade_core::fleet::placement;
+use alderglade_core::fleet::placement::{self, LATE_WORTH, SHORT_PROMPT};
 use serde::Serialize;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
 
-/// What an answer that comes late still earns, as a part of its worth. From the users' sheets.
-const LATE_WORTH: f64 = 0.25;
+/// Prompts from this length on, in tokens, are counted apart: they take up many engines for a good part of a second.
+const GIANT_PROMPT: u64 = 100_000;
 /// The part of a late first event that a request must have been held for to be late by that.
 const HELD: f64 = 0.5;
 /// A first event counts as later than planned from this many times the expected time on.
@@ -35,8 +35,8 @@
     fn of(prompt: u64) -> Length {
         match prompt {
             0 => Length::Plain,
-            1..12_000 => Length::Short,
-            12_000..100_000 => Length::Long,
+            1..SHORT_PROMPT => Length::Short,
+            SHORT_PROMPT..GIANT_PROMPT => Length::Long,
             _ => Length::Giant,
         }
     }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -123,11 +123,7 @@
     let _call = node.call(&server.id);
     tell_placed(job, server, number);
     let left = job.left();
-    let patience = if more && job.route.kind.repeatable() {
-        left.mul_f64(FIRST_TRY)
-    } else {
-        left
-    };
+    let patience = patience(job, left, more);
     let sent = life.send();
     let exchange = attempt::send(node, job, server, Vec::new(), None, number);
     let whole = async {
@@ -138,12 +134,7 @@
         Err(_) => {
             attempt::tell(job, server, number, "no answer in the time allowed");
             node.note(&server.id, Outcome::Silent);
-            let waiting = sent.lost();
-            if patience < left {
-                Try::Missed(waiting)
-            } else {
-                Try::Expired(waiting)
-            }
+            silent(sent.lost(), patience < left)
         }
         Ok(Ok(response)) => Try::Whole(response),
         Ok(Err(Miss::NotSent)) => Try::NotSent(sent.never_sent()),
@@ -152,6 +143,24 @@
     }
 }
 
+/// Gives how long one server may take: not all that is `left` where `more` tries may follow.
+fn patience(job: &Job, left: Duration, more: bool) -> Duration {
+    if more && job.route.kind.repeatable() {
+        left.mul_f64(FIRST_TRY)
+    } else {
+        left
+    }
+}
+
+/// Gives what a try has come to whose server stayed silent, where some time may be left.
+fn silent(waiting: Life<Waiting>, time_left: bool) -> Try {
+    if time_left {
+        Try::Missed(waiting)
+    } else {
+        Try::Expired(waiting)
+    }
+}
+
 fn tell_placed(job: &Job, server: &Server, attempt: u32) {
     event::write(&Record::Placed {
         id: &job.ask.id,
