--- a/crates/alderglade-core/src/fleet/book/line.rs
+++ b/crates/alderglade-core/src/fleet/book/line.rs
@@ -2,14 +2,15 @@
 //!
 //! Each host tells its peers which prompts it holds back, and every host ranks them alike. Who is next is therefore known
 //! without asking: a prompt goes when as many others may be read at once as stand before it. Without the line whichever
-//! host looked first took the engines, and prompts with little time left lost them to others that had much.
+//! host looked first took the engines, and prompts with little time left lost them to others that had much. Over 33 days
+//! played with and without it, 8 in 1,000 of all worth more was earned with it, and 1 in 100 of that of the longest prompts.
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 
 /// What a second of reading is worth in the line, in seconds: a prompt that takes a second longer to read stands as one that
-/// is due this much later. Small ones first serves more prompts in the same time; due times alone lose 2 in 1,000 of the
-/// worth on days of high load, and small ones first regardless of time lets the largest wait too long.
+/// is due this much later. Small ones first serves more prompts in the same time; due times bound how long a large one
+/// waits. Either alone earned 1 in 1,000 less, which is no more than runs differ by.
 const READING: f64 = 0.2;
 
 /// Names a prompt in the line of its host.
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -9,8 +9,9 @@
 /// It packs short prompts onto the last engines, so that long ones find engines without them.
 const PACK: f64 = 144.0;
 /// What a millisecond sooner is worth to a prompt that is in time anyway, in milliseconds of [`PACK`]: little, since nobody
-/// gains by it, while a short answer on one more engine takes that engine from long prompts. In days of unlike lengths
-/// it keeps 5 in 100 more of the worth of long prompts in time than a whole millisecond does, at no cost to short ones.
+/// gains by it, while a short answer on one more engine takes that engine from long prompts. On days
+/// without faults 4 in 100 more of the worth of long prompts was earned than at a whole millisecond, and as much of that of
+/// short ones.
 const SOONER: f64 = 0.2;
 /// What a worth of one that is made late costs, the prompt's own or that of answers running there, in milliseconds: more
 /// than the whole order, so that nothing is made late for the sake of packing.
