--- a/crates/alderglade-core/src/fleet/placement/demand.rs
+++ b/crates/alderglade-core/src/fleet/placement/demand.rs
@@ -1,12 +1,11 @@
 //! What a long prompt needs while it waits: what its place in the line of all hosts follows from.
 
-use super::{MOST_PARTS, SHORT_PROMPT, Work, patience, timing};
+use super::patience::{self, PLANNED};
+use super::{MOST_PARTS, SHORT_PROMPT, Work, timing};
 use crate::fleet::book::Demand;
 use crate::fleet::pass::Figures;
 
-/// The part of the aim at which a first event is planned; the rest is for estimates that are too low.
-const PLANNED: f64 = 0.9;
-/// What the pass takes that a part joins, about, in milliseconds.
+/// What the pass takes that a part joins, in milliseconds: about that of an engine that writes a dozen answers.
 const PASS: f64 = 60.0;
 
 /// Gives what a long prompt needs that waits for engines of a service with so many of them; `None` for a short one,
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -6,10 +6,9 @@
 //! for that wait at their host until few answers would suffer, and less and less choosy as their own
 //! time runs out. Some engines are left to short prompts.
 //!
-//! `short` and `long` choose for the two kinds of prompts, `parts` lays a long prompt out over
-//! engines, `patience` says whether it should wait, and `demand` what the line of those that
-//! wait goes by, and `wait` holds what operators are told of it; they all
-//! weigh by `cost` and `timing`.
+//! `short` and `long` choose for the two kinds of prompts, and `parts` lays a long prompt out over engines. `patience` says
+//! whether it should wait, `demand` what its place in the line of waiting prompts goes by, and `wait` holds what operators are
+//! told of it. They all weigh by `cost` and `timing`.
 
 mod cost;
 mod demand;
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -8,6 +8,8 @@
 use super::timing::millis;
 use super::{Plan, Reason, Shared, Work};
 
+/// The part of the aim at which first events are planned; the rest is for estimates that are too low.
+pub(super) const PLANNED: f64 = 0.9;
 /// Prompts that take up many engines are read one for each so many engines at a time, over all hosts.
 const ENGINES_A_GIANT: usize = 9;
 /// What a second of reading on one engine is worth to others when the engines read all the time; an
@@ -77,7 +79,7 @@
     const AT_LAST: f64 = 1.2;
     let first_event = millis(plan.first_event);
     let waited = millis(work.waited);
-    let in_time = millis(work.aim) * 0.9 - first_event;
+    let in_time = millis(work.aim) * PLANNED - first_event;
     let last_start = waited + first_event_left(work) - first_event;
     let spent = if waited < in_time {
         waited / in_time.max(1.0)
