--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -17,10 +17,10 @@
     f64::from(engine.figures.slots) * PACKED
 }
 
-/// Gives the running answers at an engine from which on long prompts are answered elsewhere: three quarters of the
-/// places, which leaves some for short prompts whose placements are still on their way.
+/// Gives the running answers at an engine from which on long prompts are answered elsewhere: those that it is packed
+/// with, which leaves some places for short prompts whose placements are still on their way.
 pub(super) fn crowded(engine: &Engine) -> i64 {
-    i64::from(engine.figures.slots) * 3 / 4
+    packed(engine) as i64
 }
 
 /// Gives the worth of short prompts that will come while `count` engines are taken up for the time of a
@@ -44,7 +44,7 @@
 /// Gives the worth of running answers that a part read at an engine makes late.
 pub(super) fn harm(engine: &Engine, part: f64) -> f64 {
     let before = pause(engine, 0.0);
-    let after = pause(engine, part);
+    let after = before + part;
     PauseClass::ALL
         .iter()
         .zip(engine.load.at_risk)
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -81,13 +81,15 @@
     // counts as if it were in the middle of a pass.
     let pass = timing::idle_pass(engine);
     let rest = engine.ahead.rest.max(pass / 2.0);
-    let reading = engine.ahead.queued + engine.figures.read(work.prompt);
-    SOONER * (rest + pass + reading) + LATE * made_late(work, engine) + away + burden(work, engine)
+    let part = engine.figures.read(work.prompt);
+    let reading = engine.ahead.queued + part;
+    let late = LATE * made_late(work, engine, part);
+    SOONER * (rest + pass + reading) + late + away + burden(work, engine)
 }
 
-/// Gives the worth that a prompt makes late at an engine: its own, and that of the answers that run there.
-fn made_late(work: &Work, engine: &Engine) -> f64 {
-    let part = engine.figures.read(work.prompt);
+/// Gives the worth that a prompt makes late at an engine that reads it in `part` milliseconds: its own, and that of the
+/// answers that run there.
+fn made_late(work: &Work, engine: &Engine, part: f64) -> f64 {
     let first_event = timing::first_event(engine, part);
     cost::lateness(work, SLOWER * first_event) + cost::harm(engine, SLOWER * part)
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/line.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/line.rs
@@ -94,12 +94,18 @@
     assert_eq!(host.places(), [1, 0, 2]);
 }
 
-#[test]
-fn who_has_left_the_line_holds_nobody_up() {
+/// Two hosts that hear each other, with a prompt each; that of the first one is due sooner.
+fn two_that_wait() -> [Host; 2] {
     let mut hosts = [Host::new(0), Host::new(1)];
     hosts[0].line_up(demand(100, 4_000));
     hosts[1].line_up(demand(900, 4_000));
     tell_all(&mut hosts);
+    hosts
+}
+
+#[test]
+fn who_has_left_the_line_holds_nobody_up() {
+    let mut hosts = two_that_wait();
     assert_eq!(hosts[1].places(), [1]);
     let (id, _) = hosts[0].waiting[0];
     hosts[0].book.leave_line(id);
@@ -109,10 +115,7 @@
 
 #[test]
 fn prompts_of_a_host_that_has_fallen_silent_hold_nobody_up() {
-    let mut hosts = [Host::new(0), Host::new(1)];
-    hosts[0].line_up(demand(100, 4_000));
-    hosts[1].line_up(demand(900, 4_000));
-    tell_all(&mut hosts);
+    let mut hosts = two_that_wait();
     let later = Time(NOW.0 + 2_000_000);
     hosts[1].book.expire(later);
     assert_eq!(hosts[1].places(), [0]);
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -94,20 +94,24 @@
     assert_eq!(&*plan.first, "e29");
 }
 
-#[test]
-fn a_short_prompt_that_is_in_time_waits_a_little_to_leave_another_engine_free() {
+/// Engines at rest, but for three short answers at the last one.
+fn engines_of_which_the_last_writes() -> Vec<Engine> {
     let mut engines = engines(18);
     engines[17].load.running = 3;
     engines[17].load.at_risk[0] = 3 * 1_300;
+    engines
+}
+
+#[test]
+fn a_short_prompt_that_is_in_time_waits_a_little_to_leave_another_engine_free() {
+    let mut engines = engines_of_which_the_last_writes();
     engines[17].ahead.rest = 50.0;
     assert_eq!(&*plan(choose(&short(), &engines, &CALM)).first, "e17");
 }
 
 #[test]
 fn a_short_prompt_keeps_off_an_engine_whose_answers_it_would_make_late() {
-    let mut engines = engines(18);
-    engines[17].load.running = 3;
-    engines[17].load.at_risk[0] = 3 * 1_300;
+    let mut engines = engines_of_which_the_last_writes();
     engines[17].ahead.queued = 120.0;
     assert_ne!(&*plan(choose(&short(), &engines, &CALM)).first, "e17");
 }
--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -124,8 +124,8 @@
             "`alderglade explain` needs a request id or `--summary`",
         ));
     };
-    let logs = read_logs(files)?;
-    let told: Vec<Line> = logs.iter().flat_map(|lines| story(lines, id)).collect();
+    let mut told = Vec::new();
+    each_log(files, |lines| told.extend(story(&lines, id)))?;
     if told.is_empty() {
         return Err(Error::NotFound { id: id.clone() });
     }
@@ -135,22 +135,23 @@
 }
 
 fn sum_up(files: &[String], shell: &Shell) -> Result<(), Error> {
-    let lines: Vec<Line> = read_logs(files)?.into_iter().flatten().collect();
+    let mut lines = Vec::new();
+    each_log(files, |log| lines.extend(log))?;
     let rows = summary::rows(&lines);
     shell.result(&rows, &summary::table(&rows));
     Ok(())
 }
 
-/// Reads each of the files, or standard input where none is named.
-fn read_logs(files: &[String]) -> Result<Vec<Vec<Line>>, Error> {
+/// Reads the files one after the other, or standard input where none is named, and hands on the lines of each.
+fn each_log(files: &[String], mut take: impl FnMut(Vec<Line>)) -> Result<(), Error> {
     if files.is_empty() {
-        return Ok(vec![read("standard input", std::io::stdin().lock())?]);
+        take(read("standard input", std::io::stdin().lock())?);
     }
-    let logs = files.iter().map(|file| {
+    for file in files {
         let opened = std::fs::File::open(file).map_err(|cause| log_error(file, &cause))?;
-        read(file, std::io::BufReader::new(opened))
-    });
-    logs.collect()
+        take(read(file, std::io::BufReader::new(opened))?);
+    }
+    Ok(())
 }
 
 fn read(file: &str, reader: impl BufRead) -> Result<Vec<Line>, Error> {
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -48,7 +48,9 @@
             Decision::Refuse(after) => return Err(life.refuse(ErrorKind::Overloaded, after)),
             Decision::Wait(wait) => {
                 tell_held(node, job, tries, wait.reason);
-                line.iter_mut().for_each(InLine::tell);
+                if let Some(line) = &mut line {
+                    line.tell();
+                }
                 tokio::time::sleep(wait.look_again).await;
             }
         }
--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -1,6 +1,6 @@
 //! Faults that a virtual clock can't show: killed and stopped processes, cut sockets, signals.
 
-use crate::fleet::{Fleet, PATIENCE, Plan, assert_whole, get, wait, wall_ms};
+use crate::fleet::{Fleet, PATIENCE, Plan, assert_whole, generate_at, get, wait, wall_ms};
 use alderglade_standin::client::{self, Answer, Booking};
 use alderglade_standin::fleet::{self, DESK, REVIEW, token};
 use alderglade_standin::platform::Platform;
@@ -98,18 +98,7 @@
             let address = address.clone();
             scope.spawn(move || {
                 let tokens = if number == 0 { 1_000_000 } else { 200_000 };
-                client::generate(
-                    &client::agent(),
-                    &client::Ask {
-                        host: &address,
-                        token: &token(crate::fleet::WORKSPACE),
-                        model: fleet::MODEL,
-                        class: REVIEW,
-                        prompt: "lost with its host",
-                        tokens,
-                        output: 64,
-                    },
-                )
+                generate_at(&address, REVIEW, "lost with its host", tokens, 64)
             });
         }
         wait("long prompts run", || {
@@ -199,18 +188,7 @@
     process.wait(PATIENCE).expect("the host stops");
     // As another test's stand-in may be given it by the system.
     let stranger = Platform::start(&format!("127.0.0.1:{}", port(&address)));
-    let answer = client::generate(
-        &client::agent(),
-        &client::Ask {
-            host: &address,
-            token: &token(crate::fleet::WORKSPACE),
-            model: fleet::MODEL,
-            class: DESK,
-            prompt: "to a host that is gone",
-            tokens: 1_000,
-            output: 30,
-        },
-    );
+    let answer = generate_at(&address, DESK, "to a host that is gone", 1_000, 30);
     assert_eq!(answer.status, 0, "{answer:?} from {}", stranger.address());
 }
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -36,6 +36,22 @@
     pub folder: Folder,
 }
 
+/// Sends a prompt to whoever listens at an address.
+pub fn generate_at(address: &str, class: &str, prompt: &str, tokens: u64, output: u64) -> Answer {
+    client::generate(
+        &client::agent(),
+        &Ask {
+            host: address,
+            token: &token(WORKSPACE),
+            model: fleet::MODEL,
+            class,
+            prompt,
+            tokens,
+            output,
+        },
+    )
+}
+
 /// What a fleet is made of.
 pub struct Plan<'a> {
     pub domains: &'a [&'a str],
@@ -173,18 +189,8 @@
         tokens: u64,
         output: u64,
     ) -> Answer {
-        client::generate(
-            &client::agent(),
-            &Ask {
-                host: &self.hosts[host].addresses.callers,
-                token: &token(WORKSPACE),
-                model: fleet::MODEL,
-                class,
-                prompt,
-                tokens,
-                output,
-            },
-        )
+        let address = &self.hosts[host].addresses.callers;
+        generate_at(address, class, prompt, tokens, output)
     }
 
     /// Calls the booking service through a host.
