--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -45,7 +45,7 @@
     let settings = &node.settings;
     let ready = listener(settings.ready)?;
     let callers = listener(settings.callers)?;
-    let metrics = settings.metrics.map(listener).transpose()?;
+    let metrics = settings.metrics.and_then(metrics_listener);
     let address = settings.peers;
     let peers = UdpSocket::bind(address).await.context(Snafu { address })?;
     let addresses = Addresses {
@@ -70,6 +70,16 @@
     Ok(addresses)
 }
 
+/// Opens the listener for operators. A host serves without one: its port may be taken by another process.
+fn metrics_listener(address: SocketAddr) -> Option<TcpListener> {
+    let opened = listener(address);
+    if let Err(error) = &opened {
+        let problem = error.to_string();
+        event::write(&Record::ListenFault { problem: &problem });
+    }
+    opened.ok()
+}
+
 fn listener(address: SocketAddr) -> Result<TcpListener, Error> {
     listen::open(address).context(Snafu { address })
 }
