A host that ends tells which requests it cuts off, and how long after the request to stop they came

Cause: the log told how many requests a stop cut off, not which; nothing told whether a request had come before or after the request to stop, nor how many connections of callers were still open. Change: each request in hand has its progress (waits, sent, passes on, with the server); the end of a stop writes a line for each request that it cuts off (3408 `cut_off`, sixty at most; `stopped` tells the number without one, the requests taken while stopping and the open connections of callers). `placed`, `refused` and `broken_off` have `stopping_ms` on a stopping host. A request that is cut off is no longer told as `caller_left`. Metrics: stopping, taken while stopping, cut off, callers' connections. `alderglade explain` tells a stop within a request's story, forgets a host's standing at its next start, and counts what stops cut off. Nothing changes towards callers and backend servers.

--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -16,7 +16,8 @@
 
 Reads the files, or standard input where none is named. What stands before the `{` of a line, such as a
 time and a host, is kept; a line without it is told under the name of its file. Lines that say how the
-host stood before the request (configuration, store, servers, peers) are told too, the last of each kind.
+host stood before the request (configuration, store, servers, peers) are told too, the last of each kind,
+and when it was asked to stop meanwhile.
 
 With --summary: how many requests ended in which way, by the length of their prompts, and what worth was lost
 by it (an ordinary short reply is worth about one), the greatest loss first.
@@ -35,8 +36,12 @@
     "store_reach",
     "peer_joined",
     "peer_lost",
-    "stopping",
+    STOPPING,
 ];
+/// The event of a process that begins to serve: what its host stood at before is over.
+const STARTED: &str = "started";
+/// The event of a host that is asked to stop.
+const STOPPING: &str = "stopping";
 
 /// One line of a log, understood.
 #[derive(Debug, Clone, Serialize)]
@@ -91,22 +96,31 @@
     }
 }
 
-/// The lines that tell a request's story: for each file, the host's standing before it and its own lines.
+/// The lines that tell a request's story: for each file, the host's standing before it, its own lines, and among them when
+/// the host was asked to stop.
 pub fn story(lines: &[Line], id: &str) -> Vec<Line> {
-    let Some(first) = lines.iter().position(|line| line.id.as_deref() == Some(id)) else {
+    let is_own = |line: &Line| line.id.as_deref() == Some(id);
+    let Some(first) = lines.iter().position(is_own) else {
         return Vec::new();
     };
+    let last = lines.iter().rposition(is_own).unwrap_or(first);
     let host = host_of(&lines[first]);
     let mut standing: Vec<Line> = Vec::new();
     for line in &lines[..first] {
-        let own = STANDING.contains(&line.event.as_str()) && host_of(line) == host;
-        if own {
+        if host_of(line) != host {
+            continue;
+        }
+        if line.event == STARTED {
+            standing.clear();
+        }
+        if STANDING.contains(&line.event.as_str()) {
             standing.retain(|known| known.event != line.event);
             standing.push(line.clone());
         }
     }
-    let own = lines[first..].iter();
-    let own = own.filter(|line| line.id.as_deref() == Some(id));
+    let stops = |line: &Line| line.event == STOPPING && host_of(line) == host;
+    let own = lines[first..=last].iter();
+    let own = own.filter(|line| is_own(line) || stops(line));
     standing.into_iter().chain(own.cloned()).collect()
 }
 
--- a/crates/alderglade-operator/src/command/explain/summary.rs
+++ b/crates/alderglade-operator/src/command/explain/summary.rs
@@ -153,7 +153,7 @@
     let last = story.iter().rev().find(|line| {
         matches!(
             line.event.as_str(),
-            "answered" | "refused" | "broken_off" | "caller_left"
+            "answered" | "refused" | "broken_off" | "caller_left" | "cut_off"
         )
     });
     let Some(last) = last else {
@@ -163,10 +163,19 @@
         "answered" => answered(story, last, failure),
         "refused" => End::lost(refused(story, last, failure)),
         "broken_off" => End::lost(format!("broken off after: {}", failure.unwrap_or("-"))),
+        "cut_off" => End::lost(cut_off(last)),
         _ => End::lost("the caller left"),
     }
 }
 
+/// Gives how a request ended that the end of a stop cut off.
+fn cut_off(last: &Line) -> &'static str {
+    match number(last, "came_stopping_ms") {
+        Some(_) => "cut off by a stop that it came after",
+        None => "cut off by a stop that it came before",
+    }
+}
+
 /// Gives how an answered request ended: in time, or what made it late.
 fn answered(story: &[&Line], last: &Line, failure: Option<&str>) -> End {
     let status = number(last, "status").unwrap_or(0);
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -95,6 +95,5 @@
         }
         tokio::time::sleep(LOOK).await;
     }
-    let cut_off = node.in_flight();
-    event::write(&Record::Stopped { cut_off });
+    node.end();
 }
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -77,13 +77,15 @@
 pub(super) const CALLER_LEFT: Kind = info(3406, "caller_left");
 /// A prompt is held back for now.
 pub(super) const HELD: Kind = info(3407, "held");
+/// The end of a stop cuts a request off.
+pub(super) const CUT_OFF: Kind = warn(3408, "cut_off");
 /// Memory could not be set aside for a prompt.
 pub(super) const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
 /// Memory was not given back; it lapses by itself.
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 27] = [
+pub const ALL: [Kind; 28] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -109,6 +111,7 @@
     BROKEN_OFF,
     CALLER_LEFT,
     HELD,
+    CUT_OFF,
     MEMORY_REFUSED,
     MEMORY_NOT_RELEASED,
 ];
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -27,6 +27,15 @@
     Stopped {
         /// Requests that were cut off.
         cut_off: usize,
+        /// Requests among them for which there is no line.
+        untold: usize,
+        /// Requests that came after the request to stop.
+        taken_stopping: u64,
+        /// Connections of callers that are still open.
+        connections: usize,
+        /// The time since the host was asked to stop, in milliseconds, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
     },
     /// The settings were read again.
     Reloaded {
@@ -132,6 +141,9 @@
         expected_ms: u64,
         /// The configuration's version.
         config: u64,
+        /// The time since the host was asked to stop, in milliseconds, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
     },
     /// A try failed.
     AttemptFailed {
@@ -175,6 +187,9 @@
         took_ms: u64,
         /// The age of the host's word of the store, in milliseconds.
         store_age_ms: Option<u64>,
+        /// The time since the host was asked to stop, in milliseconds, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
     },
     /// A stream was broken off before its end.
     BrokenOff {
@@ -184,6 +199,9 @@
         problem: &'a str,
         /// How long it took, in milliseconds.
         took_ms: u64,
+        /// The time since the host was asked to stop, in milliseconds, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
     },
     /// The caller left before its answer was whole.
     CallerLeft {
@@ -205,6 +223,24 @@
         /// How much the engines have had to read lately, from `0.0` to `1.0`.
         pressure: f64,
     },
+    /// The end of a stop cuts a request off.
+    CutOff {
+        /// The request; empty where its head was not understood yet.
+        id: &'a str,
+        /// What it was doing: `waits`, `sent` or `passes_on`.
+        doing: &'a str,
+        /// The server that has it, if any.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        server: Option<&'a str>,
+        /// How long ago it came, in milliseconds.
+        took_ms: u64,
+        /// How long after the request to stop it came, in milliseconds, if it came after it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        came_stopping_ms: Option<u64>,
+        /// The time since the host was asked to stop, in milliseconds, if it was.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        stopping_ms: Option<u64>,
+    },
     /// Memory could not be set aside for a prompt.
     MemoryRefused {
         /// The request.
@@ -267,6 +303,7 @@
             Record::BrokenOff { .. } => &kind::BROKEN_OFF,
             Record::CallerLeft { .. } => &kind::CALLER_LEFT,
             Record::Held { .. } => &kind::HELD,
+            Record::CutOff { .. } => &kind::CUT_OFF,
             Record::MemoryRefused { .. } => &kind::MEMORY_REFUSED,
             Record::MemoryNotReleased { .. } => &kind::MEMORY_NOT_RELEASED,
         }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
-use crate::node::Node;
+use crate::node::{InFlight, Node, Progress};
 use crate::translate::Ask;
 use crate::{generate, unary};
 use alderglade_core::Name;
@@ -31,19 +31,20 @@
 
 /// Answers one request.
 pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Content> {
-    let arrived = clock::now();
     let (head, body) = request.into_parts();
     let in_flight = node.enter();
+    let arrived = in_flight.progress.arrived;
     let ask = match read_head(&node, &head) {
         Ok(ask) => ask,
         Err(refusal) => return refuse(&node, "", &refusal, arrived),
     };
     let id = ask.id.clone();
+    in_flight.progress.name(&id);
     let mut guard = Guard {
-        id: id.clone(),
+        progress: in_flight.progress.clone(),
         done: false,
     };
-    let result = let_in(&node, head, body, ask, arrived).await;
+    let result = let_in(&node, head, body, ask, &in_flight).await;
     let mut response = match result {
         Err(refusal) => refuse(&node, &id, &refusal, arrived),
         Ok(job) => match job.route.kind {
@@ -66,17 +67,18 @@
     headers.insert(http::header::CONNECTION, close);
 }
 
-/// Writes that a caller has left, where a request is dropped before it is done.
+/// Writes that a caller has left, where a request is dropped before it is done and not cut off by the end of the host.
 struct Guard {
     /// The request.
-    id: Name,
+    progress: Rc<Progress>,
     done: bool,
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if !self.done {
-            event::write(&Record::CallerLeft { id: &self.id });
+        if !self.done && !self.progress.is_cut_off() {
+            let id = self.progress.id();
+            event::write(&Record::CallerLeft { id: &id });
         }
     }
 }
@@ -94,6 +96,7 @@
         ran: refusal.ran.label(),
         took_ms: now.since(arrived).as_millis() as u64,
         store_age_ms: age.map(|age| age.as_millis() as u64),
+        stopping_ms: node.stopping_ms(),
     });
     answer::refusal(refusal)
 }
@@ -104,12 +107,14 @@
     head: Parts,
     body: Incoming,
     ask: Ask,
-    arrived: Time,
+    in_flight: &InFlight,
 ) -> Result<Job, Refusal> {
     let config = node.config_soon(START_PATIENCE).await;
     let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, ELSEWHERE))?;
     let Admission { route, workspace } = admit(node, &config, &head, &ask)?;
     let asked = ask.time_limit.unwrap_or(route.time_limit);
+    let progress = in_flight.progress.clone();
+    let arrived = progress.arrived;
     let ends = arrived + asked.min(route.time_limit);
     let body = read_body(body, config.limits.body_bytes, ends).await?;
     let draw = rand::rng().random::<f64>();
@@ -126,6 +131,7 @@
         workspace,
         config: config.version,
         arrived,
+        progress,
         ends,
     })
 }
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -9,7 +9,7 @@
 use crate::event::{self, Record};
 use crate::forward;
 use crate::job::Job;
-use crate::node::{Held, InFlight, Node};
+use crate::node::{Held, InFlight, Node, Stage};
 use crate::relay;
 use crate::slowdown::Reading;
 use crate::ticket::Tickets;
@@ -121,6 +121,7 @@
 ) -> Result<Open, Refusal> {
     let mut life: Life<Waiting> = Life::new();
     loop {
+        job.progress.turn(Stage::Waits);
         let plan = place::place(node, job, tries, &life).await?;
         if tries.all > 0 && !node.spend_repeat(&job.service) {
             return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
@@ -130,6 +131,7 @@
         };
         tries.all += 1;
         tell_placed(job, &plan, tries.all, node);
+        job.progress.turn(Stage::Sent(placed.server.id.clone()));
         let sent = life.send();
         let silence = silence(job, &plan);
         match send(node, job, tries, &placed, last_event.clone(), silence).await {
@@ -283,5 +285,6 @@
         waited_ms: waited.as_millis() as u64,
         expected_ms: plan.first_event.as_millis() as u64,
         config: job.config,
+        stopping_ms: node.stopping_ms(),
     });
 }
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -1,6 +1,7 @@
 //! A request that was let in: what its caller wants, and how long it waits.
 
 use crate::clock;
+use crate::node::Progress;
 use crate::translate::{Ask, Prompt};
 use alderglade_core::Name;
 use alderglade_core::fleet::book::PauseClass;
@@ -9,6 +10,7 @@
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// What a prompt counts as whose caller says nothing of it: an ordinary short one.
@@ -40,6 +42,8 @@
     pub config: u64,
     /// When its head came.
     pub arrived: Time,
+    /// How far it has come.
+    pub progress: Rc<Progress>,
     /// When it must be over.
     pub ends: Time,
 }
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -56,6 +56,7 @@
 }
 
 async fn connection(node: Rc<Node>, stream: TcpStream) {
+    let _connected = node.connect();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("socket option refused: {error}");
     }
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -37,6 +37,14 @@
     pub hosts: IntGauge,
     /// Requests in hand.
     pub in_flight: IntGauge,
+    /// Whether the host was asked to stop: `1` if so.
+    pub stopping: IntGauge,
+    /// Requests that came after the request to stop.
+    pub taken_stopping: IntCounter,
+    /// Requests that the end of a stop cuts off.
+    pub cut_off: IntCounter,
+    /// Connections of callers that are open.
+    pub caller_connections: IntGauge,
     /// Sets of memory set aside.
     pub tickets: IntGauge,
     /// Connections opened to backend servers and the store.
@@ -77,6 +85,19 @@
             )?,
             hosts: IntGauge::new("alderglade_hosts", "Entry hosts heard of.")?,
             in_flight: IntGauge::new("alderglade_in_flight", "Requests in hand.")?,
+            stopping: IntGauge::new("alderglade_stopping", "Whether the host was asked to stop.")?,
+            taken_stopping: IntCounter::new(
+                "alderglade_taken_stopping_total",
+                "Requests that came after the request to stop.",
+            )?,
+            cut_off: IntCounter::new(
+                "alderglade_cut_off_total",
+                "Requests that the end of a stop cuts off.",
+            )?,
+            caller_connections: IntGauge::new(
+                "alderglade_caller_connections",
+                "Connections of callers that are open.",
+            )?,
             tickets: IntGauge::new("alderglade_tickets", "Prompts with memory set aside.")?,
             connections: IntGauge::new("alderglade_connections_opened", "Connections opened.")?,
             registry,
@@ -95,7 +116,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn prometheus::core::Collector>; 14] = [
+        let all: [Box<dyn prometheus::core::Collector>; 18] = [
             Box::new(self.answers.clone()),
             Box::new(self.aims.clone()),
             Box::new(self.first.clone()),
@@ -108,6 +129,10 @@
             Box::new(self.passed_over.clone()),
             Box::new(self.hosts.clone()),
             Box::new(self.in_flight.clone()),
+            Box::new(self.stopping.clone()),
+            Box::new(self.taken_stopping.clone()),
+            Box::new(self.cut_off.clone()),
+            Box::new(self.caller_connections.clone()),
             Box::new(self.tickets.clone()),
             Box::new(self.connections.clone()),
         ];
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -7,14 +7,16 @@
 mod guard;
 mod hosts;
 mod outbox;
+mod progress;
 mod reach;
 mod relay;
 mod state;
 mod stop;
 mod store;
 
-pub use guard::{Call, Held, InFlight, InLine};
+pub use guard::{Call, Connected, Held, InFlight, InLine};
 pub use hosts::{Host, Hosts};
+pub use progress::{Progress, Stage};
 pub use state::State;
 pub use store::News;
 
@@ -62,7 +64,9 @@
     /// This lifetime of the process; `0` until the store has given it a number.
     pub incarnation: Cell<u64>,
     stopping_since: watch::Sender<Option<Time>>,
-    in_flight: Cell<usize>,
+    in_hand: progress::InHand,
+    /// Connections of callers that are open.
+    connections: Cell<usize>,
 }
 
 impl Node {
@@ -89,13 +93,19 @@
             word_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
-            in_flight: Cell::new(0),
+            in_hand: progress::InHand::default(),
+            connections: Cell::new(0),
         }))
     }
 
     /// Gives the number of requests in hand.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
+        self.in_hand.len()
+    }
+
+    /// Gives the number of callers' connections that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
     }
 
     /// Says whether new connections should come here: the host knows what to serve, isn't stopping, and
@@ -117,9 +127,23 @@
 
     /// Notes a request in hand until the guard is dropped.
     pub fn enter(self: &Rc<Node>) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
+        let progress = Rc::new(Progress::begin(clock::now()));
         self.metrics.in_flight.inc();
-        InFlight { node: self.clone() }
+        if self.is_stopping() {
+            self.metrics.taken_stopping.inc();
+        }
+        InFlight {
+            node: self.clone(),
+            number: self.in_hand.add(progress.clone()),
+            progress,
+        }
+    }
+
+    /// Notes an open connection of a caller until the guard is dropped.
+    pub fn connect(self: &Rc<Node>) -> Connected {
+        self.connections.set(self.connections.get() + 1);
+        self.metrics.caller_connections.inc();
+        Connected { node: self.clone() }
     }
 
     /// Notes a placement in the book until the guard is dropped.
--- a/crates/alderglade-serve/src/node/guard.rs
+++ b/crates/alderglade-serve/src/node/guard.rs
@@ -1,7 +1,7 @@
 //! Guards that note what a request takes, and give it back when they are dropped: on every path, also
 //! when the caller leaves and its task is dropped.
 
-use super::Node;
+use super::{Node, Progress};
 use crate::clock;
 use alderglade_core::Name;
 use alderglade_core::fleet::book::{Demand, HoldId, WaitId};
@@ -10,15 +10,30 @@
 /// Counts a request in hand.
 pub struct InFlight {
     pub(super) node: Rc<Node>,
+    pub(super) number: u64,
+    /// How far the request has come.
+    pub progress: Rc<Progress>,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.node.in_flight.set(self.node.in_flight.get() - 1);
+        self.node.in_hand.remove(self.number);
         self.node.metrics.in_flight.dec();
     }
 }
 
+/// Counts an open connection of a caller.
+pub struct Connected {
+    pub(super) node: Rc<Node>,
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.node.connections.set(self.node.connections.get() - 1);
+        self.node.metrics.caller_connections.dec();
+    }
+}
+
 /// Keeps a placement in the book.
 pub struct Held {
     node: Rc<Node>,
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::generate::{self, Open, Tries};
 use crate::job::Job;
-use crate::node::{Held, InFlight, Node};
+use crate::node::{Held, InFlight, Node, Stage};
 use crate::slowdown::{self, Reading};
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Kind;
@@ -153,6 +153,8 @@
             reading,
             silence,
         } = open;
+        let stage = Stage::PassesOn(server.id.clone());
+        self.job.progress.turn(stage);
         let mut part = Part {
             server,
             body: exchange.body,
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -30,6 +30,7 @@
             id: &self.job.ask.id,
             problem,
             took_ms: self.job.waited().as_millis() as u64,
+            stopping_ms: self.node.stopping_ms(),
         });
         let answers = &self.node.metrics.answers;
         answers.with_label_values(&["broken_off"]).inc();
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -7,7 +7,7 @@
 use crate::event::{self, Record};
 use crate::forward;
 use crate::job::Job;
-use crate::node::Node;
+use crate::node::{Node, Stage};
 use crate::translate::Reply;
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
@@ -121,7 +121,8 @@
     more: bool,
 ) -> Try {
     let _call = node.call(&server.id);
-    tell_placed(job, server, number);
+    tell_placed(node, job, server, number);
+    job.progress.turn(Stage::Sent(server.id.clone()));
     let left = job.left();
     let patience = patience(job, left, more);
     let sent = life.send();
@@ -161,7 +162,7 @@
     }
 }
 
-fn tell_placed(job: &Job, server: &Server, attempt: u32) {
+fn tell_placed(node: &Node, job: &Job, server: &Server, attempt: u32) {
     event::write(&Record::Placed {
         id: &job.ask.id,
         server: &server.id,
@@ -172,6 +173,7 @@
         waited_ms: job.waited().as_millis() as u64,
         expected_ms: job.route.aim.as_millis() as u64,
         config: job.config,
+        stopping_ms: node.stopping_ms(),
     });
 }
 
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -88,6 +88,40 @@
     }
 }
 
+const STOP: &str = r#"
+  1.0 host-1 {"at_ms":1,"n":3002,"level":"INFO","event":"stopping","in_flight":3}
+  2.0 host-1 {"at_ms":1,"n":3001,"level":"INFO","event":"started","host":"host-1"}
+  2.1 host-1 {"at_ms":9,"n":3401,"level":"INFO","event":"placed","id":"a","server":"e1","prompt":5000}
+  2.2 host-2 {"at_ms":9,"n":3002,"level":"INFO","event":"stopping","in_flight":4}
+  2.3 host-1 {"at_ms":20,"n":3002,"level":"INFO","event":"stopping","in_flight":1}
+  2.4 host-1 {"at_ms":29,"n":3401,"level":"INFO","event":"placed","id":"b","server":"e1","prompt":5000,"stopping_ms":9}
+  2.5 host-1 {"at_ms":90,"n":3408,"level":"WARN","event":"cut_off","id":"a","doing":"sent","server":"e1","took_ms":81,"stopping_ms":70}
+  2.6 host-1 {"at_ms":90,"n":3408,"level":"WARN","event":"cut_off","id":"b","doing":"sent","server":"e1","took_ms":61,"came_stopping_ms":9,"stopping_ms":70}
+"#;
+
+#[test]
+fn a_request_that_a_stop_cut_off_is_told_with_the_stop() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = write(folder.path(), "stop.log", STOP);
+    let output = command(&["explain", "a", &log]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("placed"), "{text}");
+    assert!(lines[1].contains("stopping") && lines[1].contains("in_flight 1"));
+    assert!(lines[2].contains("cut_off"), "{text}");
+    let output = command(&["explain", "--summary", &log]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        text.contains("cut off by a stop that it came before\n"),
+        "{text}"
+    );
+    assert!(
+        text.contains("cut off by a stop that it came after\n"),
+        "{text}"
+    );
+}
+
 #[test]
 fn nothing_found_and_unreadable_logs_are_told() {
     let folder = tempfile::tempdir().expect("a folder");
