A stopping host begins no request later than 2.7 s after it was asked to stop

Cause: a stopping host took prompts for as long as it expected their answers to fit before its end (one and a half times what the caller expects) and plain requests without any look at the time. The balancer sends it new connections at any moment: it goes back to all hosts of a failure domain while fewer than half are ready, which stops in series bring about. Answers that took longer than expected were cut off 7.1 s after the request to stop. Change: what has not been sent to a server within 2.7 s is refused as draining, with when to come back, also where its body came late. What came before may be broken off at the end, in the last sixth of the time, as the users' rules allow. A connection that is opened meanwhile has 0.2 s for its request, so that the caller is told instead of being reset. The margin at the end is bounded by a ninth of the time allowed, so that it lies in the last sixth for short times too.

--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// When a caller should come back to a host that can't serve yet or is cut off: about when the
+/// When a caller should come back to a host that can't serve yet, is cut off or stops: about when the
 /// balancer has noticed and sends it elsewhere.
 const ELSEWHERE: Duration = Duration::from_millis(300);
 
@@ -112,6 +112,10 @@
     let asked = ask.time_limit.unwrap_or(route.time_limit);
     let ends = arrived + asked.min(route.time_limit);
     let body = read_body(body, config.limits.body_bytes, ends).await?;
+    // The body may have come long after its head: the host may stop by now.
+    if !node.takes_requests() {
+        return Err(Refusal::new(ErrorKind::Draining, ELSEWHERE));
+    }
     let draw = rand::rng().random::<f64>();
     let service = route.target(draw).map(|target| target.service.clone());
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoCapacity, ELSEWHERE))?;
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -34,6 +34,9 @@
         if job.left().is_zero() {
             return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
         }
+        if tries.all == 0 && !node.takes_requests() {
+            return Err(life.refuse(ErrorKind::Draining, COME_BACK));
+        }
         let ends_in = node.ends_in();
         match decide(node, job, tries, &mut line) {
             Decision::Send(plan)
@@ -77,7 +80,8 @@
 /// Gives the time that an answer may well take from now to its end.
 fn answer_time(node: &Node, job: &Job, plan: &Plan) -> Duration {
     /// Callers' estimates are right in the median; half as much again covers most answers. One that takes longer is
-    /// broken off at the end of the host's time, and its caller goes on elsewhere behind the last event.
+    /// broken off at the end of the host's time, and its caller goes on elsewhere behind the last event; therefore this
+    /// estimate decides only on prompts that came while the host still took requests.
     const LONGER: f64 = 1.5;
     let prompt = job.prompt();
     let most_out = match prompt.expected_out {
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -1,6 +1,7 @@
 //! Listeners: for callers, for the balancer's question and for operators.
 
 use crate::answer::Content;
+use crate::clock;
 use crate::event::{self, Record};
 use crate::forward;
 use crate::node::Node;
@@ -23,9 +24,10 @@
 const UNKNOWN_IDLE: Duration = Duration::from_secs(15);
 /// The pause after a connection could not be accepted, so that a lack of descriptors isn't a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long connections at rest are still served after the request to stop: until the balancer, which
-/// asks each second and wants two refusals, has noticed.
-const STILL_SERVED: Duration = Duration::from_millis(3_000);
+
+/// How long a stopping host waits for the request of a connection that has just been opened, so that its caller is told
+/// to come back elsewhere: a way there and back between failure domains, and a busy moment.
+const FIRST_REQUEST: Duration = Duration::from_millis(200);
 
 /// Opens a listener.
 ///
@@ -80,7 +82,7 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = node.stopped_for(STILL_SERVED) => {
+        () = ends_at_rest(&node) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
@@ -90,6 +92,13 @@
     }
 }
 
+/// Waits until a connection that was opened now is to be ended where it rests: the host stops and takes no more requests.
+async fn ends_at_rest(node: &Node) {
+    let opened = clock::now();
+    node.takes_no_more().await;
+    tokio::time::sleep_until(clock::instant(opened + FIRST_REQUEST)).await;
+}
+
 /// Answers the balancer's question whether the host takes new connections.
 pub async fn ready(node: Rc<Node>, listener: TcpListener) {
     simple(listener, move |_| {
--- a/crates/alderglade-serve/src/node/stop.rs
+++ b/crates/alderglade-serve/src/node/stop.rs
@@ -5,11 +5,16 @@
 use crate::event::{self, Record};
 use std::time::Duration;
 
-/// What is kept of the time allowed for stopping, so that the process ends by itself before it is killed,
-/// also on an eighth of a core and with its last log lines written. Within the last sixth of the time,
-/// which requests need not live through.
+/// How long after the request to stop requests are still taken: until the balancer, which asks each second and wants two
+/// refusals, has noticed. Three tenths of a second below the three seconds after which a request that was sent may no
+/// longer be broken off at the host's end, because the host may notice late that it was asked to stop.
+const STILL_TAKEN: Duration = Duration::from_millis(2_700);
+/// What is kept of the time allowed for stopping, so that the process ends by itself before it is killed, also on an
+/// eighth of a core and with its last log lines written.
 const END_MARGIN: Duration = Duration::from_millis(900);
-
+/// The part of the time allowed for stopping that the margin takes up at most: less than the last sixth, which requests
+/// need not live through.
+const END_PART: u32 = 9;
 impl Node {
     /// Says whether the host was asked to stop.
     pub(super) fn is_stopping(&self) -> bool {
@@ -34,12 +39,29 @@
     /// Gives the time until the process ends, once it was asked to stop.
     pub fn ends_in(&self) -> Option<Duration> {
         let passed = self.stopping_for()?;
-        let most = self.settings.grace.saturating_sub(END_MARGIN);
-        Some(most.saturating_sub(passed))
+        Some(self.time_to_stop().saturating_sub(passed))
+    }
+
+    /// Says whether a request may be sent to its first backend server. What is refused from now on can't be cut off at
+    /// the host's end, however long its answer would have taken.
+    pub fn takes_requests(&self) -> bool {
+        self.stopping_for()
+            .is_none_or(|passed| passed < STILL_TAKEN)
+    }
+
+    /// Waits until the host, which is stopping, takes no more requests.
+    pub async fn takes_no_more(&self) {
+        self.stopped_for(STILL_TAKEN).await;
+    }
+
+    /// Gives the time from the request to stop to the end of the process, at most.
+    fn time_to_stop(&self) -> Duration {
+        let grace = self.settings.grace;
+        grace.saturating_sub(END_MARGIN.min(grace / END_PART))
     }
 
     /// Waits until the host has been stopping for `span`.
-    pub async fn stopped_for(&self, span: Duration) {
+    async fn stopped_for(&self, span: Duration) {
         let mut since = self.stopping_since.subscribe();
         let began = match since.wait_for(Option::is_some).await {
             Ok(began) => *began,
