A silent server is left only for another one that can go on

Cause: a stream whose server had been silent for 1.2 to 1.9 s was given up first and another server looked for then. Before the first event the same led to 502. A host that doesn't stop lost streams in the same way where the budget of repeated sends was spent or the engines were full. Ruled out: a host's own silence (other streams went on), the end of its time (5.6 s away), the server's fault (its run was cut by us). Change: the silent server is listened to while another one is looked for; whichever begins first serves. A send that is dropped counts as one, so that no request reaches more servers than its route allows. The part of one server and taking over stand in modules of their own. After: 62 of 62 of the daemon's tests green.

--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -13,7 +13,7 @@
 use crate::relay;
 use crate::slowdown::Reading;
 use crate::ticket::Tickets;
-use crate::translate::Helper;
+use crate::translate::{Helper, Reply};
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::caller;
@@ -35,6 +35,8 @@
 const LATE: Duration = Duration::from_millis(2_000);
 /// The multiple of the time expected.
 const LATE_FACTOR: u32 = 3;
+/// How long a request whose server is silent waits until another one is looked for again, after none could take it.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
 /// How long a prompt waits after memory could not be set aside for it; a few events' time.
 const NO_MEMORY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -110,6 +112,8 @@
 
 /// Places and sends a generation until a server begins to answer it.
 ///
+/// Dropped before that, `tries` counts a send that may have reached a server.
+///
 /// # Errors
 ///
 /// Gives the refusal to be answered where no server does.
@@ -120,28 +124,47 @@
     last_event: Option<String>,
 ) -> Result<Open, Refusal> {
     let mut life: Life<Waiting> = Life::new();
+    let mut found = None;
     loop {
-        let plan = place::place(node, job, tries, &life).await?;
-        if tries.all > 0 && !node.spend_repeat(&job.service) {
-            return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
-        }
+        let plan = match found.take() {
+            Some(plan) => plan,
+            None => next_plan(node, job, tries, &life).await?,
+        };
         let Some(placed) = take_up(node, job, &plan, tries).await else {
             continue;
         };
         tries.all += 1;
         tell_placed(job, &plan, tries.all, node);
+        tries.sends += 1;
         let sent = life.send();
         let silence = silence(job, &plan);
-        match send(node, job, tries, &placed, last_event.clone(), silence).await {
-            Ok(exchange) => {
-                tries.sends += 1;
-                return Ok(placed.open(exchange, silence));
+        life = match send(node, job, tries, &placed, last_event.clone(), silence).await {
+            Sending::Answered(exchange) => return Ok(placed.open(exchange, silence)),
+            Sending::Missed(miss) => note_miss(node, tries, &placed.server, sent, miss),
+            Sending::Left(plan) => {
+                found = Some(plan);
+                sent.lost()
             }
-            Err(miss) => life = note_miss(node, tries, &placed.server, sent, miss),
-        }
+        };
         tries.avoid.push(placed.server.id.clone());
-        give_up(job, tries, &life)?;
+        if found.is_none() {
+            give_up(job, tries, &life)?;
+        }
+    }
+}
+
+/// Gives the plan of the next send, where the budget allows one more.
+async fn next_plan(
+    node: &Rc<Node>,
+    job: &Job,
+    tries: &mut Tries,
+    life: &Life<Waiting>,
+) -> Result<Plan, Refusal> {
+    let plan = place::place(node, job, tries, life).await?;
+    if tries.all > 0 && !node.spend_repeat(&job.service) {
+        return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
     }
+    Ok(plan)
 }
 
 /// Takes up what a plan needs; gives `None` where its server is gone or the memory can't be set aside, and another
@@ -174,38 +197,86 @@
     caller::silence(patience).min(late)
 }
 
-/// Sends a generation to one server and waits for the head of an answer that counts: for `silence` where
-/// it may be sent elsewhere, else as long as its caller waits.
+/// What became of a send.
+enum Sending {
+    /// The head of an answer that counts has come.
+    Answered(Exchange),
+    /// There is no such answer.
+    Missed(Miss),
+    /// The server is silent, and another one can take the request by this plan.
+    Left(Plan),
+}
+
+/// Sends a generation to one server and waits for the head of an answer that counts. A server that says nothing for
+/// `silence` is left where another one is found; else it has as long as the caller waits.
 async fn send(
     node: &Rc<Node>,
     job: &Job,
-    tries: &Tries,
+    tries: &mut Tries,
     placed: &Placed,
     last_event: Option<String>,
     silence: Duration,
-) -> Result<Exchange, Miss> {
+) -> Sending {
     let server = &placed.server;
-    let more = tries.sends + 1 < job.route.max_attempts && job.route.kind.repeatable();
-    let patience = if more {
-        silence.min(job.left())
-    } else {
-        job.left()
-    };
+    let more = tries.sends < job.route.max_attempts && job.route.kind.repeatable();
+    let number = tries.all;
     let helpers = placed.helpers.clone();
-    let send = attempt::send(node, job, server, helpers, last_event, tries.all);
-    let Ok(answer) = tokio::time::timeout(patience, send).await else {
-        attempt::tell(job, server, tries.all, "no answer in the time allowed");
-        node.note(&server.id, Outcome::Silent);
-        return Err(Miss::Lost);
+    let answer = attempt::send(node, job, server, helpers, last_event, number);
+    let answer = async { judge(node, job, server, number, answer.await) };
+    tokio::select! {
+        sending = answer => sending,
+        plan = find_other(node, job, tries, server, silence), if more => Sending::Left(plan),
+        () = tokio::time::sleep(job.left()) => {
+            attempt::tell(job, server, number, "no answer in the time allowed");
+            node.note(&server.id, Outcome::Silent);
+            Sending::Missed(Miss::Lost)
+        }
+    }
+}
+
+/// Finds another server for a generation whose server has said nothing for `silence`; waits on where there is none that
+/// can take it, as on a host that is about to end.
+async fn find_other(
+    node: &Rc<Node>,
+    job: &Job,
+    tries: &mut Tries,
+    silent: &Server,
+    silence: Duration,
+) -> Plan {
+    tokio::time::sleep(silence).await;
+    attempt::tell(job, silent, tries.all, "silence");
+    node.note(&silent.id, Outcome::Silent);
+    tries.avoid.push(silent.id.clone());
+    let life = Life::new().send().lost();
+    loop {
+        let plan = place::place(node, job, tries, &life).await;
+        let other = plan.ok().filter(|plan| plan.first != silent.id);
+        if let Some(plan) = other.filter(|_| node.spend_repeat(&job.service)) {
+            return plan;
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
+/// Says whether what a server has answered counts.
+fn judge(
+    node: &Node,
+    job: &Job,
+    server: &Server,
+    number: u32,
+    answer: Result<(Exchange, Reply), Miss>,
+) -> Sending {
+    let (exchange, reply) = match answer {
+        Ok(answer) => answer,
+        Err(miss) => return Sending::Missed(miss),
     };
-    let (exchange, reply) = answer?;
     let status = exchange.head.status;
     if status.is_success() && reply.genuine {
-        return Ok(exchange);
+        return Sending::Answered(exchange);
     }
     node.note(&server.id, Outcome::Failed);
-    attempt::tell(job, server, tries.all, status.as_str());
-    Err(Miss::Lost)
+    attempt::tell(job, server, number, status.as_str());
+    Sending::Missed(Miss::Lost)
 }
 
 /// Notes what became of a send without an answer; the request waits again.
@@ -217,16 +288,17 @@
     miss: Miss,
 ) -> Life<Waiting> {
     match miss {
-        Miss::NotSent => sent.never_sent(),
+        Miss::NotSent => {
+            tries.sends -= 1;
+            sent.never_sent()
+        }
         Miss::Disclaimed(at_fault) => {
+            tries.sends -= 1;
             let refusing = at_fault.and_then(|address| node.note_refusing(address, &server.id));
             tries.avoid.extend(refusing);
             sent.disclaimed()
         }
-        Miss::Lost => {
-            tries.sends += 1;
-            sent.lost()
-        }
+        Miss::Lost => sent.lost(),
     }
 }
 
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -1,27 +1,25 @@
 //! Passes a stream on, event by event, and takes it up elsewhere when its server fails.
 
 mod end;
+mod part;
+mod take_over;
 
 use crate::answer::{BrokenOff, Content};
 use crate::attempt;
 use crate::clock;
-use crate::generate::{self, Open, Tries};
+use crate::generate::{Open, Tries};
 use crate::job::Job;
-use crate::node::{Held, InFlight, Node};
-use crate::slowdown::{self, Reading};
+use crate::node::{InFlight, Node};
+use crate::slowdown;
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Kind;
-use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
-use alderglade_core::fleet::slowdown::Suspicion;
 use alderglade_core::fleet::sse::Splitter;
-use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use end::End;
 use http::Response;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use part::{Frame, Part};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -48,21 +46,14 @@
     _in_flight: InFlight,
 }
 
-/// What one server sends of a stream.
-struct Part {
-    server: Server,
-    body: Incoming,
-    splitter: Splitter,
-    /// The placement in the book.
-    held: Held,
-    /// Who reads the prompt.
-    reading: Reading,
-    /// Whether the prompt has been read: the first event has come.
-    read: bool,
-    /// How long the server may stay silent.
-    silence: Duration,
-    /// What its pauses say of the server.
-    suspicion: Suspicion,
+/// Why a server's part of a stream doesn't go on.
+enum Break {
+    /// The server has been silent for as long as it may, and may still go on.
+    Silent,
+    /// The server failed.
+    Failed(String),
+    /// The stream is over.
+    End(End),
 }
 
 /// Starts passing a stream on and gives the head of the answer.
@@ -94,42 +85,53 @@
 }
 
 impl Relay {
-    /// Passes the stream on until it ends, taking it up elsewhere where a server fails and the route
-    /// allows it.
-    async fn run(mut self, mut open: Open) {
+    /// Passes the stream on until it ends.
+    async fn run(mut self, open: Open) {
+        match self.pass_on(open).await {
+            End::Whole => self.tell_answered(),
+            End::CallerLeft => self.tell_caller_left(),
+            End::Expired => self.break_off("the time is over").await,
+            End::Failed(problem) => self.break_off(&problem).await,
+        }
+    }
+
+    /// Passes the stream on to its end, and has other servers go on with it where the route allows it.
+    async fn pass_on(&mut self, open: Open) -> End {
+        let mut part = Part::new(open);
         loop {
-            let server = open.server.clone();
-            let problem = match self.pass_on(open).await {
-                End::Whole => {
-                    self.node.note(&server.id, Outcome::Sound);
-                    return self.tell_answered();
+            match self.pass_on_events(&mut part).await {
+                Ok(()) => {
+                    self.node.note(&part.server.id, Outcome::Sound);
+                    part.connection.recycle();
+                    return End::Whole;
                 }
-                End::CallerLeft => return self.tell_caller_left(),
-                End::Expired => return self.break_off("the time is over").await,
-                End::Failed(problem) => problem,
-            };
-            attempt::tell(&self.job, &server, self.tries.all, &problem);
-            self.node.note(&server.id, Outcome::Failed);
-            self.tries.avoid.push(server.id.clone());
-            if !self.may_resume() {
-                return self.break_off(&problem).await;
+                Err(Break::Silent) => match self.take_over(&mut part).await {
+                    Ok(None) => {}
+                    Ok(Some(open)) => part = Part::new(open),
+                    Err(end) => return end,
+                },
+                Err(Break::Failed(problem)) => {
+                    self.note_failed(&part, &problem);
+                    // What was taken up at the server is given back before another one is looked for.
+                    drop(part);
+                    if !self.may_resume() {
+                        return End::Failed(problem);
+                    }
+                    part = match self.reopen().await {
+                        Ok(open) => Part::new(open),
+                        Err(end) => return end,
+                    };
+                }
+                Err(Break::End(end)) => return end,
             }
-            open = match self.reopen().await {
-                Some(Ok(next)) => next,
-                Some(Err(refusal)) => return self.break_off(refusal.kind.label()).await,
-                None => return self.tell_caller_left(),
-            };
         }
     }
 
-    /// Has another server go on after the last event; gives `None` where the caller leaves meanwhile.
-    async fn reopen(&mut self) -> Option<Result<Open, Refusal>> {
-        let last_event = self.last_event.clone();
-        let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
-        tokio::select! {
-            reopened = reopen => Some(reopened),
-            () = self.pieces.closed() => None,
-        }
+    /// Notes that a server has failed the stream.
+    fn note_failed(&mut self, part: &Part, problem: &str) {
+        attempt::tell(&self.job, &part.server, self.tries.all, problem);
+        self.node.note(&part.server.id, Outcome::Failed);
+        self.tries.avoid.push(part.server.id.clone());
     }
 
     fn may_resume(&self) -> bool {
@@ -143,35 +145,8 @@
         resumable && self.tries.sends < self.job.route.max_attempts
     }
 
-    /// Passes on what one server sends.
-    async fn pass_on(&mut self, open: Open) -> End {
-        let Open {
-            exchange,
-            server,
-            held,
-            tickets: _tickets,
-            reading,
-            silence,
-        } = open;
-        let mut part = Part {
-            server,
-            body: exchange.body,
-            splitter: Splitter::default(),
-            held,
-            reading,
-            read: false,
-            silence,
-            suspicion: Suspicion::default(),
-        };
-        if let Err(end) = self.pass_on_events(&mut part).await {
-            return end;
-        }
-        exchange.connection.recycle();
-        End::Whole
-    }
-
     /// Passes on each event as it becomes whole, and what follows the last one.
-    async fn pass_on_events(&mut self, part: &mut Part) -> Result<(), End> {
+    async fn pass_on_events(&mut self, part: &mut Part) -> Result<(), Break> {
         while let Some(data) = self.next(part).await? {
             let ready = self.take_events(&mut part.splitter, &data);
             if ready.is_empty() {
@@ -188,28 +163,23 @@
     }
 
     /// Gives bytes to the caller.
-    async fn hand_on(&self, bytes: Vec<u8>) -> Result<(), End> {
+    async fn hand_on(&self, bytes: Vec<u8>) -> Result<(), Break> {
         let sent = self.pieces.send(Ok(bytes.into())).await;
-        sent.map_err(|_| End::CallerLeft)
+        sent.map_err(|_| Break::End(End::CallerLeft))
     }
 
-    /// Waits for the next bytes of a server; gives `None` after the last ones. Silence ends the
-    /// server's part only where the stream may be resumed elsewhere.
-    async fn next(&self, part: &mut Part) -> Result<Option<Bytes>, End> {
-        let ends = clock::instant(self.job.ends);
-        let may_resume = self.may_resume();
+    /// Waits for the next bytes of a server; gives `None` after the last ones. Silence counts only where the stream may
+    /// be resumed elsewhere.
+    async fn next(&self, part: &mut Part) -> Result<Option<Bytes>, Break> {
         loop {
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(part.silence, part.body.frame()) => frame,
-                () = self.pieces.closed() => return Err(End::CallerLeft),
-                () = tokio::time::sleep_until(ends) => return Err(End::Expired),
+            let frame = match part.heard.take() {
+                Some(frame) => frame,
+                None => self.next_frame(part).await?,
             };
             let frame = match frame {
-                Err(_) if may_resume => return Err(End::Failed("silence".to_string())),
-                Err(_) => continue,
-                Ok(None) => return Ok(None),
-                Ok(Some(Err(error))) => return Err(End::Failed(error.to_string())),
-                Ok(Some(Ok(frame))) => frame,
+                None => return Ok(None),
+                Some(Err(error)) => return Err(Break::Failed(error.to_string())),
+                Some(Ok(frame)) => frame,
             };
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
@@ -217,6 +187,18 @@
         }
     }
 
+    /// Waits for the next frame of a server.
+    async fn next_frame(&self, part: &mut Part) -> Result<Frame, Break> {
+        let ends = clock::instant(self.job.ends);
+        let (silence, may_resume) = (part.silence, self.may_resume());
+        tokio::select! {
+            frame = part.frame() => Ok(frame),
+            () = tokio::time::sleep(silence), if may_resume => Err(Break::Silent),
+            () = self.pieces.closed() => Err(Break::End(End::CallerLeft)),
+            () = tokio::time::sleep_until(ends) => Err(Break::End(End::Expired)),
+        }
+    }
+
     /// Gives the events that these bytes make whole, and keeps the id of the last one for a server that
     /// may have to go on after it.
     fn take_events(&mut self, splitter: &mut Splitter, data: &Bytes) -> Vec<u8> {
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -5,11 +5,11 @@
 use crate::clock;
 use crate::event::{self, Record};
 
-/// How a server's part of a stream ended.
+/// How a stream ended.
 pub(super) enum End {
     /// All of it was passed on.
     Whole,
-    /// The server failed.
+    /// Its server failed, and no other one could go on.
     Failed(String),
     /// The request's time is over.
     Expired,
--- /dev/null
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -0,0 +1,54 @@
+//! Has other servers go on with a stream.
+
+use super::Relay;
+use super::end::End;
+use super::part::Part;
+use crate::clock;
+use crate::generate::{self, Open};
+
+impl Relay {
+    /// Has another server go on after the last event, in place of one that has failed.
+    pub(super) async fn reopen(&mut self) -> Result<Open, End> {
+        let last_event = self.last_event.clone();
+        let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
+        tokio::select! {
+            reopened = reopen => reopened.map_err(|refusal| End::Failed(refusal.kind.label().to_string())),
+            () = self.pieces.closed() => Err(End::CallerLeft),
+        }
+    }
+
+    /// Looks for another server to go on after the last event, in place of a silent one. That one is left only when
+    /// another one has begun, so that a stream that nobody else can go on with (because the host stops, or all are
+    /// busy) lives as long as its server does.
+    ///
+    /// Gives `None` where the silent server goes on.
+    pub(super) async fn take_over(&mut self, part: &mut Part) -> Result<Option<Open>, End> {
+        self.note_failed(part, "silence");
+        let ends = clock::instant(self.job.ends);
+        let last_event = self.last_event.clone();
+        let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
+        tokio::pin!(reopen);
+        let mut failed = false;
+        loop {
+            tokio::select! {
+                reopened = reopen.as_mut() => return match reopened {
+                    Ok(open) => Ok(Some(open)),
+                    Err(refusal) if failed => Err(End::Failed(refusal.kind.label().to_string())),
+                    Err(_) => Ok(None),
+                },
+                frame = part.frame(), if !failed => match frame {
+                    Some(Err(error)) => {
+                        log::debug!("silent server {} failed: {error}", part.server.id);
+                        failed = true;
+                    }
+                    frame => {
+                        part.heard = Some(frame);
+                        return Ok(None);
+                    }
+                },
+                () = self.pieces.closed() => return Err(End::CallerLeft),
+                () = tokio::time::sleep_until(ends) => return Err(End::Expired),
+            }
+        }
+    }
+}
