A silent plain server is left only for another one that can take the request

Ruled out: nothing else; read in the code and shown by the test. Change: the server is listened to until another one is found. Before: `a_silent_server_is_waited_for_where_there_is_no_other` red (504). After: 65 of 66 of the daemon's tests green, the known red one excepted.

--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -24,6 +24,8 @@
 const COME_BACK: Duration = Duration::from_millis(250);
 /// Servers that are tried for one request at most, those counted to which nothing could be sent.
 const MOST_CONNECTS: usize = 4;
+/// How long a request whose server is silent waits until another one is looked for again, after there was none.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
 /// The part of its time that a repeatable request gives one server while others are left.
 const FIRST_TRY: f64 = 0.4;
 
@@ -35,6 +37,8 @@
     NotSent(Life<Waiting>),
     /// It was sent, and there is no answer that counts.
     Missed(Life<Waiting>),
+    /// The server is silent, and this other one can take the request.
+    Left(Life<Waiting>, Server),
     /// The request's time is over.
     Expired(Life<Waiting>),
 }
@@ -66,12 +70,16 @@
     let mut life = Life::new();
     let mut tried: Vec<Name> = Vec::new();
     let mut sends = 0;
+    let mut found = None;
     loop {
-        let server = next_server(node, job, &life, &tried, sends)?;
+        let server = match found.take() {
+            Some(server) => server,
+            None => next_server(node, job, &life, &tried, sends)?,
+        };
         tried.push(server.id.clone());
         sends += 1;
         let more = sends < job.route.max_attempts;
-        match one_try(node, job, &server, life, sends, more).await {
+        match one_try(node, job, &server, life, &tried, sends).await {
             Try::Whole(response) if more && worth_repeating(job, &response) => {
                 life = Life::new().send().lost();
                 *failed = Some(response);
@@ -85,6 +93,10 @@
                 return Err(waiting.refuse(ErrorKind::ContactLost, COME_BACK));
             }
             Try::Missed(waiting) => life = waiting,
+            Try::Left(waiting, other) => {
+                life = waiting;
+                found = Some(other);
+            }
             Try::Expired(waiting) => {
                 return Err(waiting.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
             }
@@ -110,55 +122,62 @@
     Ok(server)
 }
 
-/// Sends a request to one server and waits for its whole answer. `more` says whether another try may
-/// follow.
+/// Sends a request to one server and waits for its whole answer. A server that is silent for its part of the time is left
+/// where another one can take the request; else it has all of the time. `sends` counts this send.
 async fn one_try(
     node: &Rc<Node>,
     job: &Job,
     server: &Server,
     life: Life<Waiting>,
-    number: u32,
-    more: bool,
+    tried: &[Name],
+    sends: u32,
 ) -> Try {
     let _call = node.call(&server.id);
-    tell_placed(job, server, number);
-    let left = job.left();
-    let patience = patience(job, left, more);
+    tell_placed(job, server, sends);
+    let more = sends < job.route.max_attempts && job.route.kind.repeatable();
     let sent = life.send();
-    let exchange = attempt::send(node, job, server, Vec::new(), None, number);
+    let exchange = attempt::send(node, job, server, Vec::new(), None, sends);
     let whole = async {
         let (exchange, reply) = exchange.await?;
-        collect(node, job, server, number, exchange, &reply).await
+        collect(node, job, server, sends, exchange, &reply).await
     };
-    match tokio::time::timeout(patience, whole).await {
-        Err(_) => {
-            attempt::tell(job, server, number, "no answer in the time allowed");
-            node.note(&server.id, Outcome::Silent);
-            silent(sent.lost(), patience < left)
+    tokio::select! {
+        answer = whole => match answer {
+            Ok(response) => Try::Whole(response),
+            Err(Miss::NotSent) => Try::NotSent(sent.never_sent()),
+            Err(Miss::Disclaimed(_)) => Try::Missed(sent.disclaimed()),
+            Err(Miss::Lost) => Try::Missed(sent.lost()),
+        },
+        other = find_other(node, job, server, tried, sends), if more => {
+            Try::Left(sent.lost(), other)
+        }
+        () = tokio::time::sleep(job.left()) => {
+            tell_silent(node, job, server, sends);
+            Try::Expired(sent.lost())
         }
-        Ok(Ok(response)) => Try::Whole(response),
-        Ok(Err(Miss::NotSent)) => Try::NotSent(sent.never_sent()),
-        Ok(Err(Miss::Disclaimed(_))) => Try::Missed(sent.disclaimed()),
-        Ok(Err(Miss::Lost)) => Try::Missed(sent.lost()),
     }
 }
 
-/// Gives how long one server may take: not all that is `left` where `more` tries may follow.
-fn patience(job: &Job, left: Duration, more: bool) -> Duration {
-    if more && job.route.kind.repeatable() {
-        left.mul_f64(FIRST_TRY)
-    } else {
-        left
+/// Finds another server for a request whose server has been silent for its part of the time; waits on where there is
+/// none.
+async fn find_other(node: &Node, job: &Job, silent: &Server, tried: &[Name], sends: u32) -> Server {
+    tokio::time::sleep(job.left().mul_f64(FIRST_TRY)).await;
+    tell_silent(node, job, silent, sends);
+    loop {
+        let other = node.pick(&job.service, tried);
+        let other = other.filter(|server| !tried.contains(&server.id));
+        let room = tried.len() < MOST_CONNECTS;
+        if let Some(server) = other.filter(|_| room && node.spend_repeat(&job.service)) {
+            return server;
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
     }
 }
 
-/// Gives what a try has come to whose server stayed silent, where some time may be left.
-fn silent(waiting: Life<Waiting>, time_left: bool) -> Try {
-    if time_left {
-        Try::Missed(waiting)
-    } else {
-        Try::Expired(waiting)
-    }
+/// Notes that a server has not answered in the time that it had.
+fn tell_silent(node: &Node, job: &Job, server: &Server, number: u32) {
+    attempt::tell(job, server, number, "no answer in the time allowed");
+    node.note(&server.id, Outcome::Silent);
 }
 
 fn tell_placed(job: &Job, server: &Server, attempt: u32) {
