--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -12,9 +12,6 @@
 
 /// How often a stopping host looks whether its work is done.
 const LOOK: Duration = Duration::from_millis(50);
-/// The least time between the request to stop and the end, so that the balancer sends nobody here.
-const LEAST: Duration = Duration::from_millis(3_300);
-
 /// Why a host can't start.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't listen on {address}: is another process using it?"))]
@@ -84,16 +81,19 @@
     listen::open(address).context(Snafu { address })
 }
 
-/// Stops a host: takes no new connections, finishes what it has, and returns when the process should
-/// end.
+/// Stops a host: takes no new connections, finishes what it has, cuts off what is not answered shortly before the end, and
+/// returns when the process should end.
+///
+/// An answer that was made has still to leave: to end before its connection is closed would lose it to a caller that reads
+/// slowly.
 pub async fn stop(node: &Rc<Node>) {
     node.stop();
-    while let (Some(passed), Some(left)) = (node.stopping_for(), node.ends_in()) {
-        let done = node.in_flight() == 0 && passed >= LEAST;
-        if done || left.is_zero() {
-            break;
-        }
+    while !node.has_finished() && !node.is_near_its_end() {
+        tokio::time::sleep(LOOK).await;
+    }
+    node.cut_off();
+    while !node.has_finished() && node.ends_in().is_some_and(|left| !left.is_zero()) {
         tokio::time::sleep(LOOK).await;
     }
-    node.end();
+    node.tell_stopped();
 }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// When a caller should come back to a host that can't serve yet or is cut off: about when the
+/// When a caller should come back to a host that can't serve yet, is cut off or stops: about when the
 /// balancer has noticed and sends it elsewhere.
 const ELSEWHERE: Duration = Duration::from_millis(300);
 
@@ -47,10 +47,7 @@
     let result = let_in(&node, head, body, ask, &in_flight).await;
     let mut response = match result {
         Err(refusal) => refuse(&node, &id, &refusal, arrived),
-        Ok(job) => match job.route.kind {
-            Kind::Stream { .. } => generate::serve(&node, job, in_flight).await,
-            Kind::Idempotent | Kind::NonIdempotent => unary::serve(&node, job).await,
-        },
+        Ok(job) => answer(&node, job, in_flight).await,
     };
     guard.done = true;
     if !node.ready() {
@@ -59,6 +56,25 @@
     response
 }
 
+/// Has a request served. One that has no answer when the host is about to end gets one too: that nobody knows whether it
+/// ran.
+async fn answer(node: &Rc<Node>, job: Job, in_flight: InFlight) -> Response<Content> {
+    let (id, arrived) = (job.ask.id.clone(), job.arrived);
+    let served = async {
+        match job.route.kind {
+            Kind::Stream { .. } => generate::serve(node, job, in_flight).await,
+            Kind::Idempotent | Kind::NonIdempotent => unary::serve(node, job).await,
+        }
+    };
+    tokio::select! {
+        response = served => response,
+        () = node.cuts_off() => {
+            let refusal = Refusal::new(ErrorKind::ContactLost, Duration::ZERO);
+            refuse(node, &id, &refusal, arrived)
+        }
+    }
+}
+
 /// Has a caller's connection closed after an answer: a caller whose connection stays here would come back to a host
 /// that is about to refuse it.
 fn end_connection(response: &mut Response<Content>) {
@@ -117,6 +133,10 @@
     let arrived = progress.arrived;
     let ends = arrived + asked.min(route.time_limit);
     let body = read_body(body, config.limits.body_bytes, ends).await?;
+    // The body may have come long after its head: the host may stop by now.
+    if !node.takes_requests() {
+        return Err(Refusal::new(ErrorKind::Draining, ELSEWHERE));
+    }
     let draw = rand::rng().random::<f64>();
     let service = route.target(draw).map(|target| target.service.clone());
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoCapacity, ELSEWHERE))?;
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -64,6 +64,8 @@
     /// This lifetime of the process; `0` until the store has given it a number.
     pub incarnation: Cell<u64>,
     stopping_since: watch::Sender<Option<Time>>,
+    /// Whether requests without an answer are cut off.
+    ending: watch::Sender<bool>,
     in_hand: progress::InHand,
     /// Connections of callers that are open.
     connections: Cell<usize>,
@@ -93,6 +95,7 @@
             word_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
+            ending: watch::Sender::new(false),
             in_hand: progress::InHand::default(),
             connections: Cell::new(0),
         }))
