Connections that owe their callers an answer are counted

Cause: an answer is made before it has left, and a request counted as done once it was made; nothing told whether a caller had got all of its answer when the process ended. Change: a connection owes an answer from the request until the last byte of its answer has been taken by the system (the body has been dropped and the stream flushed after it). `Node::owing()`, the gauge alderglade_owing_connections, and `owing` of `stopped` tell how many do. Nothing is decided by it yet.

--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -33,6 +33,8 @@
         taken_stopping: u64,
         /// Connections of callers that are still open.
         connections: usize,
+        /// Connections among them whose callers have not got all of their answer.
+        owing: usize,
         /// The time since the host was asked to stop, in milliseconds, if it was.
         #[serde(skip_serializing_if = "Option::is_none")]
         stopping_ms: Option<u64>,
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod clock;
 pub mod daemon;
+pub mod deliver;
 pub mod event;
 pub mod forward;
 pub mod generate;
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -1,6 +1,7 @@
 //! Listeners: for callers, for the balancer's question and for operators.
 
 use crate::answer::Content;
+use crate::deliver::{Owed, Watched};
 use crate::event::{self, Record};
 use crate::forward;
 use crate::node::Node;
@@ -56,7 +57,7 @@
 }
 
 async fn connection(node: Rc<Node>, stream: TcpStream) {
-    let _connected = node.connect();
+    let connected = Rc::new(node.connect());
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("socket option refused: {error}");
     }
@@ -68,16 +69,22 @@
         .map(|config| config.limits);
     let idle = limits.map_or(UNKNOWN_IDLE, |limits| limits.idle);
     let head = limits.map_or(SMALLEST_BUFFER, |limits| limits.header_bytes);
+    let watched = Watched::new(stream, connected.clone());
     let service_node = node.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let node = service_node.clone();
-        async move { Ok::<_, Infallible>(forward::serve(node, request).await) }
+        let connected = connected.clone();
+        async move {
+            connected.owe();
+            let answer = forward::serve(node, request).await;
+            Ok::<_, Infallible>(answer.map(|content| Owed::new(content, connected)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head.max(SMALLEST_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(watched), service);
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -45,6 +45,8 @@
     pub cut_off: IntCounter,
     /// Connections of callers that are open.
     pub caller_connections: IntGauge,
+    /// Connections of callers that have not got all of their answer.
+    pub owing: IntGauge,
     /// Sets of memory set aside.
     pub tickets: IntGauge,
     /// Connections opened to backend servers and the store.
@@ -98,6 +100,10 @@
                 "alderglade_caller_connections",
                 "Connections of callers that are open.",
             )?,
+            owing: IntGauge::new(
+                "alderglade_owing_connections",
+                "Connections of callers that have not got all of their answer.",
+            )?,
             tickets: IntGauge::new("alderglade_tickets", "Prompts with memory set aside.")?,
             connections: IntGauge::new("alderglade_connections_opened", "Connections opened.")?,
             registry,
@@ -116,7 +122,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn prometheus::core::Collector>; 18] = [
+        let all: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.answers.clone()),
             Box::new(self.aims.clone()),
             Box::new(self.first.clone()),
@@ -133,6 +139,7 @@
             Box::new(self.taken_stopping.clone()),
             Box::new(self.cut_off.clone()),
             Box::new(self.caller_connections.clone()),
+            Box::new(self.owing.clone()),
             Box::new(self.tickets.clone()),
             Box::new(self.connections.clone()),
         ];
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -67,6 +67,8 @@
     in_hand: progress::InHand,
     /// Connections of callers that are open.
     connections: Cell<usize>,
+    /// Connections among them whose callers have not got all of their answer.
+    owing: Cell<usize>,
 }
 
 impl Node {
@@ -95,6 +97,7 @@
             stopping_since: watch::Sender::new(None),
             in_hand: progress::InHand::default(),
             connections: Cell::new(0),
+            owing: Cell::new(0),
         }))
     }
 
@@ -108,6 +111,12 @@
         self.connections.get()
     }
 
+    /// Gives the number of callers' connections that owe an answer: their request has come, and the last byte of its
+    /// answer isn't the system's yet.
+    pub fn owing(&self) -> usize {
+        self.owing.get()
+    }
+
     /// Says whether new connections should come here: the host knows what to serve, isn't stopping, and
     /// isn't cut off from the store.
     pub fn ready(&self) -> bool {
@@ -141,9 +150,7 @@
 
     /// Notes an open connection of a caller until the guard is dropped.
     pub fn connect(self: &Rc<Node>) -> Connected {
-        self.connections.set(self.connections.get() + 1);
-        self.metrics.caller_connections.inc();
-        Connected { node: self.clone() }
+        Connected::new(self.clone())
     }
 
     /// Notes a placement in the book until the guard is dropped.
--- a/crates/alderglade-serve/src/node/guard.rs
+++ b/crates/alderglade-serve/src/node/guard.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use alderglade_core::Name;
 use alderglade_core::fleet::book::{Demand, HoldId, WaitId};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// Counts a request in hand.
@@ -24,11 +25,65 @@
 
 /// Counts an open connection of a caller.
 pub struct Connected {
-    pub(super) node: Rc<Node>,
+    node: Rc<Node>,
+    debt: Cell<Debt>,
+}
+
+/// What a connection owes its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Debt {
+    /// Nothing.
+    None,
+    /// An answer that is being made.
+    Answer,
+    /// What is left of an answer that has been made.
+    Rest,
+}
+
+impl Connected {
+    /// Counts a connection that owes nothing yet.
+    pub(super) fn new(node: Rc<Node>) -> Connected {
+        node.connections.set(node.connections.get() + 1);
+        node.metrics.caller_connections.inc();
+        Connected {
+            node,
+            debt: Cell::new(Debt::None),
+        }
+    }
+
+    /// Notes that a request has come.
+    pub fn owe(&self) {
+        if self.debt.replace(Debt::Answer) == Debt::None {
+            self.node.owing.set(self.node.owing.get() + 1);
+            self.node.metrics.owing.inc();
+        }
+    }
+
+    /// Notes that the answer has been made.
+    pub fn made(&self) {
+        if self.debt.get() == Debt::Answer {
+            self.debt.set(Debt::Rest);
+        }
+    }
+
+    /// Notes that all that was made has left.
+    pub fn flushed(&self) {
+        if self.debt.get() == Debt::Rest {
+            self.settle();
+        }
+    }
+
+    fn settle(&self) {
+        if self.debt.replace(Debt::None) != Debt::None {
+            self.node.owing.set(self.node.owing.get() - 1);
+            self.node.metrics.owing.dec();
+        }
+    }
 }
 
 impl Drop for Connected {
     fn drop(&mut self) {
+        self.settle();
         self.node.connections.set(self.node.connections.get() - 1);
         self.node.metrics.caller_connections.dec();
     }
--- a/crates/alderglade-serve/src/node/stop.rs
+++ b/crates/alderglade-serve/src/node/stop.rs
@@ -57,6 +57,7 @@
             untold: cut_off.len().saturating_sub(MOST_TOLD),
             taken_stopping: self.metrics.taken_stopping.get(),
             connections: self.connections(),
+            owing: self.owing(),
             stopping_ms: self.stopping_ms(),
         });
     }
