--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -137,3 +137,28 @@
     assert_eq!(output.status.code(), Some(1));
     assert_eq!(command(&["explain"]).status.code(), Some(2));
 }
+
+/// What a host writes when the end of its stop cuts a stream and a request without an answer off: after `cut_off` each of
+/// them is ended, which is told too.
+const STOP_TO_ITS_END: &str = r#"
+  2.0 host-1 {"at_ms":1,"n":3001,"level":"INFO","event":"started","host":"host-1"}
+  2.1 host-1 {"at_ms":9,"n":3401,"level":"INFO","event":"placed","id":"a","server":"e1","prompt":5000}
+  2.2 host-1 {"at_ms":9,"n":3401,"level":"INFO","event":"placed","id":"b","server":"e1","prompt":5000}
+  2.3 host-1 {"at_ms":20,"n":3002,"level":"INFO","event":"stopping","in_flight":2}
+  2.5 host-1 {"at_ms":90,"n":3408,"level":"WARN","event":"cut_off","id":"a","doing":"passes_on","server":"e1","took_ms":81,"stopping_ms":70}
+  2.5 host-1 {"at_ms":90,"n":3408,"level":"WARN","event":"cut_off","id":"b","doing":"sent","server":"e1","took_ms":81,"stopping_ms":70}
+  2.6 host-1 {"at_ms":91,"n":3405,"level":"WARN","event":"broken_off","id":"a","problem":"the host stops","took_ms":82,"stopping_ms":71}
+  2.6 host-1 {"at_ms":91,"n":3404,"level":"INFO","event":"refused","id":"b","kind":"contact_lost","number":2009,"ran":"unknown","took_ms":82,"stopping_ms":71}
+"#;
+
+#[test]
+fn requests_that_a_stop_cut_off_are_summed_up_as_such() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = write(folder.path(), "end.log", STOP_TO_ITS_END);
+    let output = command(&["explain", "--summary", &log]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(
+        text.contains("2        ") && text.contains("cut off by a stop that it came before\n"),
+        "{text}"
+    );
+}
