--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -126,16 +126,15 @@
         was_giant
     }
 
-    /// Notes that a request is over.
-    pub fn release(&mut self, id: HoldId, now: Time) {
-        let Some(hold) = self.holds.remove(&id) else {
-            return;
-        };
+    /// Notes that a request is over, or looked at as if it were; gives what it has held.
+    pub fn release(&mut self, id: HoldId, now: Time) -> Option<Hold> {
+        let hold = self.holds.remove(&id)?;
         self.own_giants -= u32::from(hold.giant);
         self.change(&hold.first, now, |own| own.subtract(&hold.load));
         for helper in &hold.helpers {
             self.change(&helper.server, now, |own| own.subtract(&helper.load));
         }
+        Some(hold)
     }
 
     /// Gives what is ahead of a prompt that is placed at a server now.
--- a/crates/alderglade-operator/src/command/explain/summary.rs
+++ b/crates/alderglade-operator/src/command/explain/summary.rs
@@ -153,10 +153,12 @@
     let last = story.iter().rev().find(|line| {
         matches!(
             line.event.as_str(),
-            "answered" | "refused" | "broken_off" | "caller_left" | "cut_off"
+            "answered" | "refused" | "broken_off" | "caller_left"
         )
     });
-    let Some(last) = last else {
+    // What a stop cuts off is ended in the words of its kind, which say less.
+    let cut = story.iter().find(|line| line.event == "cut_off");
+    let Some(last) = cut.or(last) else {
         return End::lost("no end: its host was killed or cut off");
     };
     match last.event.as_str() {
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts and stops an entry host: opens its sockets, runs its tasks, ends when its work is done.
 
+use crate::clock;
 use crate::event::{self, Record};
 use crate::node::Node;
 use crate::{listen, peer};
@@ -81,8 +82,8 @@
     listen::open(address).context(Snafu { address })
 }
 
-/// Stops a host: takes no new connections, finishes what it has, cuts off what is not answered shortly before the end, and
-/// returns when the process should end.
+/// Stops a host: takes requests for a while and refuses them then, finishes what it has, ends what is not answered shortly
+/// before the end, and returns when the process should end.
 ///
 /// An answer that was made has still to leave: to end before its connection is closed would lose it to a caller that reads
 /// slowly.
@@ -91,8 +92,10 @@
     while !node.has_finished() && !node.is_near_its_end() {
         tokio::time::sleep(LOOK).await;
     }
-    node.cut_off();
-    while !node.has_finished() && node.ends_in().is_some_and(|left| !left.is_zero()) {
+    node.end_requests();
+    // Counted from here: a host that is late says its last words all the same.
+    let end = clock::now() + node.last_words();
+    while !node.has_finished() && clock::now() < end {
         tokio::time::sleep(LOOK).await;
     }
     node.tell_stopped();
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -44,7 +44,12 @@
         progress: in_flight.progress.clone(),
         done: false,
     };
-    let result = let_in(&node, head, body, ask, &in_flight).await;
+    let result = tokio::select! {
+        biased;
+        result = let_in(&node, head, body, ask, &in_flight) => result,
+        // Its body has not come to its end.
+        () = node.requests_end() => Err(Refusal::new(ErrorKind::Draining, ELSEWHERE)),
+    };
     let mut response = match result {
         Err(refusal) => refuse(&node, &id, &refusal, arrived),
         Ok(job) => answer(&node, job, in_flight).await,
@@ -67,8 +72,9 @@
         }
     };
     tokio::select! {
+        biased;
         response = served => response,
-        () = node.cuts_off() => {
+        () = node.requests_end() => {
             let refusal = Refusal::new(ErrorKind::ContactLost, Duration::ZERO);
             refuse(node, &id, &refusal, arrived)
         }
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -6,6 +6,7 @@
 use crate::answer::Content;
 use crate::attempt::{self, Miss};
 use crate::client::Exchange;
+use crate::clock;
 use crate::event::{self, Record};
 use crate::forward;
 use crate::job::Job;
@@ -131,7 +132,7 @@
             Some(plan) => plan,
             None => next_plan(node, job, tries, &life).await?,
         };
-        let Some(placed) = take_up(node, job, &plan, tries).await else {
+        let Some(mut placed) = take_up(node, job, &plan, tries).await else {
             continue;
         };
         tries.all += 1;
@@ -140,8 +141,11 @@
         tries.sends += 1;
         let sent = life.send();
         let silence = silence(job, &plan);
-        life = match send(node, job, tries, &placed, last_event.clone(), silence).await {
-            Sending::Answered(exchange) => return Ok(placed.open(exchange, silence)),
+        life = match send(node, job, tries, &mut placed, last_event.clone(), silence).await {
+            Sending::Answered(exchange) => {
+                placed.held.take_back();
+                return Ok(placed.open(exchange, silence));
+            }
             Sending::Missed(miss) => note_miss(node, tries, &placed.server, sent, miss),
             Sending::Left(plan) => {
                 found = Some(plan);
@@ -215,20 +219,25 @@
     node: &Rc<Node>,
     job: &Job,
     tries: &mut Tries,
-    placed: &Placed,
+    placed: &mut Placed,
     last_event: Option<String>,
     silence: Duration,
 ) -> Sending {
     let server = &placed.server;
-    let more = tries.sends < job.route.max_attempts && job.route.kind.repeatable();
+    let sends_left = tries.sends < job.route.max_attempts && tries.all < MOST_SENDS;
+    let more = sends_left && job.route.kind.repeatable();
     let number = tries.all;
     let helpers = placed.helpers.clone();
     let answer = attempt::send(node, job, server, helpers, last_event, number);
     let answer = async { judge(node, job, server, number, answer.await) };
     tokio::select! {
+        // An answer that is there goes before any sign that there was none.
+        biased;
         sending = answer => sending,
-        plan = find_other(node, job, tries, server, silence), if more => Sending::Left(plan),
-        () = tokio::time::sleep(job.left()) => {
+        plan = find_other(node, job, tries, server, &mut placed.held, silence), if more => {
+            Sending::Left(plan)
+        }
+        () = clock::patience(job.left()) => {
             attempt::tell(job, server, number, "no answer in the time allowed");
             node.note(&server.id, Outcome::Silent);
             Sending::Missed(Miss::Lost)
@@ -243,12 +252,14 @@
     job: &Job,
     tries: &mut Tries,
     silent: &Server,
+    held: &mut Held,
     silence: Duration,
 ) -> Plan {
-    tokio::time::sleep(silence).await;
+    clock::patience(silence).await;
     attempt::tell(job, silent, tries.all, "silence");
     node.note(&silent.id, Outcome::Silent);
     tries.avoid.push(silent.id.clone());
+    held.set_aside();
     let life = Life::new().send().lost();
     loop {
         let plan = place::place(node, job, tries, &life).await;
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -34,7 +34,7 @@
         if job.left().is_zero() {
             return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
         }
-        if tries.all == 0 && !node.takes_requests() {
+        if tries.sends == 0 && !node.takes_requests() {
             return Err(life.refuse(ErrorKind::Draining, COME_BACK));
         }
         let ends_in = node.ends_in();
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -71,8 +72,11 @@
     let idle = limits.map_or(UNKNOWN_IDLE, |limits| limits.idle);
     let head = limits.map_or(SMALLEST_BUFFER, |limits| limits.header_bytes);
     let service_node = node.clone();
+    let asked: Rc<Cell<bool>> = Rc::default();
+    let has_asked = asked.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let node = service_node.clone();
+        has_asked.set(true);
         async move { Ok::<_, Infallible>(forward::serve(node, request).await) }
     });
     let connection = http1::Builder::new()
@@ -82,10 +86,16 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let result = tokio::select! {
+        // A request that has come is read and answered before the connection counts as at rest.
+        biased;
         result = connection.as_mut() => result,
         () = ends_at_rest(&node) => {
             connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
+            tokio::select! {
+                biased;
+                result = connection.as_mut() => result,
+                () = gives_no_head(&asked) => Ok(()),
+            }
         }
     };
     if let Err(error) = result {
@@ -100,6 +110,14 @@
     tokio::time::sleep_until(clock::instant(opened + FIRST_REQUEST)).await;
 }
 
+/// Waits until a connection over which no request has come, but maybe a part of its head, had its time for the rest.
+async fn gives_no_head(asked: &Cell<bool>) {
+    tokio::time::sleep(FIRST_REQUEST).await;
+    if asked.get() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Answers the balancer's question whether the host takes new connections.
 pub async fn ready(node: Rc<Node>, listener: TcpListener) {
     simple(listener, move |_| {
--- a/crates/alderglade-serve/src/node/guard.rs
+++ b/crates/alderglade-serve/src/node/guard.rs
@@ -4,7 +4,7 @@
 use super::{Node, Progress};
 use crate::clock;
 use alderglade_core::Name;
-use alderglade_core::fleet::book::{Demand, HoldId, WaitId};
+use alderglade_core::fleet::book::{Demand, Hold, HoldId, WaitId};
 use std::rc::Rc;
 
 /// Counts a request in hand.
@@ -38,12 +38,42 @@
 pub struct Held {
     node: Rc<Node>,
     id: HoldId,
+    /// The placement while it is set aside.
+    aside: Option<Hold>,
 }
 
 impl Held {
     /// Keeps a placement that was noted in the book.
     pub(super) fn new(node: Rc<Node>, id: HoldId) -> Held {
-        Held { node, id }
+        Held {
+            node,
+            id,
+            aside: None,
+        }
+    }
+
+    /// Takes the placement out of the book for now, so that it doesn't stand in the way of the one that is to replace it.
+    pub fn set_aside(&mut self) {
+        if self.aside.is_none() {
+            self.aside = self.release();
+        }
+    }
+
+    /// Puts the placement back into the book, if it was set aside.
+    pub fn take_back(&mut self) {
+        let Some(hold) = self.aside.take() else {
+            return;
+        };
+        self.id = self.node.state.borrow_mut().book.hold(hold, clock::now());
+        self.node.book_changed.notify_one();
+    }
+
+    fn release(&self) -> Option<Hold> {
+        let mut state = self.node.state.borrow_mut();
+        let hold = state.book.release(self.id, clock::now());
+        drop(state);
+        self.node.book_changed.notify_one();
+        hold
     }
 
     /// Notes that the prompt has been read.
@@ -59,10 +89,9 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let mut state = self.node.state.borrow_mut();
-        state.book.release(self.id, clock::now());
-        drop(state);
-        self.node.book_changed.notify_one();
+        if self.aside.is_none() {
+            self.release();
+        }
     }
 }
 
--- a/crates/alderglade-serve/src/node/stop.rs
+++ b/crates/alderglade-serve/src/node/stop.rs
@@ -10,6 +10,8 @@
 /// refusals, has noticed. Three tenths of a second below the three seconds after which a request that was sent may no
 /// longer be broken off at the host's end, because the host may notice late that it was asked to stop.
 const STILL_TAKEN: Duration = Duration::from_millis(2_700);
+/// The part of the time allowed for stopping that this takes up at most: answers need the other half.
+const STILL_TAKEN_PART: u32 = 2;
 /// What is kept of the time allowed for stopping, so that the process ends by itself before it is killed, also on an
 /// eighth of a core and with its last log lines written.
 const END_MARGIN: Duration = Duration::from_millis(900);
@@ -59,8 +61,8 @@
         unwatched && self.in_flight() == 0 && self.connections() == 0
     }
 
-    /// Cuts off what is not answered yet, and writes which requests these are.
-    pub fn cut_off(&self) {
+    /// Ends all requests that are not answered yet, and writes which these are.
+    pub fn end_requests(&self) {
         let cut_off = self.in_hand.list();
         for progress in &cut_off {
             progress.cut_off();
@@ -73,8 +75,8 @@
         self.ending.send_replace(true);
     }
 
-    /// Waits until the host cuts off what is not answered yet.
-    pub async fn cuts_off(&self) {
+    /// Waits until the host ends all requests that are not answered yet.
+    pub async fn requests_end(&self) {
         let mut ending = self.ending.subscribe();
         if ending.wait_for(|ending| *ending).await.is_err() {
             // The sender lives as long as the host itself.
@@ -103,19 +105,28 @@
     /// Says whether a request may be sent to its first backend server. What is refused from now on can't be cut off at
     /// the host's end, however long its answer would have taken.
     pub fn takes_requests(&self) -> bool {
-        self.stopping_for()
-            .is_none_or(|passed| passed < STILL_TAKEN)
+        let most = self.still_taken();
+        self.stopping_for().is_none_or(|passed| passed < most)
+    }
+
+    /// Gives how long after the request to stop requests are still taken.
+    fn still_taken(&self) -> Duration {
+        STILL_TAKEN.min(self.settings.grace / STILL_TAKEN_PART)
     }
 
     /// Waits until the host, which is stopping, takes no more requests.
     pub async fn takes_no_more(&self) {
-        self.stopped_for(STILL_TAKEN).await;
+        self.stopped_for(self.still_taken()).await;
     }
 
-    /// Says whether a stopping host should cut off what is not answered yet: it ends soon.
+    /// Says whether a stopping host should end what is not answered yet: it ends soon.
     pub fn is_near_its_end(&self) -> bool {
-        let last_words = LAST_WORDS.min(self.settings.grace / LAST_WORDS_PART);
-        self.ends_in().is_some_and(|left| left <= last_words)
+        self.ends_in().is_some_and(|left| left <= self.last_words())
+    }
+
+    /// Gives how long before its end a host ends what is not answered yet.
+    pub fn last_words(&self) -> Duration {
+        LAST_WORDS.min(self.settings.grace / LAST_WORDS_PART)
     }
 
     /// Gives the time from the request to stop to the end of the process, at most.
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -89,8 +89,9 @@
     async fn run(mut self, open: Open) {
         let node = self.node.clone();
         let end = tokio::select! {
+            biased;
             end = self.pass_on(open) => end,
-            () = node.cuts_off() => End::HostStops,
+            () = node.requests_end() => End::HostStops,
         };
         match end {
             End::Whole => self.tell_answered(),
@@ -112,7 +113,10 @@
                     return End::Whole;
                 }
                 Err(Break::Silent) => match self.take_over(&mut part).await {
-                    Ok(None) => self.turn_to(&part),
+                    Ok(None) => {
+                        part.held.take_back();
+                        self.turn_to(&part);
+                    }
                     Ok(Some(open)) => part = self.begin(open),
                     Err(end) => return end,
                 },
@@ -211,8 +215,10 @@
         let ends = clock::instant(self.job.ends);
         let (silence, may_resume) = (part.silence, self.may_resume());
         tokio::select! {
+            // What is there goes before any sign that there was nothing.
+            biased;
             frame = part.frame() => Ok(frame),
-            () = tokio::time::sleep(silence), if may_resume => Err(Break::Silent),
+            () = clock::patience(silence), if may_resume => Err(Break::Silent),
             () = self.pieces.closed() => Err(Break::End(End::CallerLeft)),
             () = tokio::time::sleep_until(ends) => Err(Break::End(End::Expired)),
         }
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -26,7 +26,7 @@
     /// The placement in the book.
     pub held: Held,
     /// Memory that was set aside.
-    _tickets: Option<Tickets>,
+    tickets: Option<Tickets>,
     /// Who reads the prompt.
     pub reading: Reading,
     /// Whether the prompt has been read: the first event has come.
@@ -35,6 +35,8 @@
     pub silence: Duration,
     /// What its pauses say of the server.
     pub suspicion: Suspicion,
+    /// Whether the server was noted as silent since it was heard last.
+    pub doubted: bool,
     /// What came while another server was looked for.
     pub heard: Option<Frame>,
 }
@@ -48,15 +50,22 @@
             connection: open.exchange.connection,
             splitter: Splitter::default(),
             held: open.held,
-            _tickets: open.tickets,
+            tickets: open.tickets,
             reading: open.reading,
             read: false,
             silence: open.silence,
             suspicion: Suspicion::default(),
+            doubted: false,
             heard: None,
         }
     }
 
+    /// Gives back what is taken up at a server that has failed.
+    pub fn give_back(&mut self) {
+        self.held.set_aside();
+        self.tickets = None;
+    }
+
     /// Waits for the next frame. Dropped before there is one, it loses nothing.
     pub async fn frame(&mut self) -> Frame {
         self.body.frame().await
--- a/crates/alderglade-serve/src/relay/take_over.rs
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -23,7 +23,11 @@
     ///
     /// Gives `None` where the silent server goes on.
     pub(super) async fn take_over(&mut self, part: &mut Part) -> Result<Option<Open>, End> {
-        self.note_failed(part, "silence");
+        if !part.doubted {
+            part.doubted = true;
+            self.note_failed(part, "silence");
+        }
+        part.held.set_aside();
         let ends = clock::instant(self.job.ends);
         let last_event = self.last_event.clone();
         let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
@@ -31,6 +35,7 @@
         let mut failed = false;
         loop {
             tokio::select! {
+                biased;
                 reopened = reopen.as_mut() => return match reopened {
                     Ok(open) => Ok(Some(open)),
                     Err(refusal) if failed => Err(End::Failed(refusal.kind.label().to_string())),
@@ -39,10 +44,12 @@
                 frame = part.frame(), if !failed => match frame {
                     Some(Err(error)) => {
                         log::debug!("silent server {} failed: {error}", part.server.id);
+                        part.give_back();
                         failed = true;
                     }
                     frame => {
                         part.heard = Some(frame);
+                        part.doubted = false;
                         return Ok(None);
                     }
                 },
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -112,6 +112,9 @@
     tried: &[Name],
     sends: u32,
 ) -> Result<Server, Refusal> {
+    if !life.may_have_run() && !node.takes_requests() {
+        return Err(life.refuse(ErrorKind::Draining, COME_BACK));
+    }
     let Some(server) = node.pick(&job.service, tried) else {
         return Err(life.refuse(ErrorKind::NoCapacity, COME_BACK));
     };
@@ -143,6 +146,8 @@
         collect(node, job, server, sends, exchange, &reply).await
     };
     tokio::select! {
+        // An answer that is there goes before any sign that there was none.
+        biased;
         answer = whole => match answer {
             Ok(response) => Try::Whole(response),
             Err(Miss::NotSent) => Try::NotSent(sent.never_sent()),
@@ -152,7 +157,7 @@
         other = find_other(node, job, server, tried, sends), if more => {
             Try::Left(sent.lost(), other)
         }
-        () = tokio::time::sleep(job.left()) => {
+        () = clock::patience(job.left()) => {
             tell_silent(node, job, server, sends);
             Try::Expired(sent.lost())
         }
@@ -160,14 +165,15 @@
 }
 
 /// Finds another server for a request whose server has been silent for its part of the time; waits on where there is
-/// none.
+/// none, or where the host ends before that one would have had its time.
 async fn find_other(node: &Node, job: &Job, silent: &Server, tried: &[Name], sends: u32) -> Server {
-    tokio::time::sleep(job.left().mul_f64(FIRST_TRY)).await;
+    clock::patience(job.left().mul_f64(FIRST_TRY)).await;
     tell_silent(node, job, silent, sends);
     loop {
         let other = node.pick(&job.service, tried);
         let other = other.filter(|server| !tried.contains(&server.id));
-        let room = tried.len() < MOST_CONNECTS;
+        let cut_short = node.ends_in().is_some_and(|left| left < job.left());
+        let room = tried.len() < MOST_CONNECTS && !cut_short;
         if let Some(server) = other.filter(|_| room && node.spend_repeat(&job.service)) {
             return server;
         }
