--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod operators;
 mod path;
 mod scenarios;
+mod stop;
