The product's own host takes signals from its first moment, and SIGHUP for a planned stop

Cause: signals were followed only after the platform had been asked and the doors were open; before, SIGTERM ended the process by signal 15. SIGHUP wasn't followed at all and ended the process at once, requests in hand and all.

Ruled out: a further signal, or an operator's drain order, during a stop: the drain begins once, its time is counted from the first.

Change: signals are followed before anything that may wait or lets anybody in; the order waits in the control thread's channel. SIGHUP means the planned stop: there are no settings to read again, as they come from the platform.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,7 +27,7 @@
 
 FILE is this host's own settings in JSON: name, domain, callers, peers, operators, platform
 (addresses as IP number and port), and optionally max_requests, log_level, drain_limit_ms.
-SIGTERM begins a planned stop: nothing in flight is cut off.
+SIGTERM, SIGINT or SIGHUP begins a planned stop: nothing in flight is cut off.
 
 Exit codes: 0 stopped as planned, 1 failed, 2 wrong usage
 ";
@@ -83,7 +83,7 @@
         source: alderglade_operator::pages::Error,
     },
     /// A signal can't be handled.
-    #[snafu(display("can't handle SIGTERM"))]
+    #[snafu(display("can't handle signals"))]
     Signal {
         /// The cause.
         source: std::io::Error,
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -18,7 +18,7 @@
 use alderglade_operator::{event, logging};
 use alderglade_peer::{Incoming, Peers};
 use alderglade_platform::{Client, slo};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -58,6 +58,8 @@
     let began = Instant::now();
     let incarnation = wall_ms();
     let (control, inputs) = channel();
+    // Before anything that may wait or lets anybody in: a signal that isn't handled yet ends the process at once.
+    follow_signals(&control)?;
     let peers = start_peers(&host, &control)?;
     let published = Published::default();
     let metrics = Metrics::default();
@@ -92,7 +94,6 @@
         metrics: metrics.clone(),
     });
     let door = traffic::open(host.callers, host.max_requests, traffic)?;
-    follow_signals(&control)?;
     follow_outside(&host, &client, &platform, &control, &published);
     let (polling, shown) = (engines.clone(), published.clone());
     thread::spawn(move || engines::poll(polling, shown));
@@ -175,8 +176,10 @@
     }
 }
 
+/// Begins a planned stop at each signal that asks for one; a further one changes nothing.
 fn follow_signals(control: &Sender<Input>) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context(SignalSnafu)?;
+    // SIGHUP asks for nothing else here, as settings come from the platform.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context(SignalSnafu)?;
     let control = control.clone();
     thread::spawn(move || {
         for _ in signals.forever() {
