The product's own host stops once answers have left, not two seconds after they were made

Cause: the control thread lets a request go when its answer has been made. The process then ended two seconds later at the latest, with answers still waiting for a slow caller and bodies still coming, and logged that nothing was cut off.

Ruled out: the count itself; a closed door counts the connections whose answer hasn't left, and whoever sends the rest of a body is refused as `draining` with when to come back. Only the wait was too short.

Change: the wait lasts until the time to stop is over (`drain_limit_ms`, counted from the first order to stop), or two seconds where less is left. What hasn't left by then is logged as cut off.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -65,6 +65,14 @@
     Replay(Outcome),
 }
 
+/// A planned stop that has no request in hand any more.
+pub(crate) struct Stop {
+    /// Whether nothing was cut off.
+    pub whole: bool,
+    /// When its time is over.
+    pub until: Instant,
+}
+
 /// The control thread's own things.
 pub(crate) struct Control {
     /// The decisions.
@@ -88,8 +96,8 @@
 }
 
 impl Control {
-    /// Runs until a planned stop has finished; says whether nothing was cut off.
-    pub(crate) fn run(mut self, drain_limit: Duration) -> bool {
+    /// Runs until a planned stop has finished, or its time is over.
+    pub(crate) fn run(mut self, drain_limit: Duration) -> Stop {
         let mut ticked = Instant::now();
         let mut published = None;
         let mut draining = None;
@@ -117,7 +125,10 @@
                 if over || late {
                     self.platform
                         .publish_log(&self.node.view().own().name, self.node.slo().clone());
-                    return over;
+                    return Stop {
+                        whole: over,
+                        until: since + drain_limit,
+                    };
                 }
             }
         }
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -28,7 +28,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Answers that are being written get this long once the last request is done.
+/// Answers get at least this long to leave once the last request is done.
 const LAST_WORDS: Duration = Duration::from_secs(2);
 
 /// The host's pages, which ask the control thread.
@@ -108,7 +108,7 @@
     });
     println!("{addresses}");
     event::write(event::STARTED, &addresses.to_string());
-    let whole = Control {
+    let stop = Control {
         node,
         inputs,
         peers,
@@ -121,10 +121,10 @@
     }
     .run(host.drain_limit());
     door.close();
-    wait_for_answers(&door);
+    let left = wait_for_answers(&door, stop.until);
     event::write(
         event::STOPPED,
-        if whole {
+        if stop.whole && left {
             "nothing was cut off"
         } else {
             "work was cut off"
@@ -206,10 +206,14 @@
     thread::spawn(move || outside::follow_log(&counting, &name));
 }
 
-/// Lets the threads of requests write their closing lines.
-fn wait_for_answers(door: &alderglade_caller::listen::Door) {
-    let until = Instant::now() + LAST_WORDS;
+/// Waits for answers to leave and for requests that are still coming to be refused, until the time to
+/// stop is over; says whether all have.
+///
+/// A request that is done may have an answer that waits for a slow caller: it is in hand until it has left.
+fn wait_for_answers(door: &alderglade_caller::listen::Door, until: Instant) -> bool {
+    let until = until.max(Instant::now() + LAST_WORDS);
     while door.busy() > 0 && Instant::now() < until {
         thread::sleep(Duration::from_millis(10));
     }
+    door.busy() == 0
 }
