A request that was let in just before a stop is told that the host stops

Cause: a request's thread takes the picture of the host before it reads the body, which takes a while for a large prompt. An idle host that is asked to stop meanwhile ends its control thread at once; the request, handed to nobody, was answered `expired_waiting`, though its time was not up, and a caller that gives expired requests up would not have come back.

Ruled out: that it might have been sent: without the control thread nothing is sent, and the life of the request says so.

Change: a request that finds the control thread gone before it was ever sent is answered `draining`, not run, with when to come back.

Before and after: stop::a_request_that_is_read_while_the_host_stops_is_told_so fails before and passes after, and with it stop::at_the_end_of_the_time_to_stop_every_caller_is_told_what_became_of_it, whose waiting requests meet the same end.

What is at work when the time to stop is over is still cut off; a test that shows it comes next.

--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -230,20 +230,17 @@
         said.unwrap_or(refusal)
     }
 
-    /// Waits for what to do next; the time being up is an answer, too.
+    /// Waits for what to do next; the time being up is an answer, and so is the end of the control thread.
     fn next(&self) -> Instruction {
         let sent = self.life.as_ref().is_some_and(Life::is_sent);
-        match self.instructions.recv_timeout(self.left() + GRACE) {
-            Ok(instruction) => instruction,
-            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                let kind = if sent {
-                    Kind::ExpiredRunning
-                } else {
-                    Kind::ExpiredWaiting
-                };
-                Instruction::Refuse(Refusal::new(kind, COME_BACK))
-            }
-        }
+        let kind = match self.instructions.recv_timeout(self.left() + GRACE) {
+            Ok(instruction) => return instruction,
+            Err(_) if sent => Kind::ExpiredRunning,
+            Err(RecvTimeoutError::Timeout) => Kind::ExpiredWaiting,
+            // Let in by a picture from before the stop, and found nobody who decides any more.
+            Err(RecvTimeoutError::Disconnected) => Kind::Draining,
+        };
+        Instruction::Refuse(Refusal::new(kind, COME_BACK))
     }
 }
 
