Two tests of the end of the time to stop, both failing

An engine at its model's own pace shows what the fast ones hide. The plan of a test's fleet says the pace.

Ruled out: the six tests of before, which pass beside them.

--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -14,7 +14,7 @@
 
 /// The workspace that tests ask as.
 pub const WORKSPACE: &str = "augsburg";
-/// Engines run this much faster than their model's time.
+/// Engines run this much faster than their model's time, where a plan says nothing else.
 const SCALE: f64 = 20.0;
 /// Everything that a test waits for comes well before this.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -58,6 +58,8 @@
     pub hosts_each: usize,
     pub engines_each: usize,
     pub kv_tokens: u64,
+    /// How much faster than their model's time the engines run.
+    pub scale: f64,
 }
 
 impl Default for Plan<'_> {
@@ -67,6 +69,7 @@
             hosts_each: 2,
             engines_each: 2,
             kv_tokens: 400_000,
+            scale: SCALE,
         }
     }
 }
@@ -111,7 +114,7 @@
                         kv_tokens: plan.kv_tokens,
                         ..batch::Config::default()
                     },
-                    scale: SCALE,
+                    scale: plan.scale,
                     lag: Duration::from_millis(200),
                     checks_orders: true,
                 });
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -252,3 +252,69 @@
     assert_stops(&mut fleet);
     fleet.wait_memory_back();
 }
+
+/// A host with one engine that takes its model's time, and with so long to stop.
+fn slow(drain_limit: Duration) -> Fleet {
+    let mut fleet = Fleet::start(&Plan {
+        hosts_each: 0,
+        engines_each: 1,
+        scale: 1.0,
+        ..Plan::default()
+    });
+    let limit = drain_limit.as_millis();
+    let more = format!(r#""log_level": "ERROR", "drain_limit_ms": {limit}"#);
+    fleet.start_host_with("muc-a-h0", "muc-a", &more);
+    fleet.wait_ready();
+    fleet
+}
+
+/// Sends prompts of these lengths, of which the engine takes the first, and has the host stop.
+fn stop_with(fleet: &Fleet, first: u64, others: [u64; 2]) -> (Answer, [Answer; 2]) {
+    let engine = &fleet.engines[0];
+    thread::scope(|scope| {
+        let send = |tokens: u64| {
+            scope.spawn(move || fleet.generate(0, REVIEW, "while it stops", tokens, 60))
+        };
+        let first = send(first);
+        wait("one runs", || {
+            engine.with(|model| model.started().len() == 1)
+        });
+        let others = others.map(send);
+        wait("the others wait", || status_of(fleet)["inflight"] == 3);
+        fleet.hosts[0].process.signal("TERM");
+        let first = first.join().expect("an answer");
+        (first, others.map(|other| other.join().expect("an answer")))
+    })
+}
+
+fn assert_not_begun(answer: &Answer) {
+    let told = (answer.status, answer.kind(), answer.ran());
+    assert_eq!(told, (503, "draining", "no"), "{answer:?}");
+    assert!(answer.retry_after.is_some_and(|after| after >= 1));
+}
+
+/// What was at work when the time to stop was over was cut off without a word.
+#[test]
+fn what_is_at_work_when_the_time_to_stop_is_over_is_answered() {
+    let mut fleet = slow(Duration::from_secs(1));
+    // Ten seconds of prefill, and five each.
+    let (first, others) = stop_with(&fleet, 250_000, [125_000, 125_000]);
+    let told = (first.kind(), first.ran());
+    assert_eq!(told, ("expired_running", "unknown"), "{first:?}");
+    others.iter().for_each(assert_not_begun);
+    assert_stops(&mut fleet);
+    fleet.wait_memory_back();
+}
+
+/// What waited was sent late in a stop, and cut off soon after.
+#[test]
+fn nothing_is_begun_that_the_time_to_stop_is_too_short_for() {
+    let mut fleet = slow(Duration::from_secs(8));
+    // Two seconds of prefill, and ten each.
+    let (first, others) = stop_with(&fleet, 50_000, [250_000, 250_000]);
+    assert_whole(&first, "while it stops", 60);
+    others.iter().for_each(assert_not_begun);
+    assert_eq!(fleet.engines[0].with(|model| model.started().len()), 1);
+    assert_stops(&mut fleet);
+    fleet.wait_memory_back();
+}
