A stop leaves no request more time than the host has

Cause: the time to stop was known to the loop that ends the process, and to nobody who decides. What waited was sent to an engine with too little time left and cut off with it; what was at work was cut off, its engine not told.

Ruled out: refusing all that waits at once, as most of it fits into the time to stop, and with the usual settings all of it does.

Change: an order to stop bounds the deadlines of what is in hand by the end of the time to stop; a further order doesn't move it. All else follows from deadlines as they are: homes refuse what can't be done in time rather than begin it, and what is at work at the end is cancelled and answered. What had too little time because of the stop is told so, `draining`, not run. The log tells how many were cut off. The stop has a module of its own in the node.

--- a/crates/alderglade-core/src/inflight.rs
+++ b/crates/alderglade-core/src/inflight.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Says whether the stop of its host leaves it less time than its caller does.
+    pub fn is_bounded(&self) -> bool {
+        self.deadline < self.since + self.submission.ticket.time_left
+    }
+
     /// Moves the request to another stage.
     pub fn enter(&mut self, stage: Stage, now: Time) {
         self.stage = stage;
@@ -193,6 +198,20 @@
         Some(entry)
     }
 
+    /// Moves all deadlines after `end` to it and names their requests.
+    pub fn bound(&mut self, end: Time) -> Vec<Id> {
+        let late = self.deadlines.iter().rev();
+        let late: Vec<(Time, Id)> = late.take_while(|(at, _)| *at > end).copied().collect();
+        for (deadline, id) in &late {
+            self.deadlines.remove(&(*deadline, *id));
+            self.deadlines.insert((end, *id));
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.deadline = end;
+            }
+        }
+        late.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Notes that a request was sent, or waits again.
     pub fn set_sent(&mut self, id: Id, sent: bool) {
         if sent {
--- a/crates/alderglade-core/src/node.rs
+++ b/crates/alderglade-core/src/node.rs
@@ -4,13 +4,14 @@
 //! scenarios, by a virtual clock. The parts: [`submit`](self) takes requests and finds them a
 //! cell, `progress` follows them to their answer, `tries` decides
 //! what the end of a try means, `homes` runs the cells whose home this host
-//! is, `peers` keeps the view of the other hosts, `claims` keeps the ledger.
+//! is, `peers` keeps the view of the other hosts, `claims` keeps the ledger, `stop` ends it all.
 
 mod claims;
 mod homes;
 mod peers;
 mod progress;
 mod servers;
+mod stop;
 mod submit;
 mod tries;
 
@@ -32,6 +33,7 @@
 use crate::time::Time;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What happened.
 #[derive(Debug, Clone)]
@@ -222,6 +224,8 @@
     pub card: Card,
     /// How engines are picked.
     pub placement: placement::Config,
+    /// A planned stop takes at most this long.
+    pub drain_limit: Duration,
 }
 
 /// A load digest and when it came.
@@ -235,6 +239,7 @@
 #[derive(Debug)]
 pub struct Node {
     placement: placement::Config,
+    drain_limit: Duration,
     now: Time,
     wall_ms: u64,
     tree: Arc<Tree>,
@@ -254,7 +259,7 @@
     budget: Budget,
     output: Output,
     slo: slo::Log,
-    draining: bool,
+    stop: Option<stop::Stop>,
     beat: Option<Time>,
     asked_load: Option<Time>,
     asked_settings: Option<Time>,
@@ -267,6 +272,7 @@
     pub fn new(config: Config, now: Time) -> Node {
         Node {
             placement: config.placement,
+            drain_limit: config.drain_limit,
             now,
             wall_ms: 0,
             tree: Arc::default(),
@@ -286,7 +292,7 @@
             budget: Budget::default(),
             output: Output::default(),
             slo: slo::Log::default(),
-            draining: false,
+            stop: None,
             beat: None,
             asked_load: None,
             asked_settings: None,
@@ -354,22 +360,9 @@
         self.tick_claims();
     }
 
-    fn drain(&mut self) {
-        self.draining = true;
-        self.view.own_mut().leaving = true;
-        self.beat = None;
-        self.tick();
-    }
-
-    /// Says whether a stopping host has nothing in hand and waits for no confirmation.
-    pub fn is_drained(&self) -> bool {
-        let homes = self.homes.values().all(|cell| cell.waiting() == 0);
-        self.draining && self.inflight.is_empty() && self.settling.is_empty() && homes
-    }
-
     /// Says whether the host may serve: it has settings, and none that a peer has outdated.
     pub fn is_ready(&self) -> bool {
-        !self.draining
+        !self.is_draining()
             && self.tree.revision > 0
             && self.view.has_joined(self.now)
             && self.tree.revision >= self.view.highest_revision()
--- a/crates/alderglade-core/src/node/claims.rs
+++ b/crates/alderglade-core/src/node/claims.rs
@@ -198,7 +198,7 @@
     }
 
     fn tick_settling(&mut self) {
-        let limit = if self.draining {
+        let limit = if self.is_draining() {
             SETTLE_LIMIT
         } else {
             ledger::KEY_LIFE
--- a/crates/alderglade-core/src/node/progress.rs
+++ b/crates/alderglade-core/src/node/progress.rs
@@ -1,7 +1,7 @@
 //! Following a request from its cell's queue to its answer.
 
 use super::submit::{COME_BACK, LOAD_ANSWER};
-use super::{Action, Node};
+use super::{Action, Node, stop};
 use crate::Name;
 use crate::cell::{End, Key};
 use crate::error::{Kind, Ran};
@@ -203,6 +203,7 @@
         };
         self.sample(&entry, refusal);
         if let Some(mut refusal) = refusal {
+            refusal = stop::own_up(refusal, &entry);
             if entry.may_have_run && refusal.ran == Ran::No {
                 refusal.ran = Ran::Unknown;
             }
@@ -243,6 +244,7 @@
         } else {
             Kind::ExpiredWaiting
         };
+        self.count_cut_off(&entry);
         self.give_back(request, &entry);
         self.finish(request, Some(Refusal::new(kind, COME_BACK)));
     }
--- a/crates/alderglade-core/src/node/submit.rs
+++ b/crates/alderglade-core/src/node/submit.rs
@@ -26,7 +26,7 @@
 impl Node {
     pub(super) fn submit(&mut self, submission: Submission) {
         let id = submission.ticket.id;
-        if self.draining {
+        if self.is_draining() {
             self.refuse(id, Refusal::new(Kind::Draining, COME_BACK));
             return;
         }
--- a/crates/alderglade-core/tests/testsuite/node.rs
+++ b/crates/alderglade-core/tests/testsuite/node.rs
@@ -4,15 +4,22 @@
 use crate::queue::ticket;
 use alderglade_core::Name;
 use alderglade_core::cell::Key;
+use alderglade_core::error::{Kind, Ran};
+use alderglade_core::inflight::{Submission, Work};
 use alderglade_core::lane::Lane;
+use alderglade_core::limit::Rate;
 use alderglade_core::membership::Card;
 use alderglade_core::message::Message;
 use alderglade_core::node::{Action, Config, Event, Node};
 use alderglade_core::placement;
+use alderglade_core::request::Ticket;
 use alderglade_core::time::Time;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Less time to stop than callers have.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+
 fn card(name: &str) -> Card {
     Card {
         name: name.into(),
@@ -29,6 +36,7 @@
     let config = Config {
         card: card("h0"),
         placement: placement::Config::default(),
+        drain_limit: DRAIN_LIMIT,
     };
     let mut node = Node::new(config, now);
     let hosts = Event::Hosts {
@@ -86,3 +94,59 @@
     let answer = enqueue(&mut node, &cell, at);
     assert!(matches!(answer, Message::Refused { .. }), "{answer:?}");
 }
+
+/// A short prompt of a caller's own, which has a minute.
+fn submission() -> Submission {
+    let ticket = ticket(1, "w", Lane::Urgent, 1_000, 1);
+    Submission {
+        ticket: Ticket {
+            time_left: Duration::from_secs(60),
+            ..ticket
+        },
+        work: Work::Generate,
+        class: "".into(),
+        rate: Rate::new(None, None),
+        first_token: Duration::from_secs(1),
+        objective_per_mille: 990,
+        repeatable: true,
+        claim: None,
+    }
+}
+
+fn refusal(actions: &[Action]) -> Option<(Kind, Ran)> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some((refusal.kind, refusal.ran)),
+        _ => None,
+    })
+}
+
+#[test]
+fn what_runs_is_ended_with_the_time_to_stop_that_no_further_order_lengthens() {
+    let now = Time::from_millis(1_000);
+    let (mut node, _) = home(now);
+    let started = node.handle(Event::Submit(Box::new(submission())), now, 0);
+    let is_start = |action: &Action| matches!(action, Action::Start { .. });
+    assert!(started.iter().any(is_start), "{started:?}");
+    node.handle(Event::Drain, now, 0);
+    let later = now + DRAIN_LIMIT / 2;
+    let again = node.handle(Event::Drain, later, 0);
+    assert_eq!(refusal(&again), None);
+    assert!(!node.is_drained());
+    let ended = node.handle(Event::Tick, now + DRAIN_LIMIT, 0);
+    assert_eq!(refusal(&ended), Some((Kind::ExpiredRunning, Ran::Unknown)));
+    let is_cancel = |action: &Action| matches!(action, Action::Cancel { .. });
+    assert!(ended.iter().any(is_cancel), "{ended:?}");
+    assert!(node.is_drained());
+    assert_eq!(node.cut_off(), 1);
+}
+
+#[test]
+fn nothing_is_let_in_once_a_host_is_to_stop() {
+    let now = Time::from_millis(1_000);
+    let (mut node, _) = home(now);
+    node.handle(Event::Drain, now, 0);
+    let refused = node.handle(Event::Submit(Box::new(submission())), now, 0);
+    assert_eq!(refusal(&refused), Some((Kind::Draining, Ran::No)));
+    assert!(node.is_drained());
+    assert_eq!(node.cut_off(), 0);
+}
--- a/crates/alderglade-standin/src/measure.rs
+++ b/crates/alderglade-standin/src/measure.rs
@@ -114,6 +114,7 @@
     let config = Config {
         card: card(name),
         placement: placement::Config::default(),
+        drain_limit: Duration::from_secs(600),
     };
     let mut node = Node::new(config, now);
     node.handle(Event::Settings(Arc::new(tree.clone())), now, 0);
--- a/crates/alderglade-standin/src/world/hosts.rs
+++ b/crates/alderglade-standin/src/world/hosts.rs
@@ -18,6 +18,8 @@
 const WATCHED: Duration = Duration::from_millis(200);
 /// Hosts of a failure domain that watch the settings.
 const WATCHERS: usize = 2;
+/// A planned stop takes at most this long, as a host's own settings have it unless they say otherwise.
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
 
 /// An entry host.
 pub(crate) struct HostAt {
@@ -54,6 +56,7 @@
         let config = Config {
             card,
             placement: self.plan.placement,
+            drain_limit: DRAIN_LIMIT,
         };
         let highest_revision = self.hosts.get(name).map_or(0, |host| host.highest_revision);
         self.hosts.insert(
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -114,19 +114,18 @@
             }
             if self.published.load().draining {
                 let since = *draining.get_or_insert_with(Instant::now);
-                let over = self.node.is_drained();
                 let late = since.elapsed() > drain_limit;
-                if late && !over {
-                    event::write(
-                        event::CUT_SHORT,
-                        &format!("{} in hand", self.node.inflight()),
-                    );
+                if late {
+                    // What is still in hand is answered now that its time is over, too.
+                    self.handle(Event::Tick);
                 }
+                let over = self.node.is_drained();
                 if over || late {
+                    let whole = self.tell_cut_off(over);
                     self.platform
                         .publish_log(&self.node.view().own().name, self.node.slo().clone());
                     return Stop {
-                        whole: over,
+                        whole,
                         until: since + drain_limit,
                     };
                 }
@@ -134,6 +133,16 @@
         }
     }
 
+    /// Says whether a stop that ends cut nothing off, and logs it if it did.
+    fn tell_cut_off(&self, over: bool) -> bool {
+        let whole = over && self.node.cut_off() == 0;
+        if !whole {
+            let left = self.node.cut_off() + self.node.inflight();
+            event::write(event::CUT_SHORT, &format!("{left} in hand"));
+        }
+        whole
+    }
+
     /// Waits for something to happen, no longer than until the next tick, and takes what has.
     fn take_inputs(&mut self, wait: Duration) {
         let mut next = self.inputs.recv_timeout(wait);
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -71,6 +71,7 @@
         Config {
             card,
             placement: placement::Config::default(),
+            drain_limit: host.drain_limit(),
         },
         Time(0),
     );
