A caller whose request hangs at a backend server when its host ends gets a last word

Cause: a request's thread is held up in a read from an engine or a server, and there the end of the time to stop doesn't reach it: the process ended and the caller's connection with it, without a word. Cancelling at the engine helps only where the engine then ends the answer; the stand-in closes nothing before its first byte, and a frozen one would hear nothing at all.

Ruled out: shorter reads, as one that times out ends the answer; a further thread for each request.

After the time to stop and a second for answers to leave, the door gives up answers that are not begun, and these callers get it; a second later at the latest the process ends, as late as before. An answer that was begun is still broken off so that it doesn't look whole, and says nothing more.

--- a/crates/alderglade-caller/src/answer.rs
+++ b/crates/alderglade-caller/src/answer.rs
@@ -7,6 +7,7 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use serde::Serialize;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -87,9 +88,28 @@
 /// The type of a whole answer.
 const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 
+/// What a caller is told whose answer can't be waited for any more; nothing until it is left.
+#[derive(Debug, Clone, Default)]
+pub struct LastWord(Arc<Mutex<Option<(u16, Closing)>>>);
+
+impl LastWord {
+    fn leave(&self, status: u16, closing: Closing) {
+        let mut left = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *left = Some((status, closing));
+    }
+
+    /// Takes it as a whole answer.
+    pub(crate) fn take(&self) -> Option<Response<Content>> {
+        let mut left = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let (status, closing) = left.take()?;
+        Some(whole(status, &closing))
+    }
+}
+
 /// An answer that is being written.
 pub struct Answer {
     state: State,
+    last_word: LastWord,
 }
 
 enum State {
@@ -103,9 +123,15 @@
     pub fn new(request: Request) -> Answer {
         Answer {
             state: State::Fresh(request.answer),
+            last_word: request.last_word,
         }
     }
 
+    /// Leaves what the caller is told if the process ends before the answer is begun.
+    pub fn leave_last_word(&self, status: u16, closing: Closing) {
+        self.last_word.leave(status, closing);
+    }
+
     /// Sends a token; says whether the caller still listens.
     pub fn token(&mut self, token: &Token<'_>) -> bool {
         self.open();
--- a/crates/alderglade-caller/src/listen.rs
+++ b/crates/alderglade-caller/src/listen.rs
@@ -4,6 +4,7 @@
 //! dawdles in its head or its body holds up a few bytes of memory and nobody. Only a request that has
 //! come whole gets a thread.
 
+use crate::answer::LastWord;
 use crate::ask::{self, Fault};
 use alderglade_core::error::Kind;
 use alderglade_serve::answer::Content;
@@ -57,6 +58,8 @@
     pub body: Result<Bytes, Fault>,
     /// Where the answer goes; closed when the caller has left.
     pub answer: oneshot::Sender<Response<Content>>,
+    /// What the caller is told if the door gives the answer up before it is begun.
+    pub last_word: LastWord,
 }
 
 /// What is done with each request.
@@ -68,11 +71,19 @@
     fn turn_away(&self, request: Request);
 }
 
+/// How far a door is on its way to the end.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+enum Phase {
+    Open,
+    Closed,
+    GivenUp,
+}
+
 /// The listening side.
 #[derive(Debug)]
 pub struct Door {
     address: SocketAddr,
-    closed: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
     busy: Arc<AtomicUsize>,
     open: Arc<AtomicUsize>,
 }
@@ -97,9 +108,10 @@
             alderglade_serve::listen::open(address).context(ListenSnafu { address })?
         };
         let address = listener.local_addr().context(ListenSnafu { address })?;
-        let (closed, until) = watch::channel(false);
+        let (phase, shown) = watch::channel(Phase::Open);
         let hall = Hall {
             handler,
+            phase: shown,
             busy: Arc::default(),
             most,
         };
@@ -107,7 +119,6 @@
         let open: Arc<AtomicUsize> = Arc::default();
         let connections = Connections {
             hall,
-            closed: until,
             open: open.clone(),
         };
         let run = move || runtime.block_on(accept(listener, connections));
@@ -117,7 +128,7 @@
             .context(ListenSnafu { address })?;
         Ok(Door {
             address,
-            closed,
+            phase,
             busy,
             open,
         })
@@ -131,7 +142,7 @@
     /// Gives how many requests are being handled; once the door is closed, how many connections have
     /// not got the whole of their answer.
     pub fn busy(&self) -> usize {
-        if *self.closed.borrow() {
+        if *self.phase.borrow() != Phase::Open {
             return self.open.load(Ordering::Relaxed);
         }
         self.busy.load(Ordering::Relaxed)
@@ -139,7 +150,14 @@
 
     /// Takes no further connections and ends those at rest; what is in hand goes on.
     pub fn close(&self) {
-        self.closed.send_replace(true);
+        self.phase.send_replace(Phase::Closed);
+    }
+
+    /// Gives up the answers that are not begun: their callers get the last word that was left for them.
+    ///
+    /// A request may hang at a backend server longer than a process that stops can wait.
+    pub fn give_up(&self) {
+        self.phase.send_replace(Phase::GivenUp);
     }
 }
 
@@ -147,13 +165,12 @@
 #[derive(Clone)]
 struct Connections {
     hall: Hall,
-    closed: watch::Receiver<bool>,
     open: Arc<AtomicUsize>,
 }
 
 /// Accepts connections until the door is closed, and serves the open ones until the process ends.
 async fn accept(listener: TcpListener, connections: Connections) {
-    let until_closed = until_closed(connections.closed.clone());
+    let until_closed = until(connections.hall.phase.clone(), Phase::Closed);
     tokio::pin!(until_closed);
     loop {
         let accepted = tokio::select! {
@@ -178,7 +195,8 @@
 /// Serves one connection. An answer counts as given once it has left this process, so the place is kept
 /// until then.
 async fn connection(stream: TcpStream, connections: Connections, _place: Place) {
-    let Connections { hall, closed, .. } = connections;
+    let hall = connections.hall;
+    let phase = hall.phase.clone();
     if let Err(cause) = stream.set_nodelay(true) {
         log::debug!("socket option refused: {cause}");
     }
@@ -193,7 +211,7 @@
     tokio::pin!(connection);
     let served = tokio::select! {
         served = connection.as_mut() => served,
-        () = until_closed(closed) => {
+        () = until(phase, Phase::Closed) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
@@ -203,9 +221,9 @@
     }
 }
 
-/// Waits until the door is closed, which a door that is dropped never is.
-async fn until_closed(mut closed: watch::Receiver<bool>) {
-    let gone = closed.wait_for(|closed| *closed).await.is_err();
+/// Waits until the door is so far, which a door that is dropped never is.
+async fn until(mut shown: watch::Receiver<Phase>, phase: Phase) {
+    let gone = shown.wait_for(|shown| *shown >= phase).await.is_err();
     if gone {
         std::future::pending::<()>().await;
     }
@@ -215,6 +233,7 @@
 #[derive(Clone)]
 struct Hall {
     handler: Arc<dyn Handler>,
+    phase: watch::Receiver<Phase>,
     busy: Arc<AtomicUsize>,
     most: usize,
 }
@@ -256,18 +275,23 @@
             None => Ok(Bytes::new()),
         };
         let (sender, answer) = oneshot::channel();
+        let last_word = LastWord::default();
         let request = Request {
             method: head.method,
             target: head.uri.to_string(),
             headers: head.headers,
             body,
             answer: sender,
+            last_word: last_word.clone(),
         };
         match place {
             Some(place) => self.handle(request, place),
             None => self.handler.turn_away(request),
         }
-        answer.await.map_err(|_| Dropped)
+        tokio::select! {
+            answer = answer => answer.map_err(|_| Dropped),
+            () = until(self.phase.clone(), Phase::GivenUp) => last_word.take().ok_or(Dropped),
+        }
     }
 
     fn place(&self) -> Option<Place> {
--- a/crates/alderglade-caller/tests/testsuite/close.rs
+++ b/crates/alderglade-caller/tests/testsuite/close.rs
@@ -2,11 +2,12 @@
 
 use alderglade_caller::answer::{Answer, Closing, Token, Usage};
 use alderglade_caller::listen::{Door, Handler, Request};
-use alderglade_core::request::Id;
+use alderglade_core::error::Kind;
+use alderglade_core::request::{Id, Refusal};
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// How long something that should happen may take; generous, because nothing is timed.
@@ -97,3 +98,54 @@
     let mut rest = Vec::new();
     assert_eq!(caller.read_to_end(&mut rest).ok(), Some(0));
 }
+
+/// A request's thread that waits for a backend server; it has left word or not.
+struct Waiter {
+    waiting: Mutex<Vec<Answer>>,
+}
+
+impl Handler for Waiter {
+    fn handle(&self, request: Request) {
+        let leaves_word = request.target == "/word";
+        let answer = Answer::new(request);
+        if leaves_word {
+            let refusal = Refusal::new(Kind::ExpiredRunning, Duration::from_secs(1));
+            let closing = Closing::failed(Id::default(), refusal, None, Usage::default());
+            answer.leave_last_word(refusal.kind.row().status, closing);
+        }
+        self.waiting.lock().expect("no panic").push(answer);
+    }
+
+    fn turn_away(&self, _request: Request) {}
+}
+
+#[test]
+fn answers_that_are_given_up_end_with_the_last_word_that_was_left() {
+    let handler = Arc::new(Waiter {
+        waiting: Mutex::default(),
+    });
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let door = Door::open(address, 8, handler.clone()).expect("a door");
+    let callers = ["/word", "/none"].map(|target| {
+        let mut caller = TcpStream::connect(door.address()).expect("a connection");
+        let head = format!("POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+        caller.write_all(head.as_bytes()).expect("sent");
+        caller
+    });
+    eventually("both wait", || {
+        handler.waiting.lock().expect("no panic").len() == 2
+    });
+    door.close();
+    assert_eq!(door.busy(), 2, "a closed door leaves them their time");
+    door.give_up();
+    let [told, untold] = callers.map(|mut caller| {
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).expect("an end");
+        answer
+    });
+    assert!(told.starts_with("HTTP/1.1 504"), "{told}");
+    assert!(told.contains("retry-after: 1"), "{told}");
+    assert!(told.contains(r#""ran":"unknown""#), "{told}");
+    assert_eq!(untold, "");
+    eventually("the door is idle", || door.busy() == 0);
+}
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -8,6 +8,7 @@
 use super::snapshot::Published;
 use super::traffic::{self, Traffic};
 use super::{Error, SignalSnafu};
+use alderglade_caller::listen::Door;
 use alderglade_core::lease::Candidate;
 use alderglade_core::membership::Card;
 use alderglade_core::node::{Config, Event, Node};
@@ -28,8 +29,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Answers get at least this long to leave once the last request is done.
-const LAST_WORDS: Duration = Duration::from_secs(2);
+/// Answers get at least this long to leave once the last request is done, and last words once answers
+/// are given up.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// How often it is looked whether all have left.
+const LOOK: Duration = Duration::from_millis(10);
 
 /// The host's pages, which ask the control thread.
 struct Pages {
@@ -211,10 +215,18 @@
 /// stop is over; says whether all have.
 ///
 /// A request that is done may have an answer that waits for a slow caller: it is in hand until it has left.
-fn wait_for_answers(door: &alderglade_caller::listen::Door, until: Instant) -> bool {
-    let until = until.max(Instant::now() + LAST_WORDS);
+fn wait_for_answers(door: &Door, until: Instant) -> bool {
+    if is_idle_by(door, until.max(Instant::now() + LAST_WORDS)) {
+        return true;
+    }
+    door.give_up();
+    is_idle_by(door, Instant::now() + LAST_WORDS);
+    false
+}
+
+fn is_idle_by(door: &Door, until: Instant) -> bool {
     while door.busy() > 0 && Instant::now() < until {
-        thread::sleep(Duration::from_millis(10));
+        thread::sleep(LOOK);
     }
     door.busy() == 0
 }
