A test of requests that have come when a door closes, failing

A caller that has sent its request over a kept connection, or over one that waits to be accepted, before the door closes, is sent away without a word and can't tell whether it ran. Nothing of it is timed: what is sent has come, on loopback, when the door is closed.

--- a/crates/alderglade-caller/tests/testsuite/close.rs
+++ b/crates/alderglade-caller/tests/testsuite/close.rs
@@ -149,3 +149,43 @@
     assert_eq!(untold, "");
     eventually("the door is idle", || door.busy() == 0);
 }
+
+/// Reads an answer to its closing line, or to the end of the connection.
+fn answer(caller: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4_096];
+    while !bytes.ends_with(b"}\n")
+        && let Ok(read) = caller.read(&mut piece)
+        && read > 0
+    {
+        bytes.extend(&piece[..read]);
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// A connection was closed although a request had come over it, which had been sent in good faith.
+#[test]
+fn a_request_that_has_come_when_the_door_closes_is_answered() {
+    let handler = Arc::new(Streamer {
+        handled: AtomicBool::new(false),
+    });
+    let address = "127.0.0.1:0".parse().expect("an address");
+    let request = b"POST /short HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    for round in 0..20 {
+        let door = Door::open(address, 200, handler.clone()).expect("a door");
+        let connect = |_| TcpStream::connect(door.address()).expect("a connection");
+        let mut callers: Vec<TcpStream> = (0..20).map(connect).collect();
+        for kept in &mut callers {
+            kept.write_all(request).expect("sent");
+            assert!(answer(kept).contains("finished"));
+        }
+        callers.extend((0..20).map(connect));
+        for caller in &mut callers {
+            caller.write_all(request).expect("sent");
+        }
+        door.close();
+        let answers = callers.iter_mut().map(answer);
+        let lost = answers.filter(|answer| !answer.contains("finished"));
+        assert_eq!(lost.count(), 0, "of {} in round {round}", callers.len());
+    }
+}
