A door that closes still takes what has been sent

Cause: with the order to close, connections that waited to be accepted were dropped with the listener, and those at rest closed, whether or not a request had come over them that wasn't read yet. An idle host does so 20 ms after it was asked to stop.

Ruled out: only reading what is there at that moment: the runtime may not know of it yet, and what is still under way would be lost.

Change: for half a second a door that closes takes connections and requests as before; the host behind it refuses them as `draining`, not run. Its answers close their connections, so that nobody comes back over them. Meanwhile it counts as busy, so that the process waits; each stop takes up to half a second longer. Where both are ready, what has come goes before the end.

What is sent later than half a second after the end meets a closed port, or a kept connection that was closed.

--- a/crates/alderglade-caller/src/listen.rs
+++ b/crates/alderglade-caller/src/listen.rs
@@ -9,7 +9,8 @@
 use alderglade_core::error::Kind;
 use alderglade_serve::answer::Content;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response};
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, Method, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -30,9 +31,15 @@
 const BODY_LIMIT: Duration = Duration::from_secs(30);
 /// The pause after a connection could not be accepted, so that a lack of descriptors isn't a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// A door that closes still takes what comes within this time: a request that was sent before may be under
+/// way, and be sent again once by TCP, which waits 200 ms for it.
+const CLOSING: Duration = Duration::from_millis(500);
 /// Stack of a thread that handles one request.
 const STACK: usize = 256 * 1_024;
 
+/// Tells a caller that its connection isn't kept.
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// Why the door can't open.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -140,7 +147,7 @@
     }
 
     /// Gives how many requests are being handled; once the door is closed, how many connections have
-    /// not got the whole of their answer.
+    /// not got the whole of their answer, and one more while connections are still taken.
     pub fn busy(&self) -> usize {
         if *self.phase.borrow() != Phase::Open {
             return self.open.load(Ordering::Relaxed);
@@ -148,7 +155,8 @@
         self.busy.load(Ordering::Relaxed)
     }
 
-    /// Takes no further connections and ends those at rest; what is in hand goes on.
+    /// Takes no further connections and ends those at rest, once what was sent before has come; what is in
+    /// hand goes on.
     pub fn close(&self) {
         self.phase.send_replace(Phase::Closed);
     }
@@ -168,12 +176,14 @@
     open: Arc<AtomicUsize>,
 }
 
-/// Accepts connections until the door is closed, and serves the open ones until the process ends.
+/// Accepts connections until the door has closed, and serves the open ones until the process ends.
 async fn accept(listener: TcpListener, connections: Connections) {
-    let until_closed = until(connections.hall.phase.clone(), Phase::Closed);
+    let own = Place::take(&connections.open);
+    let until_closed = until_closed(connections.hall.phase.clone());
     tokio::pin!(until_closed);
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             () = until_closed.as_mut() => break,
         };
@@ -188,7 +198,7 @@
             }
         }
     }
-    drop(listener);
+    drop((listener, own));
     std::future::pending().await
 }
 
@@ -210,8 +220,9 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let served = tokio::select! {
+        biased;
         served = connection.as_mut() => served,
-        () = until(phase, Phase::Closed) => {
+        () = until_closed(phase) => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
@@ -221,6 +232,12 @@
     }
 }
 
+/// Waits until the door has closed and whatever was sent before has come.
+async fn until_closed(shown: watch::Receiver<Phase>) {
+    until(shown, Phase::Closed).await;
+    tokio::time::sleep(CLOSING).await;
+}
+
 /// Waits until the door is so far, which a door that is dropped never is.
 async fn until(mut shown: watch::Receiver<Phase>, phase: Phase) {
     let gone = shown.wait_for(|shown| *shown >= phase).await.is_err();
@@ -288,10 +305,14 @@
             Some(place) => self.handle(request, place),
             None => self.handler.turn_away(request),
         }
-        tokio::select! {
+        let mut answer = tokio::select! {
             answer = answer => answer.map_err(|_| Dropped),
             () = until(self.phase.clone(), Phase::GivenUp) => last_word.take().ok_or(Dropped),
+        }?;
+        if *self.phase.borrow() != Phase::Open {
+            answer.headers_mut().insert(CONNECTION, CLOSE);
         }
+        Ok(answer)
     }
 
     fn place(&self) -> Option<Place> {
