--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::{Fleet, PATIENCE, Plan, WORKSPACE, assert_whole, get, wait, wall_ms};
 use alderglade_standin::client::Answer;
+use alderglade_standin::engine::Engine;
 use alderglade_standin::fleet::{DESK, Folder, MODEL, REVIEW, token};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
@@ -318,3 +319,82 @@
     assert_stops(&mut fleet);
     fleet.wait_memory_back();
 }
+
+/// A fleet whose engine takes two seconds and a half for a long prompt.
+fn slower() -> Plan<'static> {
+    Plan {
+        scale: 5.0,
+        ..small()
+    }
+}
+
+/// Has a host stop in the middle of a prompt and does something meanwhile.
+fn stop_meanwhile(fleet: &Fleet, tokens: u64, happens: impl FnOnce()) -> Answer {
+    let begun = || {
+        let started = |engine: &Engine| engine.with(|model| !model.started().is_empty());
+        fleet.engines.iter().any(started)
+    };
+    thread::scope(|scope| {
+        let sent = scope.spawn(|| fleet.generate(0, REVIEW, "in the middle", tokens, 60));
+        wait("it runs", begun);
+        fleet.hosts[0].process.signal("TERM");
+        wait("the host stops", || status_of(fleet)["draining"] == true);
+        happens();
+        sent.join().expect("an answer")
+    })
+}
+
+#[test]
+fn further_orders_to_stop_cut_nothing_off() {
+    let mut fleet = Fleet::start(&slower());
+    let name = fleet.hosts[0].name.clone();
+    let answer = stop_meanwhile(&fleet, 300_000, || {
+        for signal in ["TERM", "HUP", "INT"] {
+            fleet.hosts[0].process.signal(signal);
+        }
+        let drained = fleet.command(&["drain", &name]);
+        assert!(drained.status.success(), "{drained:?}");
+    });
+    assert_whole(&answer, "in the middle", 60);
+    assert_stops(&mut fleet);
+}
+
+#[test]
+fn a_stopping_host_lets_nothing_in_over_new_or_kept_connections() {
+    let mut fleet = Fleet::start(&slower());
+    let address = fleet.hosts[0].addresses.callers.clone();
+    let mut kept = TcpStream::connect(&address).expect("a connection");
+    let answer = stop_meanwhile(&fleet, 300_000, || {
+        let mut fresh = TcpStream::connect(&address).expect("a connection");
+        for caller in [&mut kept, &mut fresh] {
+            caller.write_all(&prompt("too late")).expect("sent");
+            // Its answer ends with its line; a connection that is kept may stay open.
+            caller.set_read_timeout(Some(PATIENCE)).expect("a limit");
+        }
+        for mut caller in [kept, fresh] {
+            assert_draining(&rest(&mut caller));
+        }
+    });
+    assert_whole(&answer, "in the middle", 60);
+    assert_eq!(fleet.engines[0].with(|model| model.started().len()), 1);
+    assert_stops(&mut fleet);
+}
+
+#[test]
+fn what_breaks_off_during_a_stop_is_tried_again() {
+    // Prefill takes a second and a half, within which the fault comes.
+    let mut fleet = Fleet::start(&Plan {
+        engines_each: 2,
+        scale: 0.5,
+        ..small()
+    });
+    let answer = stop_meanwhile(&fleet, 20_000, || {
+        let runs = |engine: &&Engine| engine.with(|model| !model.started().is_empty());
+        let engine = fleet.engines.iter().find(runs).expect("one runs it");
+        engine.with(|model| model.faults.drop_after = Some(5));
+    });
+    assert_whole(&answer, "in the middle", 60);
+    let started = |engine: &Engine| engine.with(|model| model.started().len());
+    assert_eq!(fleet.engines.iter().map(started).sum::<usize>(), 2);
+    assert_stops(&mut fleet);
+}
