Names in the change that a newcomer would stumble over

Cause: words of the mend's own making (last words, left word, doubted, heard, turn). Change: renamed; behaviour is the same.

--- a/crates/alderglade-caller/src/answer.rs
+++ b/crates/alderglade-caller/src/answer.rs
@@ -88,20 +88,20 @@
 /// The type of a whole answer.
 const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 
-/// What a caller is told whose answer can't be waited for any more; nothing until it is left.
+/// What a caller is told whose answer can't be waited for any more; nothing until it is set.
 #[derive(Debug, Clone, Default)]
-pub struct LastWord(Arc<Mutex<Option<(u16, Closing)>>>);
+pub struct Fallback(Arc<Mutex<Option<(u16, Closing)>>>);
 
-impl LastWord {
-    fn leave(&self, status: u16, closing: Closing) {
-        let mut left = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *left = Some((status, closing));
+impl Fallback {
+    fn set(&self, status: u16, closing: Closing) {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *kept = Some((status, closing));
     }
 
     /// Takes it as a whole answer.
     pub(crate) fn take(&self) -> Option<Response<Content>> {
-        let mut left = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let (status, closing) = left.take()?;
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let (status, closing) = kept.take()?;
         Some(whole(status, &closing))
     }
 }
@@ -109,7 +109,7 @@
 /// An answer that is being written.
 pub struct Answer {
     state: State,
-    last_word: LastWord,
+    fallback: Fallback,
 }
 
 enum State {
@@ -123,13 +123,13 @@
     pub fn new(request: Request) -> Answer {
         Answer {
             state: State::Fresh(request.answer),
-            last_word: request.last_word,
+            fallback: request.fallback,
         }
     }
 
-    /// Leaves what the caller is told if the process ends before the answer is begun.
-    pub fn leave_last_word(&self, status: u16, closing: Closing) {
-        self.last_word.leave(status, closing);
+    /// Sets what the caller is told if the process ends before the answer is begun.
+    pub fn set_fallback(&self, status: u16, closing: Closing) {
+        self.fallback.set(status, closing);
     }
 
     /// Sends a token; says whether the caller still listens.
--- a/crates/alderglade-caller/src/listen.rs
+++ b/crates/alderglade-caller/src/listen.rs
@@ -4,7 +4,7 @@
 //! dawdles in its head or its body holds up a few bytes of memory and nobody. Only a request that has
 //! come whole gets a thread.
 
-use crate::answer::LastWord;
+use crate::answer::Fallback;
 use crate::ask::{self, Fault};
 use alderglade_core::error::Kind;
 use alderglade_serve::answer::Content;
@@ -66,7 +66,7 @@
     /// Where the answer goes; closed when the caller has left.
     pub answer: oneshot::Sender<Response<Content>>,
     /// What the caller is told if the door gives the answer up before it is begun.
-    pub last_word: LastWord,
+    pub fallback: Fallback,
 }
 
 /// What is done with each request.
@@ -161,7 +161,7 @@
         self.phase.send_replace(Phase::Closed);
     }
 
-    /// Gives up the answers that are not begun: their callers get the last word that was left for them.
+    /// Gives up the answers that are not begun: their callers get the fallback that was set for them.
     ///
     /// A request may hang at a backend server longer than a process that stops can wait.
     pub fn give_up(&self) {
@@ -292,14 +292,14 @@
             None => Ok(Bytes::new()),
         };
         let (sender, answer) = oneshot::channel();
-        let last_word = LastWord::default();
+        let fallback = Fallback::default();
         let request = Request {
             method: head.method,
             target: head.uri.to_string(),
             headers: head.headers,
             body,
             answer: sender,
-            last_word: last_word.clone(),
+            fallback: fallback.clone(),
         };
         match place {
             Some(place) => self.handle(request, place),
@@ -307,7 +307,7 @@
         }
         let mut answer = tokio::select! {
             answer = answer => answer.map_err(|_| Dropped),
-            () = until(self.phase.clone(), Phase::GivenUp) => last_word.take().ok_or(Dropped),
+            () = until(self.phase.clone(), Phase::GivenUp) => fallback.take().ok_or(Dropped),
         }?;
         if *self.phase.borrow() != Phase::Open {
             answer.headers_mut().insert(CONNECTION, CLOSE);
--- a/crates/alderglade-caller/tests/testsuite/close.rs
+++ b/crates/alderglade-caller/tests/testsuite/close.rs
@@ -99,19 +99,19 @@
     assert_eq!(caller.read_to_end(&mut rest).ok(), Some(0));
 }
 
-/// A request's thread that waits for a backend server; it has left word or not.
+/// A request's thread that waits for a backend server; it has set a fallback or not.
 struct Waiter {
     waiting: Mutex<Vec<Answer>>,
 }
 
 impl Handler for Waiter {
     fn handle(&self, request: Request) {
-        let leaves_word = request.target == "/word";
+        let sets_fallback = request.target == "/word";
         let answer = Answer::new(request);
-        if leaves_word {
+        if sets_fallback {
             let refusal = Refusal::new(Kind::ExpiredRunning, Duration::from_secs(1));
             let closing = Closing::failed(Id::default(), refusal, None, Usage::default());
-            answer.leave_last_word(refusal.kind.row().status, closing);
+            answer.set_fallback(refusal.kind.row().status, closing);
         }
         self.waiting.lock().expect("no panic").push(answer);
     }
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn answers_that_are_given_up_end_with_the_last_word_that_was_left() {
+fn answers_that_are_given_up_end_with_their_fallback() {
     let handler = Arc::new(Waiter {
         waiting: Mutex::default(),
     });
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -93,8 +93,8 @@
         tokio::time::sleep(LOOK).await;
     }
     node.end_requests();
-    // Counted from here: a host that is late says its last words all the same.
-    let end = clock::now() + node.last_words();
+    // Counted from here: a host that is late still answers what it ends.
+    let end = clock::now() + node.flush_time();
     while !node.has_finished() && clock::now() < end {
         tokio::time::sleep(LOOK).await;
     }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -39,7 +39,7 @@
         Err(refusal) => return refuse(&node, "", &refusal, arrived),
     };
     let id = ask.id.clone();
-    in_flight.progress.name(&id);
+    in_flight.progress.set_id(&id);
     let mut guard = Guard {
         progress: in_flight.progress.clone(),
         done: false,
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -127,7 +127,7 @@
     let mut life: Life<Waiting> = Life::new();
     let mut found = None;
     loop {
-        job.progress.turn(Stage::Waits);
+        job.progress.set_stage(Stage::Waits);
         let plan = match found.take() {
             Some(plan) => plan,
             None => next_plan(node, job, tries, &life).await?,
@@ -137,7 +137,8 @@
         };
         tries.all += 1;
         tell_placed(job, &plan, tries.all, node);
-        job.progress.turn(Stage::Sent(placed.server.id.clone()));
+        job.progress
+            .set_stage(Stage::Sent(placed.server.id.clone()));
         tries.sends += 1;
         let sent = life.send();
         let silence = silence(job, &plan);
@@ -147,7 +148,7 @@
                 return Ok(placed.open(exchange, silence));
             }
             Sending::Missed(miss) => note_miss(node, tries, &placed.server, sent, miss),
-            Sending::Left(plan) => {
+            Sending::Replaced(plan) => {
                 found = Some(plan);
                 sent.lost()
             }
@@ -210,7 +211,7 @@
     /// There is no such answer.
     Missed(Miss),
     /// The server is silent, and another one can take the request by this plan.
-    Left(Plan),
+    Replaced(Plan),
 }
 
 /// Sends a generation to one server and waits for the head of an answer that counts. A server that says nothing for
@@ -235,7 +236,7 @@
         biased;
         sending = answer => sending,
         plan = find_other(node, job, tries, server, &mut placed.held, silence), if more => {
-            Sending::Left(plan)
+            Sending::Replaced(plan)
         }
         () = clock::patience(job.left()) => {
             attempt::tell(job, server, number, "no answer in the time allowed");
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -94,7 +94,7 @@
             tokio::select! {
                 biased;
                 result = connection.as_mut() => result,
-                () = gives_no_head(&asked) => Ok(()),
+                () = head_overdue(&asked) => Ok(()),
             }
         }
     };
@@ -111,7 +111,7 @@
 }
 
 /// Waits until a connection over which no request has come, but maybe a part of its head, had its time for the rest.
-async fn gives_no_head(asked: &Cell<bool>) {
+async fn head_overdue(asked: &Cell<bool>) {
     tokio::time::sleep(FIRST_REQUEST).await;
     if asked.get() {
         std::future::pending::<()>().await;
--- a/crates/alderglade-serve/src/node/progress.rs
+++ b/crates/alderglade-serve/src/node/progress.rs
@@ -59,12 +59,12 @@
     }
 
     /// Notes the request's id, once its head is understood.
-    pub fn name(&self, id: &Name) {
+    pub fn set_id(&self, id: &Name) {
         self.id.replace(Some(id.clone()));
     }
 
     /// Notes what the request does from now on.
-    pub fn turn(&self, stage: Stage) {
+    pub fn set_stage(&self, stage: Stage) {
         self.stage.replace(stage);
     }
 
--- a/crates/alderglade-serve/src/node/stop.rs
+++ b/crates/alderglade-serve/src/node/stop.rs
@@ -19,9 +19,9 @@
 /// need not live through.
 const END_PART: u32 = 9;
 /// How long before its end a host ends what isn't answered yet, so that callers are told before the process is gone.
-const LAST_WORDS: Duration = Duration::from_millis(200);
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 /// The part of the time allowed for stopping that this takes up at most; with the margin less than a sixth.
-const LAST_WORDS_PART: u32 = 40;
+const FLUSH_PART: u32 = 40;
 /// The least time between the request to stop and the end, so that the balancer sends nobody here.
 const LEAST: Duration = Duration::from_millis(3_300);
 /// Requests for which the end of a stop writes a line each, at most; a fifth of what the log takes in a second.
@@ -121,12 +121,12 @@
 
     /// Says whether a stopping host should end what is not answered yet: it ends soon.
     pub fn is_near_its_end(&self) -> bool {
-        self.ends_in().is_some_and(|left| left <= self.last_words())
+        self.ends_in().is_some_and(|left| left <= self.flush_time())
     }
 
     /// Gives how long before its end a host ends what is not answered yet.
-    pub fn last_words(&self) -> Duration {
-        LAST_WORDS.min(self.settings.grace / LAST_WORDS_PART)
+    pub fn flush_time(&self) -> Duration {
+        FLUSH_TIME.min(self.settings.grace / FLUSH_PART)
     }
 
     /// Gives the time from the request to stop to the end of the process, at most.
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -115,7 +115,7 @@
                 Err(Break::Silent) => match self.take_over(&mut part).await {
                     Ok(None) => {
                         part.held.take_back();
-                        self.turn_to(&part);
+                        self.note_stage(&part);
                     }
                     Ok(Some(open)) => part = self.begin(open),
                     Err(end) => return end,
@@ -140,14 +140,14 @@
     /// Begins with the part of a server.
     fn begin(&self, open: Open) -> Part {
         let part = Part::new(open);
-        self.turn_to(&part);
+        self.note_stage(&part);
         part
     }
 
     /// Notes that a server's part is what is passed on.
-    fn turn_to(&self, part: &Part) {
+    fn note_stage(&self, part: &Part) {
         let stage = Stage::PassesOn(part.server.id.clone());
-        self.job.progress.turn(stage);
+        self.job.progress.set_stage(stage);
     }
 
     /// Notes that a server has failed the stream.
@@ -195,7 +195,7 @@
     /// be resumed elsewhere.
     async fn next(&self, part: &mut Part) -> Result<Option<Bytes>, Break> {
         loop {
-            let frame = match part.heard.take() {
+            let frame = match part.pending.take() {
                 Some(frame) => frame,
                 None => self.next_frame(part).await?,
             };
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -36,9 +36,9 @@
     /// What its pauses say of the server.
     pub suspicion: Suspicion,
     /// Whether the server was noted as silent since it was heard last.
-    pub doubted: bool,
+    pub noted_silent: bool,
     /// What came while another server was looked for.
-    pub heard: Option<Frame>,
+    pub pending: Option<Frame>,
 }
 
 impl Part {
@@ -55,8 +55,8 @@
             read: false,
             silence: open.silence,
             suspicion: Suspicion::default(),
-            doubted: false,
-            heard: None,
+            noted_silent: false,
+            pending: None,
         }
     }
 
--- a/crates/alderglade-serve/src/relay/take_over.rs
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -23,8 +23,8 @@
     ///
     /// Gives `None` where the silent server goes on.
     pub(super) async fn take_over(&mut self, part: &mut Part) -> Result<Option<Open>, End> {
-        if !part.doubted {
-            part.doubted = true;
+        if !part.noted_silent {
+            part.noted_silent = true;
             self.note_failed(part, "silence");
         }
         part.held.set_aside();
@@ -48,8 +48,8 @@
                         failed = true;
                     }
                     frame => {
-                        part.heard = Some(frame);
-                        part.doubted = false;
+                        part.pending = Some(frame);
+                        part.noted_silent = false;
                         return Ok(None);
                     }
                 },
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -38,7 +38,7 @@
     /// It was sent, and there is no answer that counts.
     Missed(Life<Waiting>),
     /// The server is silent, and this other one can take the request.
-    Left(Life<Waiting>, Server),
+    Replaced(Life<Waiting>, Server),
     /// The request's time is over.
     Expired(Life<Waiting>),
 }
@@ -93,7 +93,7 @@
                 return Err(waiting.refuse(ErrorKind::ContactLost, COME_BACK));
             }
             Try::Missed(waiting) => life = waiting,
-            Try::Left(waiting, other) => {
+            Try::Replaced(waiting, other) => {
                 life = waiting;
                 found = Some(other);
             }
@@ -137,7 +137,7 @@
 ) -> Try {
     let _call = node.call(&server.id);
     tell_placed(node, job, server, sends);
-    job.progress.turn(Stage::Sent(server.id.clone()));
+    job.progress.set_stage(Stage::Sent(server.id.clone()));
     let more = sends < job.route.max_attempts && job.route.kind.repeatable();
     let sent = life.send();
     let exchange = attempt::send(node, job, server, Vec::new(), None, sends);
@@ -155,7 +155,7 @@
             Err(Miss::Lost) => Try::Missed(sent.lost()),
         },
         other = find_other(node, job, server, tried, sends), if more => {
-            Try::Left(sent.lost(), other)
+            Try::Replaced(sent.lost(), other)
         }
         () = clock::patience(job.left()) => {
             tell_silent(node, job, server, sends);
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -29,9 +29,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Answers get at least this long to leave once the last request is done, and last words once answers
+/// Answers get at least this long to leave once the last request is done, and fallbacks once answers
 /// are given up.
-const LAST_WORDS: Duration = Duration::from_secs(1);
+const FLUSH_TIME: Duration = Duration::from_secs(1);
 /// How often it is looked whether all have left.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -216,11 +216,11 @@
 ///
 /// A request that is done may have an answer that waits for a slow caller: it is in hand until it has left.
 fn wait_for_answers(door: &Door, until: Instant) -> bool {
-    if is_idle_by(door, until.max(Instant::now() + LAST_WORDS)) {
+    if is_idle_by(door, until.max(Instant::now() + FLUSH_TIME)) {
         return true;
     }
     door.give_up();
-    is_idle_by(door, Instant::now() + LAST_WORDS);
+    is_idle_by(door, Instant::now() + FLUSH_TIME);
     false
 }
 
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -164,11 +164,11 @@
         answer.close(refusal.kind.row().status, &closing);
     }
 
-    /// Leaves word for a caller whose request is still at a backend server when the process ends.
-    fn leave_last_word(&self, answer: &Answer, pending: &Pending) {
+    /// Sets the answer of a caller whose request is still at a backend server when the process ends.
+    fn set_fallback(&self, answer: &Answer, pending: &Pending) {
         let refusal = Refusal::new(Kind::ExpiredRunning, COME_BACK);
         let closing = Closing::failed(pending.id, refusal, None, pending.usage);
-        answer.leave_last_word(refusal.kind.row().status, closing);
+        answer.set_fallback(refusal.kind.row().status, closing);
     }
 
     fn new_id(&self) -> Id {
--- a/src/entry/traffic/call.rs
+++ b/src/entry/traffic/call.rs
@@ -94,7 +94,7 @@
 /// Serves a call to a plain service.
 pub(super) fn serve(traffic: &Traffic, mut answer: Answer, ask: Ask) {
     let mut pending = traffic.submit(&ask.snapshot, ask.shape());
-    traffic.leave_last_word(&answer, &pending);
+    traffic.set_fallback(&answer, &pending);
     loop {
         match pending.next() {
             Instruction::Call { attempt, server } => {
--- a/src/entry/traffic/generate.rs
+++ b/src/entry/traffic/generate.rs
@@ -122,7 +122,7 @@
 pub(super) fn serve(traffic: &Traffic, answer: Answer, ask: Ask) {
     let shape = ask.shape();
     let pending = traffic.submit(&ask.snapshot, shape);
-    traffic.leave_last_word(&answer, &pending);
+    traffic.set_fallback(&answer, &pending);
     let run = Run {
         traffic,
         assembler: Assembler::new(pending.id, 1),
--- a/tests/testsuite/stop.rs
+++ b/tests/testsuite/stop.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// Longer than a host once gave answers to leave it after its last request was done.
-const LONGER_THAN_LAST_WORDS: Duration = Duration::from_secs(4);
+const LONGER_THAN_THE_FLUSH: Duration = Duration::from_secs(4);
 /// Two answers of this size are more than sockets take in.
 const LARGE: usize = 3_900_000;
 /// Reading a prompt of this size takes a while.
@@ -101,7 +101,7 @@
     wait("both calls ran", || fleet.service.requests().len() == 2);
     wait("nothing is in hand", || status_of(&fleet)["inflight"] == 0);
     fleet.hosts[0].process.signal("TERM");
-    thread::sleep(LONGER_THAN_LAST_WORDS);
+    thread::sleep(LONGER_THAN_THE_FLUSH);
     let answers = rest(&mut caller);
     for key in ["a", "b"] {
         assert!(
@@ -123,7 +123,7 @@
     caller.write_all(early).expect("sent");
     thread::sleep(Duration::from_millis(200));
     fleet.hosts[0].process.signal("TERM");
-    thread::sleep(LONGER_THAN_LAST_WORDS);
+    thread::sleep(LONGER_THAN_THE_FLUSH);
     // A connection that was cut off shows in the answer.
     let _ = caller.write_all(late);
     assert_draining(&rest(&mut caller));
