A placement that is set aside and taken back brings no reading again

Cause: a silent server's placement is taken out of the book while another server is looked for, and put back when it goes on. Ruled out: lost guards (holds were all given back). Change: what is taken back is held without its reading, which has been placed. Before: the new test of the book red (60 ms ahead in place of 30).

--- a/crates/alderglade-core/src/fleet/book.rs
+++ b/crates/alderglade-core/src/fleet/book.rs
@@ -126,7 +126,8 @@
         was_giant
     }
 
-    /// Notes that a request is over, or looked at as if it were; gives what it has held.
+    /// Notes that a request is over, or looked at as if it were; gives what it has held, to be held again without the
+    /// reading, which has been placed.
     pub fn release(&mut self, id: HoldId, now: Time) -> Option<Hold> {
         let hold = self.holds.remove(&id)?;
         self.own_giants -= u32::from(hold.giant);
@@ -134,7 +135,7 @@
         for helper in &hold.helpers {
             self.change(&helper.server, now, |own| own.subtract(&helper.load));
         }
-        Some(hold)
+        Some(hold.without_reading())
     }
 
     /// Gives what is ahead of a prompt that is placed at a server now.
--- a/crates/alderglade-core/src/fleet/book/hold.rs
+++ b/crates/alderglade-core/src/fleet/book/hold.rs
@@ -16,6 +16,17 @@
     pub giant: bool,
 }
 
+impl Hold {
+    /// Leaves the reading out that it brings to its servers.
+    pub(super) fn without_reading(mut self) -> Hold {
+        self.load.placed = 0;
+        for helper in &mut self.helpers {
+            helper.load.placed = 0;
+        }
+        self
+    }
+}
+
 /// What a request takes at a server that doesn't answer it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Part {
--- a/crates/alderglade-core/tests/testsuite/fleet/book.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/book.rs
@@ -54,6 +54,22 @@
     assert!(nothing_held(&book, "e1"));
 }
 
+/// From a soak: prompts at silent servers were set aside and taken back, and each time their reading counted once more, so
+/// that idle engines seemed busy for seconds.
+#[test]
+fn a_placement_that_is_taken_back_brings_no_reading_again() {
+    let mut book = book_of(&["e1"]);
+    let id = book.hold(hold("e1", 30_000, 6_000), Time(0));
+    let ahead = book.ahead("e1", Time(0)).total();
+    let aside = book.release(id, Time(0)).expect("it is held");
+    assert!(nothing_held(&book, "e1"));
+    book.hold(aside, Time(0));
+    assert_eq!(memory(&book, "e1"), 6_000);
+    assert_eq!(book.ahead("e1", Time(0)).total(), ahead);
+    let told = book.take_changes();
+    assert_eq!(told[0].added, 30_000, "peers hear of it once");
+}
+
 #[test]
 fn reading_twice_or_releasing_twice_changes_nothing() {
     let mut book = Book::default();
