--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -5,14 +5,16 @@
 use crate::clock;
 use crate::event::{self, Record};
 
-/// How a server's part of a stream ended.
+/// How a stream ended.
 pub(super) enum End {
     /// All of it was passed on.
     Whole,
-    /// The server failed.
+    /// Its server failed, and no other one could go on.
     Failed(String),
     /// The request's time is over.
     Expired,
+    /// The host's time to stop is over.
+    HostStops,
     /// The caller has left.
     CallerLeft,
 }
@@ -30,6 +32,7 @@
             id: &self.job.ask.id,
             problem,
             took_ms: self.job.waited().as_millis() as u64,
+            stopping_ms: self.node.stopping_ms(),
         });
         let answers = &self.node.metrics.answers;
         answers.with_label_values(&["broken_off"]).inc();
