--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -8,6 +8,7 @@
 use super::snapshot::Published;
 use super::traffic::{self, Traffic};
 use super::{Error, SignalSnafu};
+use alderglade_caller::listen::Door;
 use alderglade_core::lease::Candidate;
 use alderglade_core::membership::Card;
 use alderglade_core::node::{Config, Event, Node};
@@ -18,7 +19,7 @@
 use alderglade_operator::{event, logging};
 use alderglade_peer::{Incoming, Peers};
 use alderglade_platform::{Client, slo};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use snafu::ResultExt;
 use std::net::SocketAddr;
@@ -28,8 +29,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Answers that are being written get this long once the last request is done.
-const LAST_WORDS: Duration = Duration::from_secs(2);
+/// Answers get at least this long to leave once the last request is done, and last words once answers
+/// are given up.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+/// How often it is looked whether all have left.
+const LOOK: Duration = Duration::from_millis(10);
 
 /// The host's pages, which ask the control thread.
 struct Pages {
@@ -58,6 +62,8 @@
     let began = Instant::now();
     let incarnation = wall_ms();
     let (control, inputs) = channel();
+    // Before anything that may wait or lets anybody in: a signal that isn't handled yet ends the process at once.
+    follow_signals(&control)?;
     let peers = start_peers(&host, &control)?;
     let published = Published::default();
     let metrics = Metrics::default();
@@ -69,6 +75,7 @@
         Config {
             card,
             placement: placement::Config::default(),
+            drain_limit: host.drain_limit(),
         },
         Time(0),
     );
@@ -92,7 +99,6 @@
         metrics: metrics.clone(),
     });
     let door = traffic::open(host.callers, host.max_requests, traffic)?;
-    follow_signals(&control)?;
     follow_outside(&host, &client, &platform, &control, &published);
     let (polling, shown) = (engines.clone(), published.clone());
     thread::spawn(move || engines::poll(polling, shown));
@@ -107,7 +113,7 @@
     });
     println!("{addresses}");
     event::write(event::STARTED, &addresses.to_string());
-    let whole = Control {
+    let stop = Control {
         node,
         inputs,
         peers,
@@ -120,10 +126,10 @@
     }
     .run(host.drain_limit());
     door.close();
-    wait_for_answers(&door);
+    let left = wait_for_answers(&door, stop.until);
     event::write(
         event::STOPPED,
-        if whole {
+        if stop.whole && left {
             "nothing was cut off"
         } else {
             "work was cut off"
@@ -175,8 +181,10 @@
     }
 }
 
+/// Begins a planned stop at each signal that asks for one; a further one changes nothing.
 fn follow_signals(control: &Sender<Input>) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).context(SignalSnafu)?;
+    // SIGHUP asks for nothing else here, as settings come from the platform.
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context(SignalSnafu)?;
     let control = control.clone();
     thread::spawn(move || {
         for _ in signals.forever() {
@@ -203,10 +211,22 @@
     thread::spawn(move || outside::follow_log(&counting, &name));
 }
 
-/// Lets the threads of requests write their closing lines.
-fn wait_for_answers(door: &alderglade_caller::listen::Door) {
-    let until = Instant::now() + LAST_WORDS;
+/// Waits for answers to leave and for requests that are still coming to be refused, until the time to
+/// stop is over; says whether all have.
+///
+/// A request that is done may have an answer that waits for a slow caller: it is in hand until it has left.
+fn wait_for_answers(door: &Door, until: Instant) -> bool {
+    if is_idle_by(door, until.max(Instant::now() + LAST_WORDS)) {
+        return true;
+    }
+    door.give_up();
+    is_idle_by(door, Instant::now() + LAST_WORDS);
+    false
+}
+
+fn is_idle_by(door: &Door, until: Instant) -> bool {
     while door.busy() > 0 && Instant::now() < until {
-        thread::sleep(Duration::from_millis(10));
+        thread::sleep(LOOK);
     }
+    door.busy() == 0
 }
