--- a/crates/alderglade-core/src/node/progress.rs
+++ b/crates/alderglade-core/src/node/progress.rs
@@ -203,7 +203,7 @@
         };
         self.sample(&entry, refusal);
         if let Some(mut refusal) = refusal {
-            refusal = stop::own_up(refusal, &entry);
+            refusal = stop::as_draining(refusal, &entry);
             if entry.may_have_run && refusal.ran == Ran::No {
                 refusal.ran = Ran::Unknown;
             }
--- a/crates/alderglade-core/src/node/stop.rs
+++ b/crates/alderglade-core/src/node/stop.rs
@@ -70,7 +70,7 @@
 }
 
 /// Names the stop as the cause where a request had too little time because of it: another host has more.
-pub(super) fn own_up(refusal: Refusal, entry: &Entry) -> Refusal {
+pub(super) fn as_draining(refusal: Refusal, entry: &Entry) -> Refusal {
     let late = matches!(refusal.kind, Kind::Overloaded | Kind::ExpiredWaiting);
     if late && entry.is_bounded() {
         return Refusal::new(Kind::Draining, COME_BACK);
