The change read once more: silent servers are noted in one place, and a request's arrival is kept once

Behaviour is the same. Seen and left: finding another server stands in two forms (prompts by plans, plain requests by loads); taking over from a failed server and from a silent one differ in how the end of the time is told; three requests' set-ups of tests are alike.

--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// What became of a send whose answer doesn't count.
 #[derive(Debug)]
@@ -79,6 +80,17 @@
     }
 }
 
+/// How long a request whose server is silent waits until another one is looked for again, after none could take it.
+pub const LOOK_AGAIN: Duration = Duration::from_millis(300);
+/// What is told of a server that has used all of a request's time.
+pub const NO_ANSWER: &str = "no answer in the time allowed";
+
+/// Notes that a server has said nothing for as long as it may, and writes so.
+pub fn note_silent(node: &Node, job: &Job, server: &Server, attempt: u32, problem: &str) {
+    tell(job, server, attempt, problem);
+    node.note(&server.id, Outcome::Silent);
+}
+
 /// Writes that a try failed.
 pub fn tell(job: &Job, server: &Server, attempt: u32, problem: &str) {
     event::write(&Record::AttemptFailed {
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -13,6 +13,7 @@
 
 /// How often a stopping host looks whether its work is done.
 const LOOK: Duration = Duration::from_millis(50);
+
 /// Why a host can't start.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't listen on {address}: is another process using it?"))]
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -64,7 +64,7 @@
 /// Has a request served. One that has no answer when the host is about to end gets one too: that nobody knows whether it
 /// ran.
 async fn answer(node: &Rc<Node>, job: Job, in_flight: InFlight) -> Response<Content> {
-    let (id, arrived) = (job.ask.id.clone(), job.arrived);
+    let (id, arrived) = (job.ask.id.clone(), job.arrived());
     let served = async {
         match job.route.kind {
             Kind::Stream { .. } => generate::serve(node, job, in_flight).await,
@@ -136,8 +136,7 @@
     let Admission { route, workspace } = admit(node, &config, &head, &ask)?;
     let asked = ask.time_limit.unwrap_or(route.time_limit);
     let progress = in_flight.progress.clone();
-    let arrived = progress.arrived;
-    let ends = arrived + asked.min(route.time_limit);
+    let ends = progress.arrived + asked.min(route.time_limit);
     let body = read_body(body, config.limits.body_bytes, ends).await?;
     // The body may have come long after its head: the host may stop by now.
     if !node.takes_requests() {
@@ -156,7 +155,6 @@
         service,
         workspace,
         config: config.version,
-        arrived,
         progress,
         ends,
     })
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -36,8 +36,6 @@
 const LATE: Duration = Duration::from_millis(2_000);
 /// The multiple of the time expected.
 const LATE_FACTOR: u32 = 3;
-/// How long a request whose server is silent waits until another one is looked for again, after none could take it.
-const LOOK_AGAIN: Duration = Duration::from_millis(300);
 /// How long a prompt waits after memory could not be set aside for it; a few events' time.
 const NO_MEMORY_PAUSE: Duration = Duration::from_millis(120);
 
@@ -106,7 +104,7 @@
     let mut tries = Tries::default();
     let last_event = job.ask.last_event.clone();
     match open(node, &job, &mut tries, last_event).await {
-        Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived),
+        Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived()),
         Ok(opened) => relay::start(node, job, tries, opened, in_flight),
     }
 }
@@ -153,8 +151,8 @@
                 sent.lost()
             }
         };
-        tries.avoid.push(placed.server.id.clone());
         if found.is_none() {
+            tries.avoid.push(placed.server.id.clone());
             give_up(job, tries, &life)?;
         }
     }
@@ -239,8 +237,7 @@
             Sending::Replaced(plan)
         }
         () = clock::patience(job.left()) => {
-            attempt::tell(job, server, number, "no answer in the time allowed");
-            node.note(&server.id, Outcome::Silent);
+            attempt::note_silent(node, job, server, number, attempt::NO_ANSWER);
             Sending::Missed(Miss::Lost)
         }
     }
@@ -257,8 +254,7 @@
     silence: Duration,
 ) -> Plan {
     clock::patience(silence).await;
-    attempt::tell(job, silent, tries.all, "silence");
-    node.note(&silent.id, Outcome::Silent);
+    attempt::note_silent(node, job, silent, tries.all, "silence");
     tries.avoid.push(silent.id.clone());
     held.set_aside();
     let life = Life::new().send().lost();
@@ -268,7 +264,7 @@
         if let Some(plan) = other.filter(|_| node.spend_repeat(&job.service)) {
             return plan;
         }
-        tokio::time::sleep(LOOK_AGAIN).await;
+        tokio::time::sleep(attempt::LOOK_AGAIN).await;
     }
 }
 
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -40,8 +40,6 @@
     pub workspace: Option<Name>,
     /// The version of the configuration that let it in.
     pub config: u64,
-    /// When its head came.
-    pub arrived: Time,
     /// How far it has come.
     pub progress: Rc<Progress>,
     /// When it must be over.
@@ -54,9 +52,14 @@
         self.ends.left(clock::now())
     }
 
+    /// Gives when its head came.
+    pub fn arrived(&self) -> Time {
+        self.progress.arrived
+    }
+
     /// Gives the time since it came.
     pub fn waited(&self) -> Duration {
-        clock::now().since(self.arrived)
+        clock::now().since(self.arrived())
     }
 
     /// Gives how long its caller waits for the first or the next event.
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -25,7 +25,6 @@
 const UNKNOWN_IDLE: Duration = Duration::from_secs(15);
 /// The pause after a connection could not be accepted, so that a lack of descriptors isn't a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// How long a stopping host waits for the request of a connection that has just been opened, so that its caller is told
 /// to come back elsewhere: a way there and back between failure domains, and a busy moment.
 const FIRST_REQUEST: Duration = Duration::from_millis(200);
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -44,7 +44,7 @@
     /// Writes that the stream was passed on as a whole, and whether it was in time.
     pub(super) fn tell_answered(&self) {
         let first = self.first_at.unwrap_or_else(clock::now);
-        let first = first.since(self.job.arrived);
+        let first = first.since(self.job.arrived());
         let bears = self.job.route.kind.longest_pause();
         let steady = bears.is_none_or(|bears| self.longest_pause <= bears);
         let in_time = first <= self.job.route.aim && steady;
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -24,8 +24,6 @@
 const COME_BACK: Duration = Duration::from_millis(250);
 /// Servers that are tried for one request at most, those counted to which nothing could be sent.
 const MOST_CONNECTS: usize = 4;
-/// How long a request whose server is silent waits until another one is looked for again, after there was none.
-const LOOK_AGAIN: Duration = Duration::from_millis(300);
 /// The part of its time that a repeatable request gives one server while others are left.
 const FIRST_TRY: f64 = 0.4;
 
@@ -48,7 +46,7 @@
     let result = run(node, &job).await;
     match result {
         Ok(response) => finish(node, &job, response),
-        Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived),
+        Err(refusal) => forward::refuse(node, &job.ask.id, &refusal, job.arrived()),
     }
 }
 
@@ -158,7 +156,7 @@
             Try::Replaced(sent.lost(), other)
         }
         () = clock::patience(job.left()) => {
-            tell_silent(node, job, server, sends);
+            attempt::note_silent(node, job, server, sends, attempt::NO_ANSWER);
             Try::Expired(sent.lost())
         }
     }
@@ -168,7 +166,7 @@
 /// none, or where the host ends before that one would have had its time.
 async fn find_other(node: &Node, job: &Job, silent: &Server, tried: &[Name], sends: u32) -> Server {
     clock::patience(job.left().mul_f64(FIRST_TRY)).await;
-    tell_silent(node, job, silent, sends);
+    attempt::note_silent(node, job, silent, sends, attempt::NO_ANSWER);
     loop {
         let other = node.pick(&job.service, tried);
         let other = other.filter(|server| !tried.contains(&server.id));
@@ -177,16 +175,10 @@
         if let Some(server) = other.filter(|_| room && node.spend_repeat(&job.service)) {
             return server;
         }
-        tokio::time::sleep(LOOK_AGAIN).await;
+        tokio::time::sleep(attempt::LOOK_AGAIN).await;
     }
 }
 
-/// Notes that a server has not answered in the time that it had.
-fn tell_silent(node: &Node, job: &Job, server: &Server, number: u32) {
-    attempt::tell(job, server, number, "no answer in the time allowed");
-    node.note(&server.id, Outcome::Silent);
-}
-
 fn tell_placed(node: &Node, job: &Job, server: &Server, attempt: u32) {
     event::write(&Record::Placed {
         id: &job.ask.id,
@@ -254,7 +246,7 @@
 }
 
 fn tell_answered(node: &Node, job: &Job, status: StatusCode) {
-    let took = clock::now().since(job.arrived);
+    let took = clock::now().since(job.arrived());
     let in_time = took <= job.route.aim && status.is_success();
     let met = if in_time { "yes" } else { "no" };
     node.metrics.aims.with_label_values(&[met]).inc();
