Sight: the log tells what was asked, and whether a server that broke a request off has ended

The hypotheses of the incident can't be told apart by ids, which are new with each attempt of a caller, nor can an end of a server from a connection that broke. `placed` tells a digest of caller, path and body; `server_broke_off` (3410) tells it with the server, how long the request had run there, and whether anybody still listens at its address, found by one connection, which is kept where there is one.

--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod directory;
 pub mod faults;
+pub mod fingerprint;
 pub mod freshness;
 pub mod health;
 pub mod heartbeat;
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod config;
 mod directory;
 mod faults;
+mod fingerprint;
 mod freshness;
 mod health;
 mod heartbeat;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -1,12 +1,14 @@
 //! One send of a request to a backend server, and what became of it.
 
 use crate::client::{Error, Exchange};
+use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
 use crate::node::Node;
 use crate::translate::{Dispatch, Helper, Reply};
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
+use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -81,6 +83,7 @@
         Error::NotSent => Miss::NotSent,
         Error::Lost { .. } => {
             node.note(server.key(), Outcome::Failed);
+            broken_off(node, job, server, None);
             Miss::Lost
         }
     }
@@ -106,6 +109,26 @@
     tell(job, server, attempt, STARTED_AGAIN);
 }
 
+/// Looks whether the server that broke a request off has ended, and writes so. `began` is when the request's first event
+/// came, if one did.
+///
+/// The connection shows only that it broke: a fault of the way there looks the same.
+pub fn broken_off(node: &Rc<Node>, job: &Job, server: &Server, began: Option<Time>) {
+    let ran = began.map(|began| clock::now().since(began));
+    let (node, id, asked) = (node.clone(), job.ask.id.clone(), job.asked);
+    let server = server.clone();
+    tokio::task::spawn_local(async move {
+        let listens = node.client.listens(server.address).await;
+        event::write(&Record::ServerBrokeOff {
+            id: &id,
+            asked,
+            server: server.id(),
+            ran_ms: ran.map(|ran| ran.as_millis() as u64),
+            ended: listens == Some(false),
+        });
+    });
+}
+
 /// Writes that a try failed.
 pub fn tell(job: &Job, server: &Server, attempt: u32, problem: &str) {
     event::write(&Record::AttemptFailed {
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -209,6 +209,29 @@
         })
     }
 
+    /// Says whether somebody listens at an address, by a connection that is kept for the next request; `None` where
+    /// that can't be told.
+    pub async fn listens(self: &Rc<Client>, address: SocketAddr) -> Option<bool> {
+        match self.connect(address).await {
+            Ok(link) => {
+                self.keep(address, link, REST);
+                Some(true)
+            }
+            Err(Error::Closed { .. }) => Some(false),
+            Err(_) => None,
+        }
+    }
+
+    /// Keeps a connection for another request, for as long as it may rest.
+    fn keep(&self, address: SocketAddr, link: Link, rest: Duration) {
+        let entry = Idle {
+            link,
+            until: clock::now() + rest,
+        };
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(address).or_default().push(entry);
+    }
+
     /// Closes the connections at rest to an address.
     pub fn forget(&self, address: SocketAddr) {
         let entries = self.idle.borrow_mut().remove(&address).unwrap_or_default();
@@ -272,12 +295,7 @@
             if sender.ready().await.is_err() {
                 return;
             }
-            let entry = Idle {
-                link: Link { sender, task },
-                until: clock::now() + rest,
-            };
-            let mut idle = client.idle.borrow_mut();
-            idle.entry(address).or_default().push(entry);
+            client.keep(address, Link { sender, task }, rest);
         });
     }
 }
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -87,13 +87,15 @@
 pub(super) const CUT_OFF: Kind = warn(3408, "cut_off");
 /// No host asked had budget left for a repeated send.
 pub(super) const REPEAT_REFUSED: Kind = info(3409, "repeat_refused");
+/// A server broke a request off, and was looked at.
+pub(super) const SERVER_BROKE_OFF: Kind = info(3410, "server_broke_off");
 /// Memory could not be set aside for a prompt.
 pub(super) const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
 /// Memory was not given back; it lapses by itself.
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 32] = [
+pub const ALL: [Kind; 33] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -124,6 +126,7 @@
     HELD,
     CUT_OFF,
     REPEAT_REFUSED,
+    SERVER_BROKE_OFF,
     MEMORY_REFUSED,
     MEMORY_NOT_RELEASED,
 ];
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -3,7 +3,8 @@
 use super::kind::{self, Kind};
 use crate::daemon::Addresses;
 use alderglade_core::Name;
-use serde::Serialize;
+use alderglade_core::fleet::fingerprint::Fingerprint;
+use serde::{Serialize, Serializer};
 
 /// One log line.
 #[derive(Debug, Serialize)]
@@ -153,6 +154,9 @@
     Placed {
         /// The request.
         id: &'a str,
+        /// What was asked: the same for each attempt of a caller that comes back.
+        #[serde(serialize_with = "as_text")]
+        asked: Fingerprint,
         /// The server.
         server: &'a str,
         /// Which try it is, from `1`.
@@ -278,6 +282,20 @@
         /// Other hosts that were asked; `0` where none had anything left a moment before.
         asked: usize,
     },
+    /// A server broke a request off, and was looked at.
+    ServerBrokeOff {
+        /// The request.
+        id: &'a str,
+        /// What was asked.
+        #[serde(serialize_with = "as_text")]
+        asked: Fingerprint,
+        /// The server.
+        server: &'a str,
+        /// How long it had run there since its first event, in milliseconds, if one had come.
+        ran_ms: Option<u64>,
+        /// Whether the server has ended: nobody listens at its address any more.
+        ended: bool,
+    },
     /// Memory could not be set aside for a prompt.
     MemoryRefused {
         /// The request.
@@ -311,6 +329,11 @@
     },
 }
 
+/// Writes a digest as the text that operators look for.
+fn as_text<S: Serializer>(asked: &Fingerprint, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(asked)
+}
+
 impl Record<'_> {
     /// Gives the kind of the line.
     pub fn kind(&self) -> &'static Kind {
@@ -345,6 +368,7 @@
             Record::Held { .. } => &kind::HELD,
             Record::CutOff { .. } => &kind::CUT_OFF,
             Record::RepeatRefused { .. } => &kind::REPEAT_REFUSED,
+            Record::ServerBrokeOff { .. } => &kind::SERVER_BROKE_OFF,
             Record::MemoryRefused { .. } => &kind::MEMORY_REFUSED,
             Record::MemoryNotReleased { .. } => &kind::MEMORY_NOT_RELEASED,
         }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -1,6 +1,6 @@
 //! Takes one request from a caller's connection: who it is for, what it may do, who serves it.
 
-use crate::answer::{self, Content};
+use crate::answer::{self, Content as Answer};
 use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
@@ -10,6 +10,7 @@
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::config::{Access, Config, Kind, Route};
+use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::Bytes;
@@ -30,7 +31,7 @@
 const START_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Answers one request.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Content> {
+pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Answer> {
     let (head, body) = request.into_parts();
     let in_flight = node.enter();
     let arrived = in_flight.progress.arrived;
@@ -63,7 +64,7 @@
 
 /// Has a request served. One that has no answer when the host is about to end gets one too: that nobody knows whether it
 /// ran.
-async fn answer(node: &Rc<Node>, job: Job, in_flight: InFlight) -> Response<Content> {
+async fn answer(node: &Rc<Node>, job: Job, in_flight: InFlight) -> Response<Answer> {
     let (id, arrived) = (job.ask.id.clone(), job.arrived());
     let served = async {
         match job.route.kind {
@@ -83,7 +84,7 @@
 
 /// Has a caller's connection closed after an answer: a caller whose connection stays here would come back to a host
 /// that is about to refuse it.
-fn end_connection(response: &mut Response<Content>) {
+fn end_connection(response: &mut Response<Answer>) {
     let close = HeaderValue::from_static("close");
     let headers = response.headers_mut();
     headers.insert(http::header::CONNECTION, close);
@@ -106,7 +107,7 @@
 }
 
 /// Writes down a refusal and makes its answer.
-pub fn refuse(node: &Node, id: &str, refusal: &Refusal, arrived: Time) -> Response<Content> {
+pub fn refuse(node: &Node, id: &str, refusal: &Refusal, arrived: Time) -> Response<Answer> {
     let row = refusal.kind.row();
     let now = clock::now();
     let age = node.state.borrow().freshness.age(now);
@@ -145,8 +146,10 @@
     let draw = rand::rng().random::<f64>();
     let service = route.target(draw).map(|target| target.service.clone());
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoCapacity, ELSEWHERE))?;
+    let asked = fingerprint(&head, workspace.as_deref(), &body);
     Ok(Job {
         ask,
+        asked,
         method: head.method,
         target: head.uri,
         headers: head.headers,
@@ -160,6 +163,25 @@
     })
 }
 
+/// Gives the digest of what was asked.
+fn fingerprint(head: &Parts, workspace: Option<&str>, body: &[u8]) -> Fingerprint {
+    let target = head.uri.path_and_query();
+    let content = Content {
+        workspace,
+        method: head.method.as_str(),
+        host: host(head),
+        target: target.map_or("", |target| target.as_str()),
+        body,
+    };
+    content.fingerprint()
+}
+
+/// Gives the name of the host that a request is sent to.
+fn host(head: &Parts) -> &str {
+    let host = head.headers.get(http::header::HOST);
+    host.and_then(|host| host.to_str().ok()).unwrap_or_default()
+}
+
 /// What a request may do.
 struct Admission {
     /// The route that it takes.
@@ -173,9 +195,7 @@
 fn admit(node: &Node, config: &Config, head: &Parts, ask: &Ask) -> Result<Admission, Refusal> {
     let trusted = node.trusts_keys();
     let cut_off = || Refusal::new(ErrorKind::PlatformUnavailable, ELSEWHERE);
-    let host = head.headers.get(http::header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let Some(route) = config.route(host, head.uri.path()) else {
+    let Some(route) = config.route(host(head), head.uri.path()) else {
         return Err(if trusted {
             Refusal::new(ErrorKind::NotFound, Duration::ZERO)
         } else {
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -382,6 +382,7 @@
     node.metrics.waited.observe(waited.as_secs_f64());
     event::write(&Record::Placed {
         id: &job.ask.id,
+        asked: job.asked,
         server: server.id(),
         attempt,
         prompt: job.prompt().tokens,
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -7,6 +7,7 @@
 use alderglade_core::fleet::book::PauseClass;
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Route;
+use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -32,6 +33,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// What was asked, which stays the same when the caller comes back.
+    pub asked: Fingerprint,
     /// Its route.
     pub route: Route,
     /// The service that it goes to.
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -122,6 +122,7 @@
                 },
                 Err(Break::Failed(problem)) => {
                     self.note_failed(&part, &problem);
+                    attempt::broken_off(&self.node, &self.job, &part.server, part.began);
                     // What was taken up at the server is given back before another one is looked for.
                     drop(part);
                     if !self.may_resume() {
@@ -245,8 +246,8 @@
         if let Some(pause) = self.note_pause() {
             self.suspect(part, pause);
         }
-        if !part.read {
-            part.read = true;
+        if part.began.is_none() {
+            part.began = Some(clock::now());
             part.silence = SILENCE.min(caller::silence(self.job.patience()));
             part.held.read();
             part.reading.end(&self.node);
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -8,6 +8,7 @@
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::slowdown::Suspicion;
 use alderglade_core::fleet::sse::Splitter;
+use alderglade_core::time::Time;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -29,8 +30,8 @@
     tickets: Option<Tickets>,
     /// Who reads the prompt.
     pub reading: Reading,
-    /// Whether the prompt has been read: the first event has come.
-    pub read: bool,
+    /// When the first event came: the prompt has been read, and the answer runs.
+    pub began: Option<Time>,
     /// How long the server may stay silent.
     pub silence: Duration,
     /// What its pauses say of the server.
@@ -52,7 +53,7 @@
             held: open.held,
             tickets: open.tickets,
             reading: open.reading,
-            read: false,
+            began: None,
             silence: open.silence,
             suspicion: Suspicion::default(),
             noted_silent: false,
--- a/crates/alderglade-serve/src/relay/take_over.rs
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -3,6 +3,7 @@
 use super::Relay;
 use super::end::End;
 use super::part::Part;
+use crate::attempt;
 use crate::clock;
 use crate::generate::{self, Open};
 
@@ -44,6 +45,7 @@
                 frame = part.frame(), if !failed => match frame {
                     Some(Err(error)) => {
                         log::debug!("silent server {} failed: {error}", part.server.id());
+                        attempt::broken_off(&self.node, &self.job, &part.server, part.began);
                         part.give_back();
                         failed = true;
                     }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -188,6 +188,7 @@
 fn tell_placed(node: &Node, job: &Job, server: &Server, attempt: u32) {
     event::write(&Record::Placed {
         id: &job.ask.id,
+        asked: job.asked,
         server: server.id(),
         attempt,
         prompt: 0,
@@ -215,6 +216,7 @@
         Err(error) => {
             attempt::tell(job, server, number, &error.to_string());
             node.note(server.key(), Outcome::Failed);
+            attempt::broken_off(node, job, server, None);
             return Err(Miss::Lost);
         }
     };
