Requests under which servers end are told from others by what was asked, and sent to none any more

Cause: what was learnt of a request was kept with one attempt, at one host, in one life of its process; its caller comes back under another id, to another host, and is sent on anew. Ruled out: engines that end for want of something (ends with four streams, none in calm minutes), and company alone (the same digest at each end, also by itself).

Change: a host that loses a connection with a request in its hands looks whether the server has ended, and tells the others what was asked and which lifetime of which server. Three ends bar a request, unless another one explains them; what is judged is 0.2 s old, so that all have told. An answer that comes to its end clears its request. A barred request is refused at once (503, did not run, for how long); the decision is kept in the store for an hour and read there by hosts that start.

--- a/crates/alderglade-core/src/error.rs
+++ b/crates/alderglade-core/src/error.rs
@@ -72,6 +72,8 @@
     CallerGone,
     /// A fault of alderglade itself.
     Internal,
+    /// Backend servers have ended under the request, and it is sent to none any more.
+    Quarantined,
 }
 
 /// One row of the table: what a kind means for the caller and the operator.
@@ -110,7 +112,7 @@
 }
 
 /// The table from kind to answer, in the order of [`Kind`].
-pub const TABLE: [Row; 20] = [
+pub const TABLE: [Row; 21] = [
     row(Kind::BadRequest, "bad_request", 400, Ran::No, false, 2001),
     row(
         Kind::Unauthorized,
@@ -201,6 +203,7 @@
         2019,
     ),
     row(Kind::Internal, "internal", 500, Ran::Unknown, false, 2020),
+    row(Kind::Quarantined, "quarantined", 503, Ran::No, true, 2021),
 ];
 
 impl Kind {
--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -6,6 +6,7 @@
 use crate::Name;
 use crate::fleet::health::PassedOver;
 use crate::fleet::incarnation::Key;
+use crate::fleet::quarantine::Told;
 use crate::fleet::relay::Word;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -58,6 +59,8 @@
     pub leaving: Vec<Key>,
     /// Servers that refuse work or are slow, as the sender was told by servers.
     pub passed_over: Vec<PassedOver>,
+    /// What the sender has seen of requests under which servers end.
+    pub quarantine: Vec<Told>,
     /// What it holds.
     pub holdings: Vec<Holding>,
 }
--- a/crates/alderglade-core/src/fleet/fingerprint.rs
+++ b/crates/alderglade-core/src/fleet/fingerprint.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::str::FromStr;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// The digest of what was asked: twelve bytes in place of a path and a body of thousands.
@@ -54,9 +55,27 @@
     }
 }
 
+/// A text that is no digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unreadable;
+
+impl FromStr for Fingerprint {
+    type Err = Unreadable;
+
+    fn from_str(text: &str) -> Result<Fingerprint, Unreadable> {
+        let mut bytes = [0; 12];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| Unreadable)?;
+        let [c0, c1, c2, c3, content @ ..] = bytes;
+        Ok(Fingerprint {
+            caller: [c0, c1, c2, c3],
+            content,
+        })
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let bytes = self.caller.iter().chain(&self.content);
-        bytes.map(|byte| write!(formatter, "{byte:02x}")).collect()
+        let mut bytes = self.caller.iter().chain(&self.content);
+        bytes.try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod pass;
 pub mod placement;
 pub mod progress;
+pub mod quarantine;
 pub mod reach;
 pub mod relay;
 pub mod slowdown;
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -0,0 +1,285 @@
+//! Requests under which backend servers end, and which are therefore sent to none any more.
+//!
+//! A request may end each server that begins to run it. Its caller comes back under another id, to any host, so that no
+//! count of attempts ends it: servers end until none is left. What is kept here is kept by what was asked
+//! ([`Fingerprint`]), is told to all hosts, and outlasts a host in the store.
+//!
+//! A server that ends takes everything with it that it has in hand, and what it had meets again at the next one, because
+//! all hosts hold the same one best. To be there is therefore no proof. A request is held guilty of [`ENOUGH`] ends only
+//! where no other one explains them: those at most ends go first, and what was beside them is explained by them. Of two
+//! that were at the same ends neither is barred before another end parts them, or [`MOST`] have come. An answer that
+//! comes to its end clears its request of all that was before.
+//!
+//! Facts only add up, and each names one lifetime of a server: told late, twice or in another order they come to the same.
+//! They are judged when all hosts have told theirs ([`SETTLED`]); what is to be judged waits for that.
+
+mod evidence;
+mod told;
+
+pub use told::{Fact, Told};
+
+use super::fingerprint::Fingerprint;
+use super::incarnation::Key;
+use crate::time::Time;
+use evidence::{Crash, Suspect};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use told::Own;
+
+/// Ends of servers that show that a request causes them. One may be chance, two may be where many end at once; the users
+/// allow three.
+const ENOUGH: usize = 3;
+/// Ends from which on a request is barred even if another one was at all of them too: three sends beyond the third end
+/// are the most that users allow.
+const MOST: usize = 5;
+/// A request that has run for longer at a server has not ended it: such a one ends it as it begins to run, within 0.2 s
+/// in each of the ends recorded. Innocent long answers are seldom so young at three ends in a row.
+const BEGINS: Duration = Duration::from_millis(2_000);
+/// How long ends count. A caller that comes back does so within minutes.
+const FORGOTTEN: Duration = Duration::from_secs(600);
+/// How long a request is barred. Whoever mends the servers sooner can have it released by hand.
+pub const BARRED: Duration = Duration::from_secs(3_600);
+/// How old an end is when it is judged: hosts that had something at the server notice it within some milliseconds, and
+/// tell the others within as many. Who was beside the cause would else be judged by what is known of itself alone.
+const SETTLED: Duration = Duration::from_millis(200);
+/// Requests of which ends are remembered, at most; about a hundred bytes each. Those go first of which least is known.
+const MOST_SUSPECTS: usize = 2_048;
+/// Requests that are barred at a time, at most.
+const MOST_BARRED: usize = 2_048;
+
+/// What has been decided on a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// What was asked.
+    pub asked: Fingerprint,
+    /// What becomes of it.
+    pub decision: Decision,
+    /// Whether this host has seen a part of it itself, and so should have it kept in the store.
+    pub first_hand: bool,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// It is sent to no server any more, after so many have ended under it.
+    Barred(usize),
+    /// It is sent again.
+    Released,
+}
+
+/// What one host knows of requests under which servers end.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Until when each request is barred.
+    barred: BTreeMap<Fingerprint, Time>,
+    /// What this host tells the others.
+    own: Vec<Own>,
+    /// What has been decided since it was last asked for.
+    verdicts: Vec<Verdict>,
+}
+
+impl Quarantine {
+    /// Gives how much longer a request is barred, if it is.
+    pub fn bars(&self, asked: Fingerprint, now: Time) -> Option<Duration> {
+        let until = self.barred.get(&asked)?;
+        Some(until.left(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Gives how many requests are barred.
+    pub fn len(&self) -> usize {
+        self.barred.len()
+    }
+
+    /// Says whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.barred.is_empty()
+    }
+
+    /// Notes that a server has ended with a request in its hands, which had run there for `ran` if it had begun.
+    pub fn note_crash(
+        &mut self,
+        asked: Fingerprint,
+        server: Key,
+        ran: Option<Duration>,
+        now: Time,
+    ) {
+        if ran.is_some_and(|ran| ran > BEGINS) {
+            return;
+        }
+        let begun = ran.is_some();
+        let crash = Crash {
+            server,
+            at: now,
+            begun,
+        };
+        if self.add(asked, crash) {
+            self.own.push(Own::new(asked, Fact::crash(&crash), now));
+        }
+    }
+
+    /// Notes that a request was answered to its end: no end of a server before that was its fault.
+    pub fn note_sound(&mut self, asked: Fingerprint, now: Time) {
+        if self.clear(asked, now, true) {
+            self.own.push(Own::new(asked, Fact::sound(), now));
+        }
+    }
+
+    /// Takes what another host tells.
+    pub fn hear(&mut self, told: &Told, now: Time) {
+        match told.fact {
+            Fact::Crash {
+                server,
+                begun,
+                age_ms,
+            } => {
+                let at = now - Duration::from_millis(u64::from(age_ms));
+                let crash = Crash { server, at, begun };
+                self.add(told.asked, crash);
+            }
+            Fact::Sound { age_ms } => {
+                let at = now - Duration::from_millis(u64::from(age_ms));
+                self.clear(told.asked, at, false);
+            }
+            Fact::Barred { left_s } => {
+                let left = Duration::from_secs(u64::from(left_s)).min(BARRED);
+                self.bar(told.asked, left, now);
+            }
+        }
+    }
+
+    /// Takes from the store that a request is barred, and has the others told.
+    pub fn learn(&mut self, asked: Fingerprint, left: Duration, now: Time) {
+        let left = left.min(BARRED);
+        if self.bar(asked, left, now) {
+            self.own.push(Own::new(asked, Fact::barred(), now));
+        }
+    }
+
+    /// Takes from the store that a request is barred no more, and has the others told.
+    pub fn release(&mut self, asked: Fingerprint, now: Time) {
+        if self.barred.contains_key(&asked) {
+            self.note_sound(asked, now);
+        }
+    }
+
+    /// Gives what the others are to be told now: what is new, and in a `whole` notice also what may have been lost.
+    pub fn tell(&mut self, whole: bool, now: Time) -> Vec<Told> {
+        /// Facts in a notice: some twenty bytes each, beside its holdings.
+        const MOST: usize = 24;
+        self.own.retain(|own| own.is_told(now));
+        let due = self.own.iter_mut().filter(|own| whole || own.is_new());
+        let barred = &self.barred;
+        due.take(MOST)
+            .map(|own| own.tell(barred.get(&own.asked()), now))
+            .collect()
+    }
+
+    /// Gives what has been decided since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<Verdict> {
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// Says whether a request is judged where one more server ends under it.
+    pub fn suspects(&self, asked: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&asked);
+        suspect.is_some_and(|suspect| suspect.crashes().len() + 1 >= ENOUGH)
+    }
+
+    /// Says whether a request is about to be judged, and should wait for that. It takes no longer than a moment.
+    pub fn judges(&self, asked: Fingerprint, now: Time) -> bool {
+        let suspect = self.suspects.get(&asked);
+        let soon = suspect.is_some_and(|suspect| suspect.is_judged_after(now - SETTLED));
+        soon && !self.barred.contains_key(&asked)
+    }
+
+    /// Judges by what is settled now: bars who is found guilty, and releases who was barred for another one.
+    pub fn judge(&mut self, now: Time) {
+        let is_barred = |asked| self.barred.contains_key(&asked);
+        let judgement = evidence::judge(&self.suspects, is_barred, now - SETTLED);
+        for asked in judgement.guilty {
+            if self.bar(asked, BARRED, now) && self.is_first_hand(asked) {
+                self.own.push(Own::new(asked, Fact::barred(), now));
+            }
+        }
+        for asked in judgement.innocent {
+            self.suspects.remove(&asked);
+            self.unbar(asked, self.is_first_hand(asked));
+        }
+    }
+
+    /// Lets lapse what is over its time.
+    pub fn expire(&mut self, now: Time) {
+        self.suspects
+            .retain(|_, suspect| now.since(suspect.last()) < FORGOTTEN);
+        let over = self.barred.iter().filter(|(_, until)| **until <= now);
+        let over: Vec<Fingerprint> = over.map(|(asked, _)| *asked).collect();
+        for asked in over {
+            self.unbar(asked, false);
+        }
+    }
+
+    /// Adds an end; says whether it is new and counts.
+    fn add(&mut self, asked: Fingerprint, crash: Crash) -> bool {
+        let known = self.suspects.contains_key(&asked);
+        if !known && self.suspects.len() >= MOST_SUSPECTS {
+            self.forget_one();
+        }
+        self.suspects.entry(asked).or_default().add(crash)
+    }
+
+    /// Forgets the request of which least is known, the oldest of those.
+    fn forget_one(&mut self) {
+        let suspects = self.suspects.iter();
+        let least = suspects.min_by_key(|(_, suspect)| (suspect.crashes().len(), suspect.last()));
+        if let Some(asked) = least.map(|(asked, _)| *asked) {
+            self.suspects.remove(&asked);
+        }
+    }
+
+    /// Clears a request of all ends up to a time; says whether it was suspected of any.
+    fn clear(&mut self, asked: Fingerprint, at: Time, first_hand: bool) -> bool {
+        let barred = self.barred.contains_key(&asked);
+        let cleared = self
+            .suspects
+            .get_mut(&asked)
+            .is_some_and(|suspect| suspect.clear(at));
+        if barred {
+            self.unbar(asked, first_hand);
+        }
+        cleared || barred
+    }
+
+    /// Bars a request; says whether it was not barred before.
+    fn bar(&mut self, asked: Fingerprint, left: Duration, now: Time) -> bool {
+        if left.is_zero() || self.bars(asked, now).is_some() || self.barred.len() >= MOST_BARRED {
+            return false;
+        }
+        self.barred.insert(asked, now + left);
+        let suspect = self.suspects.get(&asked);
+        self.verdicts.push(Verdict {
+            asked,
+            decision: Decision::Barred(suspect.map_or(0, |suspect| suspect.crashes().len())),
+            first_hand: self.is_first_hand(asked),
+        });
+        true
+    }
+
+    fn unbar(&mut self, asked: Fingerprint, first_hand: bool) {
+        if self.barred.remove(&asked).is_some() {
+            self.verdicts.push(Verdict {
+                asked,
+                decision: Decision::Released,
+                first_hand,
+            });
+        }
+    }
+
+    /// Says whether this host has a part in what is told of a request.
+    fn is_first_hand(&self, asked: Fingerprint) -> bool {
+        self.own.iter().any(|own| own.asked() == asked)
+    }
+}
+
+/// The servers that some ends were those of.
+type Servers = BTreeSet<Key>;
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -87,6 +87,8 @@
     Servers,
     /// The entry hosts.
     Hosts,
+    /// The requests that are sent to no server any more.
+    Quarantine,
 }
 
 /// How the store is asked.
@@ -187,7 +189,7 @@
         let spread = match topic {
             Topic::Config => self.config_due(own, heard, now),
             Topic::Servers => self.servers_due(own, heard, now),
-            Topic::Hosts => None,
+            Topic::Hosts | Topic::Quarantine => None,
         };
         spread.map(|spread| Errand::Fetch(spread.mul_f64(chance)))
     }
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -18,6 +18,7 @@
 mod pass;
 mod placement;
 mod progress;
+mod quarantine;
 mod reach;
 mod relay;
 mod slowdown;
@@ -63,6 +64,7 @@
         word: Word::default(),
         leaving: Vec::new(),
         passed_over: Vec::new(),
+        quarantine: Vec::new(),
         holdings: Vec::new(),
     }
 }
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
@@ -0,0 +1,319 @@
+//! Who is held guilty of the ends of servers, on hosts that tell each other what they see.
+
+use super::key;
+use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
+use alderglade_core::fleet::incarnation::Key;
+use alderglade_core::fleet::quarantine::{BARRED, Decision, Quarantine, Told};
+use alderglade_core::time::Time;
+use arbtest::arbitrary::{Result, Unstructured};
+use std::time::Duration;
+
+/// A request has run for so long, as far as most of these tests care.
+const SHORTLY: Option<Duration> = Some(Duration::from_millis(100));
+
+/// As long as it takes until an end is judged.
+const SETTLED: Duration = Duration::from_millis(200);
+
+fn asked(body: &str) -> Fingerprint {
+    let content = Content {
+        workspace: Some("clinic"),
+        method: "POST",
+        host: "one.example",
+        target: "/x/",
+        body: body.as_bytes(),
+    };
+    content.fingerprint()
+}
+
+fn server(number: usize) -> Key {
+    key(&format!("s{number}"))
+}
+
+/// A host that sees everything itself, and its clock.
+#[derive(Default)]
+struct Host {
+    quarantine: Quarantine,
+    now: Time,
+}
+
+impl Host {
+    /// A server ends with these requests in its hands, all of which had just begun to run.
+    fn ends(&mut self, number: usize, bodies: &[&str]) {
+        for body in bodies {
+            self.quarantine
+                .note_crash(asked(body), server(number), SHORTLY, self.now);
+        }
+        self.pass(SETTLED);
+    }
+
+    /// Lets time pass and judges.
+    fn pass(&mut self, span: Duration) {
+        self.now = self.now + span;
+        self.quarantine.judge(self.now);
+    }
+
+    fn bars(&self, body: &str) -> bool {
+        self.quarantine.bars(asked(body), self.now).is_some()
+    }
+}
+
+#[test]
+fn three_ends_bar_a_request_and_no_other_one() {
+    let mut host = Host::default();
+    host.ends(1, &["fatal", "a"]);
+    host.ends(2, &["fatal", "b"]);
+    assert!(!host.bars("fatal"), "two may be chance");
+    host.ends(3, &["fatal", "c"]);
+    assert!(host.bars("fatal"));
+    assert!(["a", "b", "c"].iter().all(|body| !host.bars(body)));
+    let verdicts = host.quarantine.take_verdicts();
+    assert_eq!(verdicts.len(), 1);
+    assert_eq!(verdicts[0].decision, Decision::Barred(3));
+    assert!(verdicts[0].first_hand);
+}
+
+#[test]
+fn the_same_end_seen_twice_counts_once() {
+    let mut host = Host::default();
+    for _ in 0..5 {
+        host.ends(1, &["fatal"]);
+    }
+    assert!(!host.bars("fatal"));
+}
+
+/// What breaks off meets again at the server that all hosts hold best: the other one was at three ends, too.
+#[test]
+fn what_was_beside_it_at_three_ends_in_a_row_is_not_barred() {
+    let mut host = Host::default();
+    host.ends(1, &["fatal"]);
+    for number in 2..5 {
+        host.ends(number, &["fatal", "beside"]);
+    }
+    assert!(host.bars("fatal"));
+    assert!(!host.bars("beside"));
+}
+
+#[test]
+fn of_two_at_the_same_ends_neither_is_barred_until_another_end_parts_them() {
+    let mut host = Host::default();
+    for number in 1..4 {
+        host.ends(number, &["fatal", "beside"]);
+    }
+    assert!(!host.bars("fatal") && !host.bars("beside"));
+    host.ends(4, &["fatal"]);
+    assert!(host.bars("fatal"));
+    assert!(!host.bars("beside"), "the other one explains all its ends");
+}
+
+#[test]
+fn two_that_nothing_parts_are_both_barred_at_the_fifth_end() {
+    let mut host = Host::default();
+    for number in 1..5 {
+        host.ends(number, &["one", "other"]);
+        assert!(!host.bars("one") && !host.bars("other"));
+    }
+    host.ends(5, &["one", "other"]);
+    assert!(host.bars("one") != host.bars("other"), "one explains all");
+    host.ends(6, &["other"]);
+    host.ends(7, &["other"]);
+    assert!(host.bars("other"), "what came after shows who it was");
+    assert!(!host.bars("one"));
+}
+
+/// The hosts that had something at a server notice its end one after the other: whoever is told of first is not the one.
+#[test]
+fn what_was_beside_it_waits_until_all_is_told() {
+    let mut host = Host::default();
+    let mut now = Time::from_millis(1_000);
+    for number in 1..4 {
+        host.quarantine
+            .note_crash(asked("beside"), server(number), SHORTLY, now);
+        host.quarantine.judge(now);
+        now = now + Duration::from_millis(10);
+        host.quarantine
+            .note_crash(asked("fatal"), server(number), SHORTLY, now);
+        host.quarantine.judge(now);
+        now = now + Duration::from_millis(300);
+    }
+    host.quarantine.judge(now);
+    assert!(host.quarantine.bars(asked("beside"), now).is_none());
+}
+
+#[test]
+fn what_is_about_to_be_judged_waits_no_longer_than_that() {
+    let mut host = Host::default();
+    host.ends(1, &["fatal", "beside"]);
+    host.ends(2, &["fatal", "beside"]);
+    let end = host.now;
+    for body in ["fatal", "beside"] {
+        assert!(!host.quarantine.judges(asked(body), end));
+        host.quarantine
+            .note_crash(asked(body), server(3), SHORTLY, end);
+        assert!(host.quarantine.judges(asked(body), end));
+    }
+    host.pass(SETTLED);
+    let judges = |body: &str| host.quarantine.judges(asked(body), host.now);
+    assert!(!judges("fatal") && !judges("beside"));
+}
+
+#[test]
+fn one_that_had_not_begun_goes_after_one_that_had() {
+    let mut host = Host::default();
+    for number in 1..4 {
+        let now = host.now;
+        let waiting = asked("waiting");
+        host.quarantine
+            .note_crash(waiting, server(number), None, now);
+        host.ends(number, &["fatal"]);
+    }
+    assert!(host.bars("fatal"));
+    assert!(!host.bars("waiting"));
+}
+
+/// Servers that end for other reasons take long answers with them; these have been running well.
+#[test]
+fn a_long_answer_is_not_suspected_of_ends_in_its_middle() {
+    let mut host = Host::default();
+    for number in 0..20 {
+        let ran = Some(Duration::from_millis(2_100));
+        let now = host.now;
+        host.quarantine
+            .note_crash(asked("long"), server(number), ran, now);
+        host.ends(number, &[]);
+    }
+    assert!(!host.bars("long"));
+}
+
+#[test]
+fn an_answer_that_comes_to_its_end_clears_its_request() {
+    let mut host = Host::default();
+    host.ends(1, &["sound"]);
+    host.ends(2, &["sound"]);
+    host.quarantine.note_sound(asked("sound"), host.now);
+    host.pass(Duration::from_millis(1));
+    host.ends(3, &["sound"]);
+    host.ends(4, &["sound"]);
+    assert!(!host.bars("sound"), "two since it was answered");
+    host.ends(5, &["sound"]);
+    assert!(host.bars("sound"));
+    // One that was on its way is answered all the same.
+    host.quarantine.note_sound(asked("sound"), host.now);
+    assert!(!host.bars("sound"));
+}
+
+#[test]
+fn two_fatal_requests_are_told_apart() {
+    let mut host = Host::default();
+    host.ends(0, &["one", "beside"]);
+    host.ends(1, &["other", "beside"]);
+    host.ends(2, &["one"]);
+    host.ends(3, &["other"]);
+    host.ends(4, &["one", "beside"]);
+    assert!(!host.bars("one") && !host.bars("beside"), "at as many ends");
+    host.ends(5, &["other"]);
+    host.ends(6, &["one"]);
+    assert!(host.bars("one") && host.bars("other"));
+    assert!(!host.bars("beside"));
+}
+
+#[test]
+fn a_request_is_barred_for_an_hour_and_then_known_to_be_tried_again() {
+    let mut host = Host::default();
+    (1..4).for_each(|number| host.ends(number, &["fatal"]));
+    assert!(host.bars("fatal"));
+    host.quarantine.take_verdicts();
+    host.now = host.now + BARRED;
+    assert!(!host.bars("fatal"));
+    host.quarantine.expire(host.now);
+    let verdicts = host.quarantine.take_verdicts();
+    assert_eq!(verdicts[0].decision, Decision::Released);
+    assert!(host.quarantine.is_empty());
+}
+
+#[test]
+fn what_is_kept_is_bounded() {
+    let mut host = Host::default();
+    host.ends(1, &["fatal"]);
+    host.ends(2, &["fatal"]);
+    for number in 0..10_000 {
+        host.ends(3 + number, &[&format!("body {number}")]);
+    }
+    host.ends(20_000, &["fatal"]);
+    assert!(host.bars("fatal"), "more is known of it than of the others");
+    assert!(host.quarantine.tell(true, host.now).len() <= 24);
+}
+
+/// Has each host tell each other one what it has to tell; some of it is lost, comes twice or in another order.
+fn exchange(u: &mut Unstructured<'_>, hosts: &mut [Quarantine], now: Time) -> Result<()> {
+    for teller in 0..hosts.len() {
+        let mut told = hosts[teller].tell(u.arbitrary()?, now);
+        if u.arbitrary()? {
+            told.reverse();
+        }
+        let doubled: Vec<Told> = told.iter().chain(&told).copied().collect();
+        for hearer in (0..hosts.len()).filter(|hearer| *hearer != teller) {
+            if u.int_in_range(0..=3)? > 0 {
+                doubled
+                    .iter()
+                    .for_each(|told| hosts[hearer].hear(told, now));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// However messages are lost, doubled and reordered: after each host has told all that it has to tell once more, all bar
+/// the fatal request, and none bars another one.
+#[test]
+fn hosts_come_to_the_same_verdict() {
+    for number in 0..300_u64 {
+        arbtest::arbtest(|u| {
+            let mut hosts: Vec<Quarantine> = (0..4).map(|_| Quarantine::default()).collect();
+            let mut now = Time::from_millis(1_000);
+            for end in 0..4 {
+                let host = u.int_in_range(0..=3)?;
+                hosts[host].note_crash(asked("fatal"), server(end), SHORTLY, now);
+                if end > 0 {
+                    let host = u.int_in_range(0..=3)?;
+                    hosts[host].note_crash(asked("beside"), server(end), SHORTLY, now);
+                }
+                exchange(u, &mut hosts, now)?;
+                hosts.iter_mut().for_each(|host| host.judge(now));
+                now = now + Duration::from_millis(u.int_in_range(0..=500)?);
+            }
+            now = now + SETTLED;
+            let told: Vec<Vec<Told>> = hosts.iter_mut().map(|host| host.tell(true, now)).collect();
+            for host in &mut hosts {
+                let told = told.iter().flatten();
+                told.for_each(|told| host.hear(told, now));
+                host.judge(now);
+            }
+            for host in &hosts {
+                assert!(host.bars(asked("fatal"), now).is_some());
+                assert!(host.bars(asked("beside"), now).is_none());
+            }
+            Ok(())
+        })
+        .seed((number << 32) | 2_048)
+        .run();
+    }
+}
+
+/// A host that has just read the store tells those that don't watch it.
+#[test]
+fn what_the_store_says_is_passed_on_and_taken_back() {
+    let now = Time::from_millis(500);
+    let (mut watcher, mut other) = (Quarantine::default(), Quarantine::default());
+    watcher.learn(asked("fatal"), BARRED, now);
+    let told = watcher.tell(false, now);
+    told.iter().for_each(|told| other.hear(told, now));
+    assert!(other.bars(asked("fatal"), now).is_some());
+    assert!(watcher.tell(false, now).is_empty(), "told once");
+    assert_eq!(watcher.tell(true, now), told, "and in whole notices");
+    watcher.release(asked("fatal"), now);
+    let told = watcher.tell(false, now);
+    told.iter().for_each(|told| other.hear(told, now));
+    assert!(other.bars(asked("fatal"), now).is_none());
+    let verdicts = other.take_verdicts();
+    assert!(verdicts.iter().all(|verdict| !verdict.first_hand));
+}
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -6,7 +6,9 @@
 use crate::job::Job;
 use crate::node::Node;
 use crate::translate::{Dispatch, Helper, Reply};
+use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::time::Time;
 use bytes::Bytes;
@@ -53,7 +55,7 @@
     let request = outgoing(node, job, &dispatch);
     let exchange = match node.client.send(server.address, request, fresh).await {
         Ok(exchange) => exchange,
-        Err(error) => return Err(unanswered(node, job, server, number, &error)),
+        Err(error) => return Err(unanswered(node, job, server, number, &error).await),
     };
     let reply = node.translator.reply(&exchange.head.headers);
     let own = reply.id.as_ref().is_none_or(|id| *id == job.ask.id);
@@ -69,7 +71,13 @@
     Ok((exchange, reply))
 }
 
-fn unanswered(node: &Rc<Node>, job: &Job, server: &Server, number: u32, error: &Error) -> Miss {
+async fn unanswered(
+    node: &Rc<Node>,
+    job: &Job,
+    server: &Server,
+    number: u32,
+    error: &Error,
+) -> Miss {
     tell(job, server, number, &error.to_string());
     match error {
         Error::Unreachable { .. } => {
@@ -83,7 +91,7 @@
         Error::NotSent => Miss::NotSent,
         Error::Lost { .. } => {
             node.note(server.key(), Outcome::Failed);
-            broken_off(node, job, server, None);
+            broken_off(node, job, server, None).await;
             Miss::Lost
         }
     }
@@ -109,24 +117,57 @@
     tell(job, server, attempt, STARTED_AGAIN);
 }
 
-/// Looks whether the server that broke a request off has ended, and writes so. `began` is when the request's first event
-/// came, if one did.
-///
-/// The connection shows only that it broke: a fault of the way there looks the same.
-pub fn broken_off(node: &Rc<Node>, job: &Job, server: &Server, began: Option<Time>) {
+/// Looks whether the server that broke a request off has ended, and notes and writes so. `began` is when the request's
+/// first event came, if one did. Returns at once, but for a request that is suspected already: that one is not sent on
+/// before it is known whether this end is another one under it.
+pub async fn broken_off(node: &Rc<Node>, job: &Job, server: &Server, began: Option<Time>) {
+    /// Some ways there and back between failure domains; who is dark takes longer, and has not ended.
+    const PATIENCE: Duration = Duration::from_millis(50);
     let ran = began.map(|began| clock::now().since(began));
-    let (node, id, asked) = (node.clone(), job.ask.id.clone(), job.asked);
-    let server = server.clone();
-    tokio::task::spawn_local(async move {
-        let listens = node.client.listens(server.address).await;
+    let broken_off = BrokenOff {
+        node: node.clone(),
+        id: job.ask.id.clone(),
+        asked: job.asked,
+        was_to_stay: node.server(server.key()).is_some(),
+        server: server.clone(),
+        ran,
+    };
+    let look = tokio::task::spawn_local(broken_off.look());
+    if node.suspects(job.asked) {
+        // In vain or not, what is known then counts.
+        let _ = tokio::time::timeout(PATIENCE, look).await;
+    }
+}
+
+/// A request that a server broke off.
+struct BrokenOff {
+    node: Rc<Node>,
+    id: Name,
+    asked: Fingerprint,
+    server: Server,
+    /// Whether the server was not leaving: one that was has ended as it was asked to, whatever it still had.
+    was_to_stay: bool,
+    /// How long the request had run there, if it had begun.
+    ran: Option<Duration>,
+}
+
+impl BrokenOff {
+    /// Looks whether the server has ended. The connection shows only that it broke: a fault of the way there looks the same.
+    async fn look(self) {
+        let address = self.server.address;
+        let ended = self.node.client.listens(address).await == Some(false);
         event::write(&Record::ServerBrokeOff {
-            id: &id,
-            asked,
-            server: server.id(),
-            ran_ms: ran.map(|ran| ran.as_millis() as u64),
-            ended: listens == Some(false),
+            id: &self.id,
+            asked: self.asked,
+            server: self.server.id(),
+            ran_ms: self.ran.map(|ran| ran.as_millis() as u64),
+            ended,
         });
-    });
+        if ended && self.was_to_stay {
+            self.node
+                .note_crash(self.asked, self.server.key(), self.ran);
+        }
+    }
 }
 
 /// Writes that a try failed.
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -89,13 +89,19 @@
 pub(super) const REPEAT_REFUSED: Kind = info(3409, "repeat_refused");
 /// A server broke a request off, and was looked at.
 pub(super) const SERVER_BROKE_OFF: Kind = info(3410, "server_broke_off");
+/// A request is sent to no server any more.
+pub(super) const QUARANTINED: Kind = warn(3411, "quarantined");
+/// A request may be sent to servers again.
+pub(super) const QUARANTINE_RELEASED: Kind = info(3412, "quarantine_released");
+/// The store could not be told what was decided on a request.
+pub(super) const QUARANTINE_NOT_KEPT: Kind = warn(3413, "quarantine_not_kept");
 /// Memory could not be set aside for a prompt.
 pub(super) const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
 /// Memory was not given back; it lapses by itself.
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 33] = [
+pub const ALL: [Kind; 36] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -127,6 +133,9 @@
     CUT_OFF,
     REPEAT_REFUSED,
     SERVER_BROKE_OFF,
+    QUARANTINED,
+    QUARANTINE_RELEASED,
+    QUARANTINE_NOT_KEPT,
     MEMORY_REFUSED,
     MEMORY_NOT_RELEASED,
 ];
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -296,6 +296,30 @@
         /// Whether the server has ended: nobody listens at its address any more.
         ended: bool,
     },
+    /// A request is sent to no server any more.
+    Quarantined {
+        /// What was asked.
+        #[serde(serialize_with = "as_text")]
+        asked: Fingerprint,
+        /// Servers that have ended under it, as far as this host knows.
+        servers: usize,
+        /// Whether this host has seen a part of that itself.
+        first_hand: bool,
+    },
+    /// A request may be sent to servers again.
+    QuarantineReleased {
+        /// What was asked.
+        #[serde(serialize_with = "as_text")]
+        asked: Fingerprint,
+    },
+    /// The store could not be told what was decided on a request.
+    QuarantineNotKept {
+        /// What was asked.
+        #[serde(serialize_with = "as_text")]
+        asked: Fingerprint,
+        /// What was seen.
+        problem: &'a str,
+    },
     /// Memory could not be set aside for a prompt.
     MemoryRefused {
         /// The request.
@@ -369,6 +393,9 @@
             Record::CutOff { .. } => &kind::CUT_OFF,
             Record::RepeatRefused { .. } => &kind::REPEAT_REFUSED,
             Record::ServerBrokeOff { .. } => &kind::SERVER_BROKE_OFF,
+            Record::Quarantined { .. } => &kind::QUARANTINED,
+            Record::QuarantineReleased { .. } => &kind::QUARANTINE_RELEASED,
+            Record::QuarantineNotKept { .. } => &kind::QUARANTINE_NOT_KEPT,
             Record::MemoryRefused { .. } => &kind::MEMORY_REFUSED,
             Record::MemoryNotReleased { .. } => &kind::MEMORY_NOT_RELEASED,
         }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -147,6 +147,9 @@
     let service = route.target(draw).map(|target| target.service.clone());
     let service = service.ok_or_else(|| Refusal::new(ErrorKind::NoCapacity, ELSEWHERE))?;
     let asked = fingerprint(&head, workspace.as_deref(), &body);
+    if let Some(left) = node.bars(asked) {
+        return Err(Refusal::new(ErrorKind::Quarantined, left));
+    }
     Ok(Job {
         ask,
         asked,
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -148,6 +148,8 @@
         let Some(mut placed) = take_up(node, job, &plan, tries).await else {
             continue;
         };
+        // Memory that is set aside and a budget that is asked for take a while.
+        job.clear(node, &life).await?;
         tries.all += 1;
         tell_placed(node, job, &placed.server, &plan, tries.all);
         job.progress
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -1,13 +1,16 @@
 //! A request that was let in: what its caller wants, and how long it waits.
 
 use crate::clock;
-use crate::node::Progress;
+use crate::node::{Node, Progress};
 use crate::translate::{Ask, Prompt};
 use alderglade_core::Name;
+use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::book::PauseClass;
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Route;
 use alderglade_core::fleet::fingerprint::Fingerprint;
+use alderglade_core::fleet::life::{Life, Waiting};
+use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -50,6 +53,19 @@
 }
 
 impl Job {
+    /// Waits until nothing is about to be judged of the request, and refuses it where it is barred from servers.
+    ///
+    /// # Errors
+    ///
+    /// Where it is barred.
+    pub async fn clear(&self, node: &Node, life: &Life<Waiting>) -> Result<(), Refusal> {
+        node.judged(self.asked).await;
+        match node.bars(self.asked) {
+            Some(left) => Err(life.refuse(ErrorKind::Quarantined, left)),
+            None => Ok(()),
+        }
+    }
+
     /// Gives the time that is left.
     pub fn left(&self) -> Duration {
         self.ends.left(clock::now())
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -43,6 +43,8 @@
     pub restarts: IntCounter,
     /// Entries of the store that couldn't be read, counted once for each change of them.
     pub unreadable: IntCounter,
+    /// Requests that are sent to no server, because servers end under them.
+    pub quarantined: IntGauge,
     /// Entry hosts heard of, with this one.
     pub hosts: IntGauge,
     /// Notices of other failure domains' hosts that were passed on in the own one.
@@ -115,6 +117,10 @@
                 "alderglade_unreadable_entries_total",
                 "Entries of the store that can't be read, once for each change.",
             )?,
+            quarantined: IntGauge::new(
+                "alderglade_quarantined",
+                "Requests that are sent to no server, because servers end under them.",
+            )?,
             hosts: IntGauge::new("alderglade_hosts", "Entry hosts heard of.")?,
             passed_on: IntCounter::new(
                 "alderglade_notices_passed_on_total",
@@ -152,7 +158,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn prometheus::core::Collector>; 24] = [
+        let all: [Box<dyn prometheus::core::Collector>; 25] = [
             Box::new(self.answers.clone()),
             Box::new(self.aims.clone()),
             Box::new(self.first.clone()),
@@ -168,6 +174,7 @@
             Box::new(self.passed_over.clone()),
             Box::new(self.restarts.clone()),
             Box::new(self.unreadable.clone()),
+            Box::new(self.quarantined.clone()),
             Box::new(self.hosts.clone()),
             Box::new(self.passed_on.clone()),
             Box::new(self.in_flight.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod outbox;
 mod progress;
+mod quarantine;
 mod reach;
 mod relay;
 mod repeats;
@@ -35,6 +36,7 @@
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::incarnation::Key;
+use alderglade_core::fleet::quarantine::Verdict;
 use alderglade_core::time::Time;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -73,6 +75,10 @@
     lent: Notify,
     /// Wakes whoever waits for the answer of a server that may have started again.
     restarted: Notify,
+    /// What was decided on requests and the store has not been told yet.
+    verdicts: RefCell<Vec<Verdict>>,
+    /// Wakes whoever tells the store.
+    verdicts_made: Notify,
     /// Wakes whoever waits for a reason to ask the store.
     pub word_changed: Notify,
     /// This lifetime of the process; `0` until the store has given it a number.
@@ -111,6 +117,8 @@
             letters_written: Notify::new(),
             lent: Notify::new(),
             restarted: Notify::new(),
+            verdicts: RefCell::default(),
+            verdicts_made: Notify::new(),
             word_changed: Notify::new(),
             incarnation: Cell::new(0),
             stopping_since: watch::Sender::new(None),
@@ -230,6 +238,7 @@
     pub fn tick(&self) {
         let now = clock::now();
         self.client.expire();
+        self.tick_quarantine();
         let mut state = self.state.borrow_mut();
         let dropped = state.directory.expire(now);
         let silent = state.book.expire(now);
--- /dev/null
+++ b/crates/alderglade-serve/src/node/quarantine.rs
@@ -0,0 +1,109 @@
+//! Requests under which servers end, as this host sees them and keeps them from servers.
+
+use super::Node;
+use crate::clock;
+use crate::event::{self, Record};
+use alderglade_core::fleet::fingerprint::Fingerprint;
+use alderglade_core::fleet::incarnation::Key;
+use alderglade_core::fleet::quarantine::{Decision, Quarantine, Told, Verdict};
+use alderglade_core::time::Time;
+use std::time::Duration;
+
+/// How often a request that waits to be judged looks whether it is; some messages between hosts.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+impl Node {
+    /// Gives how much longer a request is sent to no server, if it is barred.
+    pub fn bars(&self, asked: Fingerprint) -> Option<Duration> {
+        self.state.borrow().quarantine.bars(asked, clock::now())
+    }
+
+    /// Says whether a request is suspected: one more end under it, and it is judged.
+    pub fn suspects(&self, asked: Fingerprint) -> bool {
+        self.state.borrow().quarantine.suspects(asked)
+    }
+
+    /// Notes that a server has ended with a request in its hands, which had run there for `ran` if it had begun.
+    pub fn note_crash(&self, asked: Fingerprint, server: Key, ran: Option<Duration>) {
+        self.with_quarantine(|quarantine, now| quarantine.note_crash(asked, server, ran, now));
+        self.book_changed.notify_one();
+    }
+
+    /// Notes that a request was answered to its end.
+    pub fn note_sound(&self, asked: Fingerprint) {
+        self.with_quarantine(|quarantine, now| quarantine.note_sound(asked, now));
+    }
+
+    /// Takes what another host tells of such requests.
+    pub fn hear_quarantine(&self, told: &[Told]) {
+        if told.is_empty() {
+            return;
+        }
+        self.with_quarantine(|quarantine, now| {
+            told.iter().for_each(|told| quarantine.hear(told, now));
+        });
+    }
+
+    /// Waits while a request is about to be judged.
+    pub async fn judged(&self, asked: Fingerprint) {
+        while self.state.borrow().quarantine.judges(asked, clock::now()) {
+            tokio::time::sleep(LOOK_AGAIN).await;
+            self.with_quarantine(Quarantine::judge);
+        }
+    }
+
+    /// Judges what is settled by now, and lets lapse what is over its time.
+    pub(super) fn tick_quarantine(&self) {
+        self.with_quarantine(|quarantine, now| {
+            quarantine.judge(now);
+            quarantine.expire(now);
+        });
+    }
+
+    /// Waits until the store should be told what was decided on requests, and gives it.
+    pub async fn decided(&self) -> Vec<Verdict> {
+        loop {
+            let decided = std::mem::take(&mut *self.verdicts.borrow_mut());
+            if !decided.is_empty() {
+                return decided;
+            }
+            self.verdicts_made.notified().await;
+        }
+    }
+
+    /// Has something noted, and tells what was decided by it.
+    pub(super) fn with_quarantine(&self, act: impl FnOnce(&mut Quarantine, Time)) {
+        let mut state = self.state.borrow_mut();
+        act(&mut state.quarantine, clock::now());
+        let verdicts = state.quarantine.take_verdicts();
+        if verdicts.is_empty() {
+            return;
+        }
+        self.metrics.quarantined.set(state.quarantine.len() as i64);
+        let watches = state.watches_store();
+        drop(state);
+        verdicts.iter().for_each(tell);
+        let kept = |verdict: &Verdict| {
+            // What is over its time is taken out of the store by those that watch it.
+            verdict.first_hand || (watches && verdict.decision == Decision::Released)
+        };
+        self.verdicts
+            .borrow_mut()
+            .extend(verdicts.into_iter().filter(kept));
+        self.verdicts_made.notify_one();
+        self.book_changed.notify_one();
+    }
+}
+
+/// Writes what was decided on a request.
+fn tell(verdict: &Verdict) {
+    let asked = verdict.asked;
+    event::write(&match verdict.decision {
+        Decision::Barred(servers) => Record::Quarantined {
+            asked,
+            servers,
+            first_hand: verdict.first_hand,
+        },
+        Decision::Released => Record::QuarantineReleased { asked },
+    });
+}
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -15,6 +15,7 @@
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::loan::Questions;
 use alderglade_core::fleet::message::Message;
+use alderglade_core::fleet::quarantine::Quarantine;
 use alderglade_core::fleet::reach::Reach;
 use alderglade_core::fleet::relay::{Relay, Role};
 use alderglade_core::time::Time;
@@ -33,6 +34,8 @@
     pub book: Book,
     /// What was learnt of servers.
     pub health: Health,
+    /// What is known of requests under which servers end.
+    pub quarantine: Quarantine,
     /// The age of the store's word.
     pub freshness: Freshness,
     /// Whether the store is in reach.
@@ -69,6 +72,7 @@
             directory: Directory::default(),
             book: Book::default(),
             health: Health::default(),
+            quarantine: Quarantine::default(),
             freshness: Freshness::default(),
             reach: Reach::default(),
             config_fault: None,
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -7,6 +7,7 @@
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::directory::{Change, Listing};
 use alderglade_core::fleet::faults::Fault;
+use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::time::Time;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +43,10 @@
     Host(Host),
     /// An entry host has left the store.
     HostGone(Name),
+    /// A request is sent to no server for so much longer.
+    Quarantined(Fingerprint, Duration),
+    /// A request may be sent again.
+    Released(Fingerprint),
     /// Nothing newer existed at this time.
     Confirmed(Time),
     /// The store gives no answer.
@@ -89,6 +94,12 @@
                 self.host_faults(|faults| faults.clear(&name));
                 self.state.borrow_mut().hosts.remove(&name);
             }
+            News::Quarantined(asked, left) => {
+                self.with_quarantine(|quarantine, now| quarantine.learn(asked, left, now));
+            }
+            News::Released(asked) => {
+                self.with_quarantine(|quarantine, now| quarantine.release(asked, now));
+            }
             News::Confirmed(at) => self.state.borrow_mut().freshness.confirm(at),
             News::Lost(problem) => self.store_lost(&problem),
             News::Answered => self.store_answered(now),
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -75,6 +75,7 @@
         });
     }
     drop(state);
+    node.hear_quarantine(&notice.quarantine);
     node.take_word(&notice.word);
 }
 
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -116,7 +116,7 @@
         self.sequence.set(self.sequence.get() + 1);
         let word = self.node.word();
         let interval = self.node.heartbeat();
-        let state = self.node.state.borrow();
+        let state = &mut *self.node.state.borrow_mut();
         Notice {
             host: self.node.settings.host.clone(),
             domain: self.node.settings.domain.clone(),
@@ -129,6 +129,7 @@
             word,
             leaving: state.directory.leaving(),
             passed_over: state.health.told_passed_over(clock::now()),
+            quarantine: state.quarantine.tell(whole, clock::now()),
             holdings,
         }
     }
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -109,6 +109,7 @@
             match self.pass_on_events(&mut part).await {
                 Ok(()) => {
                     self.node.note(part.server.key(), Outcome::Sound);
+                    self.node.note_sound(self.job.asked);
                     part.connection.recycle();
                     return End::Whole;
                 }
@@ -122,7 +123,7 @@
                 },
                 Err(Break::Failed(problem)) => {
                     self.note_failed(&part, &problem);
-                    attempt::broken_off(&self.node, &self.job, &part.server, part.began);
+                    attempt::broken_off(&self.node, &self.job, &part.server, part.began).await;
                     // What was taken up at the server is given back before another one is looked for.
                     drop(part);
                     if !self.may_resume() {
--- a/crates/alderglade-serve/src/relay/take_over.rs
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -45,7 +45,7 @@
                 frame = part.frame(), if !failed => match frame {
                     Some(Err(error)) => {
                         log::debug!("silent server {} failed: {error}", part.server.id());
-                        attempt::broken_off(&self.node, &self.job, &part.server, part.began);
+                        attempt::broken_off(&self.node, &self.job, &part.server, part.began).await;
                         part.give_back();
                         failed = true;
                     }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -74,6 +74,7 @@
             Some(server) => server,
             None => next_server(node, job, &life, &tried, sends).await?,
         };
+        job.clear(node, &life).await?;
         tried.push(server.key());
         sends += 1;
         let more = sends < job.route.max_attempts;
@@ -216,7 +217,7 @@
         Err(error) => {
             attempt::tell(job, server, number, &error.to_string());
             node.note(server.key(), Outcome::Failed);
-            attempt::broken_off(node, job, server, None);
+            attempt::broken_off(node, job, server, None).await;
             return Err(Miss::Lost);
         }
     };
@@ -235,6 +236,9 @@
         Outcome::Sound
     };
     node.note(server.key(), outcome);
+    if outcome == Outcome::Sound {
+        node.note_sound(job.asked);
+    }
     Ok(response)
 }
 
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -4,11 +4,13 @@
 use alderglade_core::fleet::book::{Book, Demand, Hold, Holding, Load, Notice};
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::directory::Directory;
+use alderglade_core::fleet::fingerprint::Content;
 use alderglade_core::fleet::health::{Health, PassedOver};
 use alderglade_core::fleet::incarnation::Incarnation;
 use alderglade_core::fleet::loan::Questions;
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::quarantine::{Fact, Quarantine, Told};
 use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use arbtest::arbitrary::{Result, Unstructured};
@@ -32,6 +34,7 @@
     directory: Directory,
     health: Health,
     questions: Questions,
+    quarantine: Quarantine,
 }
 
 impl Host {
@@ -44,6 +47,7 @@
             directory: Directory::default(),
             health: Health::default(),
             questions: Questions::new(0),
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -71,6 +75,10 @@
         for told in &notice.passed_over {
             self.health.hear_passed_over(told, now);
         }
+        for told in &notice.quarantine {
+            self.quarantine.hear(told, now);
+        }
+        self.quarantine.expire(now);
         self.book.hear(notice, now);
         self.book.expire(now);
         for number in 0..3 {
@@ -93,6 +101,31 @@
     })
 }
 
+fn told(u: &mut Unstructured<'_>) -> Result<Told> {
+    let content = Content {
+        workspace: None,
+        method: "GET",
+        host: "one.example",
+        target: "/",
+        body: &[u.arbitrary()?],
+    };
+    let fact = match u.int_in_range(0..=2)? {
+        0 => Fact::Crash {
+            server: engine(u.int_in_range(0..=9)?).key(),
+            begun: u.arbitrary()?,
+            age_ms: u.arbitrary()?,
+        },
+        1 => Fact::Sound {
+            age_ms: u.arbitrary()?,
+        },
+        _ => Fact::Barred {
+            left_s: u.arbitrary()?,
+        },
+    };
+    let asked = content.fingerprint();
+    Ok(Told { asked, fact })
+}
+
 fn notice(u: &mut Unstructured<'_>, sequence: u64) -> Result<Notice> {
     let mut holdings = Vec::new();
     for _ in 0..u.int_in_range(0..=4)? {
@@ -122,6 +155,7 @@
         word: Word::default(),
         leaving: vec![engine(1).key()],
         passed_over: vec![passed_over],
+        quarantine: vec![told(u)?],
         holdings,
     })
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -137,6 +137,7 @@
             word: Word::default(),
             leaving: Vec::new(),
             passed_over: Vec::new(),
+            quarantine: Vec::new(),
             holdings: if whole {
                 self.book.whole(Time(0))
             } else {
