All that is held by the steady clock goes by one that goes on while the host is suspended

Cause: the clock of the process stood still while its host was suspended. Keys would have been trusted for that much longer than the bound, callers' time limits, loans of the budget, the window in which requests earn repeats, leases of orders, peers' silence and pauses of servers would have been younger than they are.

Change: a crate of its own reads the clock that goes on (`alderglade-clock`); both daemons take it. The runtime's timers stand still all the same: a look with each heartbeat notices a suspension (3006), and wakes all waits that are longer than a heartbeat, so that none ends later than that after its time. Threads of the product's own daemon that wait for instructions look at the time each quarter of a second.

Not tried: a real suspension (no way without privileges); the wake-up is tested by a clock that the test moves.

--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -255,7 +255,7 @@
     /// Opens a connection.
     async fn connect(&self, address: SocketAddr) -> Result<Link, Error> {
         let unreachable = |reason: String| Error::Unreachable { reason };
-        let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address))
+        let stream = clock::timeout(CONNECT, TcpStream::connect(address))
             .await
             .map_err(|_| unreachable(format!("none within {} ms", CONNECT.as_millis())))?
             .map_err(|error| match error.kind() {
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -37,6 +37,8 @@
 pub(super) const RELOADED: Kind = info(3004, "reloaded");
 /// Lines were left out.
 pub(super) const LINES_DROPPED: Kind = warn(3005, "lines_dropped");
+/// The host was suspended.
+pub(super) const SUSPENDED: Kind = warn(3006, "suspended");
 /// A newer configuration is in force.
 pub(super) const CONFIG_IN_FORCE: Kind = info(3101, "config_in_force");
 /// A configuration could not be read and is passed over.
@@ -101,12 +103,13 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 36] = [
+pub const ALL: [Kind; 37] = [
     STARTED,
     STOPPING,
     STOPPED,
     RELOADED,
     LINES_DROPPED,
+    SUSPENDED,
     CONFIG_IN_FORCE,
     CONFIG_UNREADABLE,
     SERVERS_CHANGED,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -44,6 +44,11 @@
         /// What came of it.
         outcome: &'a str,
     },
+    /// The host was suspended.
+    Suspended {
+        /// For how long, in milliseconds.
+        span_ms: u64,
+    },
     /// A newer configuration is in force.
     ConfigInForce {
         /// Its version.
@@ -366,6 +371,7 @@
             Record::Stopping { .. } => &kind::STOPPING,
             Record::Stopped { .. } => &kind::STOPPED,
             Record::Reloaded { .. } => &kind::RELOADED,
+            Record::Suspended { .. } => &kind::SUSPENDED,
             Record::LinesDropped { .. } => &kind::LINES_DROPPED,
             Record::ConfigInForce { .. } => &kind::CONFIG_IN_FORCE,
             Record::ConfigUnreadable { .. } => &kind::CONFIG_UNREADABLE,
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -230,7 +230,7 @@
 /// Takes a whole body, within its bound and its time.
 async fn read_body(body: Incoming, most: usize, ends: Time) -> Result<Bytes, Refusal> {
     let collect = Limited::new(body, most).collect();
-    match tokio::time::timeout_at(clock::instant(ends), collect).await {
+    match clock::timeout_at(ends, collect).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(Refusal::new(ErrorKind::TooLarge, Duration::ZERO))
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -285,7 +285,7 @@
         {
             return plan;
         }
-        tokio::time::sleep(attempt::LOOK_AGAIN).await;
+        clock::sleep(attempt::LOOK_AGAIN).await;
     }
 }
 
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -1,6 +1,7 @@
 //! Waits until a prompt should be sent, and says to which engines.
 
 use super::{COME_BACK, Tries};
+use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
 use crate::node::{InLine, Node};
@@ -56,7 +57,7 @@
                 if let Some(line) = &mut line {
                     line.tell();
                 }
-                tokio::time::sleep(wait.look_again).await;
+                clock::sleep(wait.look_again).await;
             }
         }
     }
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -106,7 +106,7 @@
 async fn ends_at_rest(node: &Node) {
     let opened = clock::now();
     node.takes_no_more().await;
-    tokio::time::sleep_until(clock::instant(opened + FIRST_REQUEST)).await;
+    clock::sleep_until(opened + FIRST_REQUEST).await;
 }
 
 /// Waits until a connection over which no request has come, but maybe a part of its head, had its time for the rest.
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -27,7 +27,7 @@
                 Some(Errand::Watch) => return Errand::Watch,
                 Some(Errand::Fetch(pause)) => {
                     let behind = topic == Topic::Config && self.is_behind();
-                    tokio::time::sleep(pause).await;
+                    clock::sleep(pause).await;
                     // Meanwhile a watcher may have told what has changed.
                     if !behind || self.is_behind() {
                         return Errand::Fetch(Duration::ZERO);
--- a/crates/alderglade-serve/src/node/stop.rs
+++ b/crates/alderglade-serve/src/node/stop.rs
@@ -144,7 +144,7 @@
             Err(_) => None,
         };
         if let Some(began) = began {
-            tokio::time::sleep_until(clock::instant(began + span)).await;
+            clock::sleep_until(began + span).await;
         }
     }
 }
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -115,7 +115,7 @@
             }
         };
         // In vain or not, what is known then counts.
-        let _ = tokio::time::timeout(patience, known).await;
+        let _ = clock::timeout(patience, known).await;
         self.state.borrow().config.clone()
     }
 
--- a/crates/alderglade-serve/src/order.rs
+++ b/crates/alderglade-serve/src/order.rs
@@ -1,6 +1,7 @@
 //! Calls to engines beside the requests that they serve: memory set aside, and questions.
 
 use crate::client::Client;
+use crate::clock;
 use crate::translate::Order;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -54,7 +55,7 @@
         let exchange = client.send(address, request, false).await?;
         exchange.collect().await
     };
-    match tokio::time::timeout(LIMIT, exchange).await {
+    match clock::timeout(LIMIT, exchange).await {
         Err(_) => Err(Error::Silent),
         Ok(answer) => answer.context(ContactSnafu),
     }
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -5,8 +5,10 @@
 mod hear;
 mod tell;
 
+use crate::clock;
 use crate::event::{self, Record};
 use crate::node::Node;
+use alderglade_clock::Suspension;
 use alderglade_core::fleet::heartbeat;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,10 +25,12 @@
     tokio::task::spawn_local(hear::run(node.clone(), socket));
     tokio::task::spawn_local(tell_changes(node.clone(), teller.clone()));
     tokio::task::spawn_local(send_letters(node.clone(), teller.clone()));
+    let mut suspension = Suspension::default();
     let mut beat = tokio::time::interval(heartbeat::SHORTEST);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     for number in 0u64.. {
         beat.tick().await;
+        clock::watch(&mut suspension);
         node.tick();
         teller.heartbeat().await;
         teller.ask(number).await;
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -214,7 +214,7 @@
 
     /// Waits for the next frame of a server.
     async fn next_frame(&self, part: &mut Part) -> Result<Frame, Break> {
-        let ends = clock::instant(self.job.ends);
+        let ends = self.job.ends;
         let (silence, may_resume) = (part.silence, self.may_resume());
         tokio::select! {
             // What is there goes before any sign that there was nothing.
@@ -224,7 +224,7 @@
             }),
             () = clock::patience(silence), if may_resume => Err(Break::Silent),
             () = self.pieces.closed() => Err(Break::End(End::CallerLeft)),
-            () = tokio::time::sleep_until(ends) => Err(Break::End(End::Expired)),
+            () = clock::sleep_until(ends) => Err(Break::End(End::Expired)),
         }
     }
 
--- a/crates/alderglade-serve/src/relay/take_over.rs
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -29,7 +29,7 @@
             self.note_failed(part, "silence");
         }
         part.held.set_aside();
-        let ends = clock::instant(self.job.ends);
+        let ends = self.job.ends;
         let last_event = self.last_event.clone();
         let reopen = generate::open(&self.node, &self.job, &mut self.tries, last_event);
         tokio::pin!(reopen);
@@ -56,7 +56,7 @@
                     }
                 },
                 () = self.pieces.closed() => return Err(End::CallerLeft),
-                () = tokio::time::sleep_until(ends) => return Err(End::Expired),
+                () = clock::sleep_until(ends) => return Err(End::Expired),
             }
         }
     }
--- a/crates/alderglade-serve/src/slowdown.rs
+++ b/crates/alderglade-serve/src/slowdown.rs
@@ -67,7 +67,7 @@
             return;
         }
         node.note_slow(server, slowdown);
-        tokio::time::sleep(ASK_AGAIN).await;
+        clock::sleep(ASK_AGAIN).await;
         if !node.state.borrow().health.looks_after(server) {
             return;
         }
--- a/crates/alderglade-serve/src/ticket.rs
+++ b/crates/alderglade-serve/src/ticket.rs
@@ -3,6 +3,7 @@
 //! All shares are taken or none. They are renewed while the prompt is served and given back on every
 //! path; after a kill of this process they lapse by themselves, because each is held only briefly.
 
+use crate::clock;
 use crate::event::{self, Record};
 use crate::node::Node;
 use crate::order;
@@ -99,7 +100,7 @@
         let taken = self.taken.clone();
         let task = tokio::task::spawn_local(async move {
             loop {
-                tokio::time::sleep(hold / RENEWALS).await;
+                clock::sleep(hold / RENEWALS).await;
                 for one in &taken {
                     renew(&node, one, hold).await;
                 }
@@ -183,7 +184,7 @@
             Ok(_) => return,
             Err(error) => problem = error.to_string(),
         }
-        tokio::time::sleep(RELEASE_PAUSE).await;
+        clock::sleep(RELEASE_PAUSE).await;
     }
     event::write(&Record::MemoryNotReleased {
         server: taken.server.id(),
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -182,7 +182,7 @@
         {
             return server;
         }
-        tokio::time::sleep(attempt::LOOK_AGAIN).await;
+        clock::sleep(attempt::LOOK_AGAIN).await;
     }
 }
 
--- a/crates/alderglade-serve/tests/testsuite/main.rs
+++ b/crates/alderglade-serve/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod answer;
 mod client;
+mod clock;
 mod event;
 mod message;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -3,6 +3,7 @@
 use super::engines::Engines;
 use super::outside::Platform;
 use super::snapshot::{Published, Snapshot};
+use alderglade_clock::Instant;
 use alderglade_core::Name;
 use alderglade_core::inflight::Submission;
 use alderglade_core::ledger::Outcome;
@@ -18,7 +19,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Time is let pass this often.
 const TICK: Duration = Duration::from_millis(20);
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -6,6 +6,7 @@
 use super::engines::Engines;
 use super::snapshot::Published;
 use alderglade_backend::wire::Order;
+use alderglade_clock::Instant;
 use alderglade_core::Name;
 use alderglade_core::lease::{Action, Candidate, Held};
 use alderglade_core::settings::{Tree, tree};
@@ -14,7 +15,7 @@
 use alderglade_platform::{Client, lease};
 use std::collections::BTreeMap;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Time is let pass this often.
 const TICK: Duration = Duration::from_millis(500);
--- a/src/entry/outside.rs
+++ b/src/entry/outside.rs
@@ -7,6 +7,7 @@
 use super::control::{Input, wall_ms};
 use super::pool::Pool;
 use super::snapshot::Published;
+use alderglade_clock::Instant;
 use alderglade_core::Name;
 use alderglade_core::ledger;
 use alderglade_core::node::Event;
@@ -20,7 +21,7 @@
 use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Hosts of a failure domain that hold a watch.
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -9,6 +9,7 @@
 use super::traffic::{self, Traffic};
 use super::{Error, SignalSnafu};
 use alderglade_caller::listen::Door;
+use alderglade_clock::Instant;
 use alderglade_core::lease::Candidate;
 use alderglade_core::membership::Card;
 use alderglade_core::node::{Config, Event, Node};
@@ -27,7 +28,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::mpsc::{Sender, channel};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Answers get at least this long to leave once the last request is done, and fallbacks once answers
 /// are given up.
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -14,6 +14,7 @@
 use alderglade_caller::answer::{Answer, Closing, Usage};
 use alderglade_caller::ask::{self, Fault, Headers};
 use alderglade_caller::listen::{Handler, Request};
+use alderglade_clock::Instant;
 use alderglade_core::Name;
 use alderglade_core::error::Kind;
 use alderglade_core::inflight::{Submission, Work};
@@ -30,7 +31,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The control thread answers a request at its deadline; only if it doesn't does the request's
@@ -225,6 +226,23 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Waits for what to do next until a little after the time is up. The wait stands still while the host is suspended, the
+    /// time doesn't: it is looked at in between.
+    fn receive(&self) -> Result<Instruction, RecvTimeoutError> {
+        loop {
+            let left = self.left();
+            let wait = if left.is_zero() {
+                GRACE
+            } else {
+                left.min(GRACE)
+            };
+            match self.instructions.recv_timeout(wait) {
+                Err(RecvTimeoutError::Timeout) if !left.is_zero() => {}
+                received => return received,
+            }
+        }
+    }
+
     /// Moves the request's life on.
     fn turn(&mut self, turn: impl FnOnce(Life) -> Life) {
         self.life = self.life.take().map(turn);
@@ -240,7 +258,7 @@
     /// Waits for what to do next; the time being up is an answer, and so is the end of the control thread.
     fn next(&self) -> Instruction {
         let sent = self.life.as_ref().is_some_and(Life::is_sent);
-        let kind = match self.instructions.recv_timeout(self.left() + GRACE) {
+        let kind = match self.receive() {
             Ok(instruction) => return instruction,
             Err(_) if sent => Kind::ExpiredRunning,
             Err(RecvTimeoutError::Timeout) => Kind::ExpiredWaiting,
--- a/src/entry/traffic/generate.rs
+++ b/src/entry/traffic/generate.rs
@@ -10,6 +10,7 @@
 use alderglade_backend::wire::Completion;
 use alderglade_caller::answer::{Answer, Closing, Token};
 use alderglade_caller::ask::{Fault, Generate, Headers};
+use alderglade_clock::Instant;
 use alderglade_core::Name;
 use alderglade_core::error::Kind;
 use alderglade_core::gang::RENEW_EVERY;
@@ -22,7 +23,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A pause without a token that means the engine is lost, beside the time for the prefill.
