An end of a server also shows in its entry, where something else goes on to listen at its address

What a server broke off is remembered for eight seconds; it counts when nobody listens at the address, or the entry has gone or is of a later start, and not where the server answers again.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -254,6 +254,11 @@
         entry.is_open().then_some(&entry.server)
     }
 
+    /// Says whether an incarnation of a server is known and not over, whether it takes new work or not.
+    pub fn knows(&self, key: Key) -> bool {
+        self.ids.contains_key(&key)
+    }
+
     /// Gives the server that is reached at an address; of several, one that new work may go to.
     pub fn at(&self, address: SocketAddr) -> Option<&Server> {
         let entries = self.entries.values();
--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -13,6 +13,7 @@
 //! Facts only add up, and each names one lifetime of a server: told late, twice or in another order they come to the same.
 //! They are judged when all hosts have told theirs ([`SETTLED`]); what is to be judged waits for that.
 
+mod broken;
 mod evidence;
 mod told;
 
@@ -21,6 +22,7 @@
 use super::fingerprint::Fingerprint;
 use super::incarnation::Key;
 use crate::time::Time;
+use broken::{Breaks, Broken};
 use evidence::{Crash, Suspect};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -71,6 +73,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// What servers have broken off of which it is not known whether they have ended.
+    breaks: Breaks,
     /// Until when each request is barred.
     barred: BTreeMap<Fingerprint, Time>,
     /// What this host tells the others.
@@ -96,8 +100,9 @@
         self.barred.is_empty()
     }
 
-    /// Notes that a server has ended with a request in its hands, which had run there for `ran` if it had begun.
-    pub fn note_crash(
+    /// Notes that a server broke a request off, which had run there for `ran` if it had begun. The connection shows only
+    /// that it broke: it counts where [`Quarantine::note_ended`] follows.
+    pub fn note_broken(
         &mut self,
         asked: Fingerprint,
         server: Key,
@@ -107,19 +112,42 @@
         if ran.is_some_and(|ran| ran > BEGINS) {
             return;
         }
-        let begun = ran.is_some();
-        let crash = Crash {
+        self.breaks.add(Broken {
+            asked,
             server,
+            begun: ran.is_some(),
             at: now,
-            begun,
-        };
-        if self.add(asked, crash) {
-            self.own.push(Own::new(asked, Fact::crash(&crash), now));
+        });
+    }
+
+    /// Lists the servers that broke something off lately and are not known to live or to have ended.
+    pub fn in_doubt(&mut self, now: Time) -> BTreeSet<Key> {
+        self.breaks.servers(now)
+    }
+
+    /// Notes that a server has ended: what it broke off was in its hands then.
+    pub fn note_ended(&mut self, server: Key, now: Time) {
+        for broken in self.breaks.take(server) {
+            let crash = Crash {
+                server,
+                at: now,
+                begun: broken.begun,
+            };
+            if self.add(broken.asked, crash) {
+                let fact = Fact::crash(&crash);
+                self.own.push(Own::new(broken.asked, fact, now));
+            }
         }
     }
 
+    /// Notes that a server has answered: it lives, whatever it broke off before.
+    pub fn note_alive(&mut self, server: Key) {
+        self.breaks.take(server);
+    }
+
     /// Notes that a request was answered to its end: no end of a server before that was its fault.
     pub fn note_sound(&mut self, asked: Fingerprint, now: Time) {
+        self.breaks.clear(asked);
         if self.clear(asked, now, true) {
             self.own.push(Own::new(asked, Fact::sound(), now));
         }
--- a/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
@@ -29,6 +29,18 @@
     key(&format!("s{number}"))
 }
 
+/// Notes that a server has ended with a request in its hands.
+fn crash(
+    quarantine: &mut Quarantine,
+    asked: Fingerprint,
+    server: Key,
+    ran: Option<Duration>,
+    now: Time,
+) {
+    quarantine.note_broken(asked, server, ran, now);
+    quarantine.note_ended(server, now);
+}
+
 /// A host that sees everything itself, and its clock.
 #[derive(Default)]
 struct Host {
@@ -41,8 +53,9 @@
     fn ends(&mut self, number: usize, bodies: &[&str]) {
         for body in bodies {
             self.quarantine
-                .note_crash(asked(body), server(number), SHORTLY, self.now);
+                .note_broken(asked(body), server(number), SHORTLY, self.now);
         }
+        self.quarantine.note_ended(server(number), self.now);
         self.pass(SETTLED);
     }
 
@@ -126,12 +139,22 @@
     let mut host = Host::default();
     let mut now = Time::from_millis(1_000);
     for number in 1..4 {
-        host.quarantine
-            .note_crash(asked("beside"), server(number), SHORTLY, now);
+        crash(
+            &mut host.quarantine,
+            asked("beside"),
+            server(number),
+            SHORTLY,
+            now,
+        );
         host.quarantine.judge(now);
         now = now + Duration::from_millis(10);
-        host.quarantine
-            .note_crash(asked("fatal"), server(number), SHORTLY, now);
+        crash(
+            &mut host.quarantine,
+            asked("fatal"),
+            server(number),
+            SHORTLY,
+            now,
+        );
         host.quarantine.judge(now);
         now = now + Duration::from_millis(300);
     }
@@ -147,8 +170,7 @@
     let end = host.now;
     for body in ["fatal", "beside"] {
         assert!(!host.quarantine.judges(asked(body), end));
-        host.quarantine
-            .note_crash(asked(body), server(3), SHORTLY, end);
+        crash(&mut host.quarantine, asked(body), server(3), SHORTLY, end);
         assert!(host.quarantine.judges(asked(body), end));
     }
     host.pass(SETTLED);
@@ -162,8 +184,7 @@
     for number in 1..4 {
         let now = host.now;
         let waiting = asked("waiting");
-        host.quarantine
-            .note_crash(waiting, server(number), None, now);
+        crash(&mut host.quarantine, waiting, server(number), None, now);
         host.ends(number, &["fatal"]);
     }
     assert!(host.bars("fatal"));
@@ -177,8 +198,13 @@
     for number in 0..20 {
         let ran = Some(Duration::from_millis(2_100));
         let now = host.now;
-        host.quarantine
-            .note_crash(asked("long"), server(number), ran, now);
+        crash(
+            &mut host.quarantine,
+            asked("long"),
+            server(number),
+            ran,
+            now,
+        );
         host.ends(number, &[]);
     }
     assert!(!host.bars("long"));
@@ -201,6 +227,43 @@
     assert!(!host.bars("sound"));
 }
 
+/// Connections break for other reasons; a server that goes on to answer has not ended.
+#[test]
+fn what_was_broken_off_counts_only_where_its_server_has_ended() {
+    let mut host = Host::default();
+    for number in 1..9 {
+        let now = host.now;
+        let (asked, server) = (asked("fatal"), server(number));
+        host.quarantine.note_broken(asked, server, SHORTLY, now);
+        if number % 2 == 0 {
+            host.quarantine.note_alive(server);
+            host.quarantine.note_ended(server, now);
+        }
+        host.pass(SETTLED);
+    }
+    assert!(!host.bars("fatal"));
+    assert_eq!(host.quarantine.in_doubt(host.now).len(), 4);
+    for number in [1, 3, 5] {
+        host.quarantine.note_ended(server(number), host.now);
+    }
+    host.pass(SETTLED);
+    assert!(host.bars("fatal"), "known late, when their entries went");
+}
+
+#[test]
+fn what_an_end_far_later_has_to_do_with_a_break_is_not_supposed() {
+    let mut host = Host::default();
+    for number in 1..4 {
+        let now = host.now;
+        host.quarantine
+            .note_broken(asked("long ago"), server(number), SHORTLY, now);
+    }
+    host.pass(Duration::from_secs(10));
+    assert!(host.quarantine.in_doubt(host.now).is_empty());
+    (1..4).for_each(|number| host.ends(number, &[]));
+    assert!(!host.bars("long ago"));
+}
+
 #[test]
 fn two_fatal_requests_are_told_apart() {
     let mut host = Host::default();
@@ -272,10 +335,10 @@
             let mut now = Time::from_millis(1_000);
             for end in 0..4 {
                 let host = u.int_in_range(0..=3)?;
-                hosts[host].note_crash(asked("fatal"), server(end), SHORTLY, now);
+                crash(&mut hosts[host], asked("fatal"), server(end), SHORTLY, now);
                 if end > 0 {
                     let host = u.int_in_range(0..=3)?;
-                    hosts[host].note_crash(asked("beside"), server(end), SHORTLY, now);
+                    crash(&mut hosts[host], asked("beside"), server(end), SHORTLY, now);
                 }
                 exchange(u, &mut hosts, now)?;
                 hosts.iter_mut().for_each(|host| host.judge(now));
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -124,11 +124,14 @@
     /// Some ways there and back between failure domains; who is dark takes longer, and has not ended.
     const PATIENCE: Duration = Duration::from_millis(50);
     let ran = began.map(|began| clock::now().since(began));
+    // A server that was leaving has ended as it was asked to, whatever it still had.
+    if node.server(server.key()).is_some() {
+        node.note_broken(job.asked, server.key(), ran);
+    }
     let broken_off = BrokenOff {
         node: node.clone(),
         id: job.ask.id.clone(),
         asked: job.asked,
-        was_to_stay: node.server(server.key()).is_some(),
         server: server.clone(),
         ran,
     };
@@ -145,8 +148,6 @@
     id: Name,
     asked: Fingerprint,
     server: Server,
-    /// Whether the server was not leaving: one that was has ended as it was asked to, whatever it still had.
-    was_to_stay: bool,
     /// How long the request had run there, if it had begun.
     ran: Option<Duration>,
 }
@@ -163,9 +164,8 @@
             ran_ms: self.ran.map(|ran| ran.as_millis() as u64),
             ended,
         });
-        if ended && self.was_to_stay {
-            self.node
-                .note_crash(self.asked, self.server.key(), self.ran);
+        if ended {
+            self.node.note_ended(self.server.key());
         }
     }
 }
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -201,7 +201,11 @@
     /// Notes how a call to a server ended.
     pub fn note(&self, server: Key, outcome: Outcome) {
         let now = clock::now();
-        self.state.borrow_mut().health.note(server, outcome, now);
+        let mut state = self.state.borrow_mut();
+        state.health.note(server, outcome, now);
+        if outcome == Outcome::Sound {
+            state.quarantine.note_alive(server);
+        }
     }
 
     /// Notes that the server at an address refuses work, by the word of the one that was `asked`, and has
--- a/crates/alderglade-serve/src/node/quarantine.rs
+++ b/crates/alderglade-serve/src/node/quarantine.rs
@@ -23,9 +23,14 @@
         self.state.borrow().quarantine.suspects(asked)
     }
 
-    /// Notes that a server has ended with a request in its hands, which had run there for `ran` if it had begun.
-    pub fn note_crash(&self, asked: Fingerprint, server: Key, ran: Option<Duration>) {
-        self.with_quarantine(|quarantine, now| quarantine.note_crash(asked, server, ran, now));
+    /// Notes that a server broke a request off, which had run there for `ran` if it had begun.
+    pub fn note_broken(&self, asked: Fingerprint, server: Key, ran: Option<Duration>) {
+        self.with_quarantine(|quarantine, now| quarantine.note_broken(asked, server, ran, now));
+    }
+
+    /// Notes that a server has ended.
+    pub fn note_ended(&self, server: Key) {
+        self.with_quarantine(|quarantine, now| quarantine.note_ended(server, now));
         self.book_changed.notify_one();
     }
 
@@ -54,12 +59,27 @@
 
     /// Judges what is settled by now, and lets lapse what is over its time.
     pub(super) fn tick_quarantine(&self) {
+        for server in self.gone_in_doubt() {
+            self.note_ended(server);
+        }
         self.with_quarantine(|quarantine, now| {
             quarantine.judge(now);
             quarantine.expire(now);
         });
     }
 
+    /// Lists the servers that broke something off and have gone since, or started again: who listens at their address may be
+    /// another process, so that this is the only sign of their end.
+    fn gone_in_doubt(&self) -> Vec<Key> {
+        let state = &mut *self.state.borrow_mut();
+        let in_doubt = state.quarantine.in_doubt(clock::now());
+        let directory = &state.directory;
+        in_doubt
+            .into_iter()
+            .filter(|server| !directory.knows(*server))
+            .collect()
+    }
+
     /// Waits until the store should be told what was decided on requests, and gives it.
     pub async fn decided(&self) -> Vec<Verdict> {
         loop {
