Where many servers end, three ends are no proof against a request

An end is now held against the other ends that hosts tell of: where as many servers end without the request, from two seconds before its first end on, it takes five.

--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -7,8 +7,9 @@
 //! A server that ends takes everything with it that it has in hand, and what it had meets again at the next one, because
 //! all hosts hold the same one best. To be there is therefore no proof. A request is held guilty of [`ENOUGH`] ends only
 //! where no other one explains them: those at most ends go first, and what was beside them is explained by them. Of two
-//! that were at the same ends neither is barred before another end parts them, or [`MOST`] have come. An answer that
-//! comes to its end clears its request of all that was before.
+//! that were at the same ends neither is barred before another end parts them, or [`MOST`] have come; nor is one where as
+//! many servers end without it at the same time, as when a rack fails. An answer that comes to its end clears its request
+//! of all that was before.
 //!
 //! Facts only add up, and each names one lifetime of a server: told late, twice or in another order they come to the same.
 //! They are judged when all hosts have told theirs ([`SETTLED`]); what is to be judged waits for that.
@@ -23,7 +24,7 @@
 use super::incarnation::Key;
 use crate::time::Time;
 use broken::{Breaks, Broken};
-use evidence::{Crash, Suspect};
+use evidence::{Crash, Ends, Suspect};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use told::Own;
@@ -31,8 +32,8 @@
 /// Ends of servers that show that a request causes them. One may be chance, two may be where many end at once; the users
 /// allow three.
 const ENOUGH: usize = 3;
-/// Ends from which on a request is barred even if another one was at all of them too: three sends beyond the third end
-/// are the most that users allow.
+/// Ends from which on a request is barred even if others were at all of them too, or many servers ended beside: three
+/// sends beyond the third end are the most that users allow.
 const MOST: usize = 5;
 /// A request that has run for longer at a server has not ended it: such a one ends it as it begins to run, within 0.2 s
 /// in each of the ends recorded. Innocent long answers are seldom so young at three ends in a row.
@@ -46,6 +47,8 @@
 const SETTLED: Duration = Duration::from_millis(200);
 /// Requests of which ends are remembered, at most; about a hundred bytes each. Those go first of which least is known.
 const MOST_SUSPECTS: usize = 2_048;
+/// Ends of servers that are remembered, at most; three for each server of the largest deployment.
+const MOST_ENDS: usize = 4_096;
 /// Requests that are barred at a time, at most.
 const MOST_BARRED: usize = 2_048;
 
@@ -73,8 +76,12 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// When servers ended, with whatever in their hands. What has cleared a request doesn't undo the end.
+    ends: Ends,
     /// What servers have broken off of which it is not known whether they have ended.
     breaks: Breaks,
+    /// Whether there is anything that was not judged yet.
+    unjudged: bool,
     /// Until when each request is barred.
     barred: BTreeMap<Fingerprint, Time>,
     /// What this host tells the others.
@@ -223,8 +230,13 @@
 
     /// Judges by what is settled now: bars who is found guilty, and releases who was barred for another one.
     pub fn judge(&mut self, now: Time) {
+        if !self.unjudged {
+            return;
+        }
+        let until = now - SETTLED;
+        self.unjudged = self.suspects.values().any(|suspect| suspect.last() > until);
         let is_barred = |asked| self.barred.contains_key(&asked);
-        let judgement = evidence::judge(&self.suspects, is_barred, now - SETTLED);
+        let judgement = evidence::judge(&self.suspects, &self.ends, is_barred, until);
         for asked in judgement.guilty {
             if self.bar(asked, BARRED, now) && self.is_first_hand(asked) {
                 self.own.push(Own::new(asked, Fact::barred(), now));
@@ -240,6 +252,7 @@
     pub fn expire(&mut self, now: Time) {
         self.suspects
             .retain(|_, suspect| now.since(suspect.last()) < FORGOTTEN);
+        self.ends.retain(|_, at| now.since(*at) < FORGOTTEN);
         let over = self.barred.iter().filter(|(_, until)| **until <= now);
         let over: Vec<Fingerprint> = over.map(|(asked, _)| *asked).collect();
         for asked in over {
@@ -249,11 +262,16 @@
 
     /// Adds an end; says whether it is new and counts.
     fn add(&mut self, asked: Fingerprint, crash: Crash) -> bool {
+        if self.ends.len() < MOST_ENDS {
+            self.ends.entry(crash.server).or_insert(crash.at);
+        }
         let known = self.suspects.contains_key(&asked);
         if !known && self.suspects.len() >= MOST_SUSPECTS {
             self.forget_one();
         }
-        self.suspects.entry(asked).or_default().add(crash)
+        let added = self.suspects.entry(asked).or_default().add(crash);
+        self.unjudged |= added;
+        added
     }
 
     /// Forgets the request of which least is known, the oldest of those.
--- a/crates/alderglade-core/src/fleet/quarantine/evidence.rs
+++ b/crates/alderglade-core/src/fleet/quarantine/evidence.rs
@@ -6,6 +6,7 @@
 use crate::time::Time;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A server that has ended with a request in its hands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,35 +73,63 @@
     }
 
     /// Gives what speaks against it of what happened up to a time.
-    pub(super) fn accused(&self, asked: Fingerprint, until: Time) -> Accused {
+    fn accused(&self, asked: Fingerprint, until: Time) -> Accused {
         let crashes = self.crashes.iter().filter(|crash| crash.at <= until);
         let begun = crashes.clone().filter(|crash| crash.begun).count();
-        let servers: Servers = crashes.map(|crash| crash.server).collect();
+        let ends: Ends = crashes.map(|crash| (crash.server, crash.at)).collect();
         Accused {
             asked,
-            rank: (servers.len(), begun),
-            servers,
+            rank: (ends.len(), begun),
+            ends,
         }
     }
 }
 
+/// When servers ended.
+pub(super) type Ends = BTreeMap<Key, Time>;
+
 /// What speaks against a request.
-pub(super) struct Accused {
+struct Accused {
     asked: Fingerprint,
     /// Ends, and those of them at which it had begun to run.
     rank: (usize, usize),
-    servers: Servers,
+    ends: Ends,
 }
 
 impl Accused {
     /// Says whether it was at enough ends that nothing else explains.
     fn answers_for_enough(&self, explained: &Servers) -> bool {
-        self.servers.difference(explained).count() >= ENOUGH
+        let servers = self.ends.keys();
+        servers.filter(|server| !explained.contains(server)).count() >= ENOUGH
     }
 
     /// Says whether it was at each end that another one was at, and at more.
     fn explains_more_than(&self, other: &Accused) -> bool {
-        other.servers.len() < self.servers.len() && other.servers.is_subset(&self.servers)
+        let all = other
+            .ends
+            .keys()
+            .all(|server| self.ends.contains_key(server));
+        all && !other.ends.is_empty() && other.ends.len() < self.ends.len()
+    }
+
+    /// Says whether as many servers ended without it, from shortly before its first end to its last: then its own may be
+    /// chance.
+    fn is_one_of_many(&self, all: &Ends, explained: &Servers) -> bool {
+        /// What makes many servers end does so within about a second; where a quarter of ninety did, up to five had ended
+        /// before the first one that had this request.
+        const BEFORE: Duration = Duration::from_millis(2_000);
+        let first = self.ends.values().min().map(|first| *first - BEFORE);
+        let last = self.ends.values().max().copied();
+        let meanwhile = |at: &Time| (first..=last).contains(&Some(*at));
+        let without = all.iter().filter(|(server, at)| {
+            meanwhile(at) && !self.ends.contains_key(server) && !explained.contains(server)
+        });
+        without.count() >= self.ends.len()
+    }
+
+    /// Says whether there are so many ends that nothing else may explain them.
+    fn is_beyond_doubt(&self) -> bool {
+        self.ends.len() >= MOST
     }
 }
 
@@ -111,26 +140,34 @@
     pub(super) innocent: Vec<Fingerprint>,
 }
 
-/// Judges requests by what happened up to a time; those that are barred by now explain what they were at.
+/// Judges requests by what happened up to a time, `all` ends of servers among it; those that are barred by now explain what
+/// they were at.
 pub(super) fn judge(
     suspects: &BTreeMap<Fingerprint, Suspect>,
+    all: &Ends,
     is_barred: impl Fn(Fingerprint) -> bool,
     until: Time,
 ) -> Judgement {
-    let all = suspects
+    let known = suspects.iter();
+    let known = known.map(|(asked, suspect)| suspect.accused(*asked, until));
+    let (barred, mut accused): (Vec<_>, Vec<_>) = known.partition(|one| is_barred(one.asked));
+    let ends_of = |one: &Accused| one.ends.clone();
+    let mut explained: Servers = barred
         .iter()
-        .map(|(asked, suspect)| suspect.accused(*asked, until));
-    let judged = all.filter(|one| one.servers.len() >= ENOUGH);
-    let (barred, mut accused): (Vec<_>, Vec<_>) = judged.partition(|one| is_barred(one.asked));
+        .flat_map(ends_of)
+        .map(|(key, _)| key)
+        .collect();
+    accused.retain(|one| one.ends.len() >= ENOUGH);
     accused.sort_by_key(|one| Reverse(one.rank));
-    let mut explained: Servers = barred.iter().flat_map(|one| one.servers.clone()).collect();
     let mut judgement = Judgement::default();
     for one in &accused {
         let lesser = barred.iter().filter(|other| one.explains_more_than(other));
         let lesser: Vec<Fingerprint> = lesser.map(|other| other.asked).collect();
         let answers = one.answers_for_enough(&explained) || !lesser.is_empty();
-        if answers && !is_ambiguous(one, &accused, &explained) {
-            explained.extend(&one.servers);
+        let doubtful =
+            || is_ambiguous(one, &accused, &explained) || one.is_one_of_many(all, &explained);
+        if answers && (one.is_beyond_doubt() || !doubtful()) {
+            explained.extend(one.ends.keys());
             judgement.guilty.push(one.asked);
             judgement.innocent.extend(lesser);
         }
@@ -140,12 +177,10 @@
 
 /// Says whether another request, against which as much speaks, would go free where this one is held guilty.
 fn is_ambiguous(one: &Accused, accused: &[Accused], explained: &Servers) -> bool {
-    let (ends, _) = one.rank;
-    let by_this = explained.union(&one.servers).copied().collect();
+    let by_this: Servers = explained.iter().chain(one.ends.keys()).copied().collect();
     let goes_free = |other: &Accused| {
         other.answers_for_enough(explained) && !other.answers_for_enough(&by_this)
     };
     let as_much = |other: &&Accused| other.asked != one.asked && other.rank == one.rank;
-    let mut others = accused.iter().filter(as_much);
-    ends < MOST && others.any(goes_free)
+    accused.iter().filter(as_much).any(goes_free)
 }
