Soak: requests under which servers end; what is answered lately is not taken for one of them

A request that was answered to its end within ten seconds, at any host, is not barred now: what ends servers is never answered.

--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -9,7 +9,7 @@
 //! where no other one explains them: those at most ends go first, and what was beside them is explained by them. Of two
 //! that were at the same ends neither is barred before another end parts them, or [`MOST`] have come; nor is one where as
 //! many servers end without it at the same time, as when a rack fails. An answer that comes to its end clears its request
-//! of all that was before.
+//! of all that was before, and for a while ([`SOUND`]) of what comes after: what is asked often is at many ends.
 //!
 //! Facts only add up, and each names one lifetime of a server: told late, twice or in another order they come to the same.
 //! They are judged when all hosts have told theirs ([`SETTLED`]); what is to be judged waits for that.
@@ -38,6 +38,9 @@
 /// A request that has run for longer at a server has not ended it: such a one ends it as it begins to run, within 0.2 s
 /// in each of the ends recorded. Innocent long answers are seldom so young at three ends in a row.
 const BEGINS: Duration = Duration::from_millis(2_000);
+/// How long a request that was answered to its end is not barred, whatever ends beside it. What ends servers is never
+/// answered; what many callers ask for is, some times in this time, also while servers end on and on.
+const SOUND: Duration = Duration::from_secs(10);
 /// How long ends count. A caller that comes back does so within minutes.
 const FORGOTTEN: Duration = Duration::from_secs(600);
 /// How long a request is barred. Whoever mends the servers sooner can have it released by hand.
@@ -76,6 +79,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// When requests were answered to their end lately: what was asked in a time of [`SOUND`].
+    sound: BTreeMap<Fingerprint, Time>,
     /// When servers ended, with whatever in their hands. What has cleared a request doesn't undo the end.
     ends: Ends,
     /// What servers have broken off of which it is not known whether they have ended.
@@ -155,6 +160,7 @@
     /// Notes that a request was answered to its end: no end of a server before that was its fault.
     pub fn note_sound(&mut self, asked: Fingerprint, now: Time) {
         self.breaks.clear(asked);
+        self.sound.insert(asked, now);
         if self.clear(asked, now, true) {
             self.own.push(Own::new(asked, Fact::sound(), now));
         }
@@ -224,7 +230,9 @@
     /// Says whether a request is about to be judged, and should wait for that. It takes no longer than a moment.
     pub fn judges(&self, asked: Fingerprint, now: Time) -> bool {
         let suspect = self.suspects.get(&asked);
-        let soon = suspect.is_some_and(|suspect| suspect.is_judged_after(now - SETTLED));
+        let soon = suspect.is_some_and(|suspect| {
+            suspect.is_judged_after(now - SETTLED) && !suspect.was_sound_after(now - SOUND)
+        });
         soon && !self.barred.contains_key(&asked)
     }
 
@@ -252,6 +260,7 @@
     pub fn expire(&mut self, now: Time) {
         self.suspects
             .retain(|_, suspect| now.since(suspect.last()) < FORGOTTEN);
+        self.sound.retain(|_, at| now.since(*at) < SOUND);
         self.ends.retain(|_, at| now.since(*at) < FORGOTTEN);
         let over = self.barred.iter().filter(|(_, until)| **until <= now);
         let over: Vec<Fingerprint> = over.map(|(asked, _)| *asked).collect();
@@ -269,8 +278,15 @@
         if !known && self.suspects.len() >= MOST_SUSPECTS {
             self.forget_one();
         }
-        let added = self.suspects.entry(asked).or_default().add(crash);
+        let suspect = self.suspects.entry(asked).or_default();
+        let added = suspect.add(crash);
         self.unjudged |= added;
+        // Who knows that it was answered lately tells so, where it is suspected.
+        if let Some(at) = self.sound.get(&asked).copied()
+            && suspect.clear(at) | added
+        {
+            self.own.push(Own::new(asked, Fact::sound(), at));
+        }
         added
     }
 
--- a/crates/alderglade-core/src/fleet/quarantine/evidence.rs
+++ b/crates/alderglade-core/src/fleet/quarantine/evidence.rs
@@ -1,6 +1,6 @@
 //! What speaks against a request, and who is held guilty by it.
 
-use super::{ENOUGH, MOST, Servers};
+use super::{ENOUGH, MOST, SOUND, Servers};
 use crate::fleet::fingerprint::Fingerprint;
 use crate::fleet::incarnation::Key;
 use crate::time::Time;
@@ -66,6 +66,11 @@
         self.crashes.len() < before
     }
 
+    /// Says whether it was answered to its end after a time.
+    pub(super) fn was_sound_after(&self, at: Time) -> bool {
+        self.sound > Some(at)
+    }
+
     /// Says whether it is at enough ends to be judged, the last of them after a time.
     pub(super) fn is_judged_after(&self, at: Time) -> bool {
         let newest = self.crashes.iter().map(|crash| crash.at).max();
@@ -148,7 +153,9 @@
     is_barred: impl Fn(Fingerprint) -> bool,
     until: Time,
 ) -> Judgement {
+    let lately = until - SOUND;
     let known = suspects.iter();
+    let known = known.filter(|(_, suspect)| !suspect.was_sound_after(lately));
     let known = known.map(|(asked, suspect)| suspect.accused(*asked, until));
     let (barred, mut accused): (Vec<_>, Vec<_>) = known.partition(|one| is_barred(one.asked));
     let ends_of = |one: &Accused| one.ends.clone();
--- a/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
@@ -220,6 +220,7 @@
     host.ends(3, &["sound"]);
     host.ends(4, &["sound"]);
     assert!(!host.bars("sound"), "two since it was answered");
+    host.pass(Duration::from_secs(10));
     host.ends(5, &["sound"]);
     assert!(host.bars("sound"));
     // One that was on its way is answered all the same.
@@ -306,6 +307,39 @@
     assert!(host.bars("fatal"));
 }
 
+/// Seen: three fatal requests at a time, and one that all other callers asked for, which was at each end.
+#[test]
+fn what_is_asked_often_is_not_barred_while_it_is_answered() {
+    let mut host = Host::default();
+    host.pass(SETTLED);
+    host.quarantine.note_sound(asked("often"), host.now);
+    host.pass(SETTLED);
+    let fatal = ["one", "other", "third"];
+    for number in 0..18 {
+        host.ends(number, &[fatal[number % 3], "often"]);
+        assert!(!host.bars("often"), "{number} ends");
+    }
+    assert!(fatal.iter().all(|body| host.bars(body)));
+}
+
+/// Another host has answered it, and says so when it hears that it is suspected.
+#[test]
+fn who_has_answered_a_request_speaks_for_it() {
+    let (mut here, mut there) = (Host::default(), Quarantine::default());
+    there.note_sound(asked("often"), here.now);
+    here.pass(SETTLED);
+    for number in 0..6 {
+        here.ends(number, &["often"]);
+        let told = here.quarantine.tell(false, here.now);
+        told.iter().for_each(|told| there.hear(told, here.now));
+        let told = there.tell(false, here.now);
+        told.iter()
+            .for_each(|told| here.quarantine.hear(told, here.now));
+        here.pass(SETTLED);
+    }
+    assert!(!here.bars("often"));
+}
+
 #[test]
 fn two_fatal_requests_are_told_apart() {
     let mut host = Host::default();
