--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -145,7 +145,7 @@
                 at: now,
                 begun: broken.begun,
             };
-            if self.add(broken.asked, crash) {
+            if self.add(broken.asked, crash, now) {
                 let fact = Fact::crash(&crash);
                 self.own.push(Own::new(broken.asked, fact, now));
             }
@@ -162,7 +162,7 @@
         self.breaks.clear(asked);
         self.sound.insert(asked, now);
         if self.clear(asked, now, true) {
-            self.own.push(Own::new(asked, Fact::sound(), now));
+            self.own.push(Own::sound(asked, now, now));
         }
     }
 
@@ -176,10 +176,13 @@
             } => {
                 let at = now - Duration::from_millis(u64::from(age_ms));
                 let crash = Crash { server, at, begun };
-                self.add(told.asked, crash);
+                self.add(told.asked, crash, now);
             }
             Fact::Sound { age_ms } => {
                 let at = now - Duration::from_millis(u64::from(age_ms));
+                // It may come before the end of which it clears the request.
+                self.make_room(told.asked);
+                self.suspects.entry(told.asked).or_default();
                 self.clear(told.asked, at, false);
             }
             Fact::Barred { left_s } => {
@@ -270,14 +273,11 @@
     }
 
     /// Adds an end; says whether it is new and counts.
-    fn add(&mut self, asked: Fingerprint, crash: Crash) -> bool {
+    fn add(&mut self, asked: Fingerprint, crash: Crash, now: Time) -> bool {
         if self.ends.len() < MOST_ENDS {
             self.ends.entry(crash.server).or_insert(crash.at);
         }
-        let known = self.suspects.contains_key(&asked);
-        if !known && self.suspects.len() >= MOST_SUSPECTS {
-            self.forget_one();
-        }
+        self.make_room(asked);
         let suspect = self.suspects.entry(asked).or_default();
         let added = suspect.add(crash);
         self.unjudged |= added;
@@ -285,13 +285,17 @@
         if let Some(at) = self.sound.get(&asked).copied()
             && suspect.clear(at) | added
         {
-            self.own.push(Own::new(asked, Fact::sound(), at));
+            self.own.push(Own::sound(asked, at, now));
         }
         added
     }
 
-    /// Forgets the request of which least is known, the oldest of those.
-    fn forget_one(&mut self) {
+    /// Forgets the request of which least is known, the oldest of those, where another one finds no room.
+    fn make_room(&mut self, asked: Fingerprint) {
+        let known = self.suspects.contains_key(&asked);
+        if known || self.suspects.len() < MOST_SUSPECTS {
+            return;
+        }
         let suspects = self.suspects.iter();
         let least = suspects.min_by_key(|(_, suspect)| (suspect.crashes().len(), suspect.last()));
         if let Some(asked) = least.map(|(asked, _)| *asked) {
--- a/crates/alderglade-core/src/fleet/quarantine/told.rs
+++ b/crates/alderglade-core/src/fleet/quarantine/told.rs
@@ -58,17 +58,15 @@
     pub(super) fn barred() -> Fact {
         Fact::Barred { left_s: 0 }
     }
-
-    /// Tells that it has just been answered to its end.
-    pub(super) fn sound() -> Fact {
-        Fact::Sound { age_ms: 0 }
-    }
 }
 
 /// A fact that this host tells the others.
 #[derive(Debug)]
 pub(super) struct Own {
     told: Told,
+    /// When it was so.
+    at: Time,
+    /// When this host began to tell it.
     noted: Time,
     /// Whether nobody was told yet.
     new: bool,
@@ -79,11 +77,20 @@
     pub(super) fn new(asked: Fingerprint, fact: Fact, now: Time) -> Own {
         Own {
             told: Told { asked, fact },
+            at: now,
             noted: now,
             new: true,
         }
     }
 
+    /// Notes that a request was answered to its end at a time.
+    pub(super) fn sound(asked: Fingerprint, at: Time, now: Time) -> Own {
+        Own {
+            at,
+            ..Own::new(asked, Fact::Sound { age_ms: 0 }, now)
+        }
+    }
+
     /// Gives what was asked.
     pub(super) fn asked(&self) -> Fingerprint {
         self.told.asked
@@ -102,7 +109,7 @@
     /// Gives the fact as it stands now, and notes that it is told. `barred` is until when the request is barred.
     pub(super) fn tell(&mut self, barred: Option<&Time>, now: Time) -> Told {
         self.new = false;
-        let age = now.since(self.noted);
+        let age = now.since(self.at);
         let fact = match self.told.fact {
             Fact::Crash { server, begun, .. } => Fact::Crash {
                 server,
--- a/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
@@ -322,6 +322,28 @@
     assert!(fatal.iter().all(|body| host.bars(body)));
 }
 
+/// Messages of two hosts overtake each other.
+#[test]
+fn an_answer_that_is_heard_of_before_the_end_clears_the_request_all_the_same() {
+    let now = Time::from_millis(1_000);
+    let (mut here, mut there) = (Quarantine::default(), Quarantine::default());
+    crash(&mut there, asked("often"), server(0), SHORTLY, now);
+    let end = there.tell(false, now);
+    let later = now + SETTLED;
+    there.note_sound(asked("often"), later);
+    let answer = there.tell(false, later);
+    let heard = later + SETTLED;
+    for told in answer.iter().chain(&end) {
+        here.hear(told, heard);
+    }
+    assert!(!here.suspects(asked("often")));
+    for number in 1..4 {
+        crash(&mut here, asked("often"), server(number), SHORTLY, heard);
+    }
+    here.judge(heard + SETTLED);
+    assert!(here.bars(asked("often"), heard + SETTLED).is_none());
+}
+
 /// Another host has answered it, and says so when it hears that it is suspected.
 #[test]
 fn who_has_answered_a_request_speaks_for_it() {
