--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -117,9 +117,11 @@
     tell(job, server, attempt, STARTED_AGAIN);
 }
 
-/// Looks whether the server that broke a request off has ended, and notes and writes so. `began` is when the request's
-/// first event came, if one did. Returns at once, but for a request that is suspected already: that one is not sent on
-/// before it is known whether this end is another one under it.
+/// Notes that a server broke a request off, and has it looked at whether the server has ended. `began` is when the
+/// request's first event came, if one did.
+///
+/// Returns at once, but for a request that is suspected already: that one is not sent on before it is known whether this
+/// end is another one under it.
 pub async fn broken_off(node: &Rc<Node>, job: &Job, server: &Server, began: Option<Time>) {
     /// Some ways there and back between failure domains; who is dark takes longer, and has not ended.
     const PATIENCE: Duration = Duration::from_millis(50);
@@ -128,22 +130,22 @@
     if node.server(server.key()).is_some() {
         node.note_broken(job.asked, server.key(), ran);
     }
-    let broken_off = BrokenOff {
+    let inspection = Inspection {
         node: node.clone(),
         id: job.ask.id.clone(),
         asked: job.asked,
         server: server.clone(),
         ran,
     };
-    let look = tokio::task::spawn_local(broken_off.look());
+    let look = tokio::task::spawn_local(inspection.run());
     if node.suspects(job.asked) {
         // In vain or not, what is known then counts.
         let _ = tokio::time::timeout(PATIENCE, look).await;
     }
 }
 
-/// A request that a server broke off.
-struct BrokenOff {
+/// A look at a server that broke a request off.
+struct Inspection {
     node: Rc<Node>,
     id: Name,
     asked: Fingerprint,
@@ -152,9 +154,9 @@
     ran: Option<Duration>,
 }
 
-impl BrokenOff {
+impl Inspection {
     /// Looks whether the server has ended. The connection shows only that it broke: a fault of the way there looks the same.
-    async fn look(self) {
+    async fn run(self) {
         let address = self.server.address;
         let ended = self.node.client.listens(address).await == Some(false);
         event::write(&Record::ServerBrokeOff {
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -149,7 +149,7 @@
             continue;
         };
         // Memory that is set aside and a budget that is asked for take a while.
-        job.clear(node, &life).await?;
+        job.cleared(node, &life).await?;
         tries.all += 1;
         tell_placed(node, job, &placed.server, &plan, tries.all);
         job.progress
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -36,7 +36,7 @@
         if job.left().is_zero() {
             return Err(life.refuse(ErrorKind::ExpiredWaiting, COME_BACK));
         }
-        job.clear(node, life).await?;
+        job.cleared(node, life).await?;
         if tries.sends == 0 && !node.takes_requests() {
             return Err(life.refuse(ErrorKind::Draining, COME_BACK));
         }
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -58,7 +58,7 @@
     /// # Errors
     ///
     /// Where it is barred.
-    pub async fn clear(&self, node: &Node, life: &Life<Waiting>) -> Result<(), Refusal> {
+    pub async fn cleared(&self, node: &Node, life: &Life<Waiting>) -> Result<(), Refusal> {
         node.judged(self.asked).await;
         match node.bars(self.asked) {
             Some(left) => Err(life.refuse(ErrorKind::Quarantined, left)),
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -74,7 +74,7 @@
             Some(server) => server,
             None => next_server(node, job, &life, &tried, sends).await?,
         };
-        job.clear(node, &life).await?;
+        job.cleared(node, &life).await?;
         tried.push(server.key());
         sends += 1;
         let more = sends < job.route.max_attempts;
