--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -93,7 +93,7 @@
     },
     /// An entry of the store can't be read; it is passed over.
     EntryUnreadable {
-        /// What it is of: `servers` or `hosts`.
+        /// What it is of: `servers`, `hosts` or `quarantine`.
         of: &'a str,
         /// Its name; a digest of its text where that can't be read either.
         name: &'a str,
