--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -6,6 +6,7 @@
 use crate::Name;
 use crate::fleet::health::PassedOver;
 use crate::fleet::incarnation::Key;
+use crate::fleet::position::Position;
 use crate::fleet::quarantine::Told;
 use crate::fleet::relay::Word;
 use serde::{Deserialize, Serialize};
@@ -41,8 +42,8 @@
     pub host: Name,
     /// The sender's failure domain.
     pub domain: Name,
-    /// The sender's lifetime.
-    pub incarnation: u64,
+    /// The sender's lifetime: where the store had come to when it was entered there.
+    pub incarnation: Position,
     /// Rises with each notice of the lifetime.
     pub sequence: u64,
     /// The longest time until the sender's next notice, in milliseconds.
--- a/crates/alderglade-core/src/fleet/book/peer.rs
+++ b/crates/alderglade-core/src/fleet/book/peer.rs
@@ -7,6 +7,7 @@
 use super::{Holding, Load, Notice};
 use crate::Name;
 use crate::fleet::incarnation::Key;
+use crate::fleet::position::Position;
 use crate::fleet::relay::Word;
 use crate::time::Time;
 use std::collections::HashMap;
@@ -22,7 +23,7 @@
     /// Its failure domain.
     pub(super) domain: Name,
     /// Its lifetime.
-    pub(super) incarnation: u64,
+    pub(super) incarnation: Position,
     /// The number of its last notice.
     sequence: u64,
     /// When that came.
--- a/crates/alderglade-core/src/fleet/config.rs
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -152,7 +152,7 @@
 }
 
 /// A whole configuration, indexed for look-ups.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Its version; a higher one is newer.
     pub version: u64,
--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -5,11 +5,21 @@
 //!
 //! A server may start again under its id. The newest incarnation known counts: what is said of an older one changes
 //! nothing, and that an older one was leaving doesn't concern the new one.
+//!
+//! The store may come back from a copy some seconds old. What servers have written since is missing for [`GRACE`], and
+//! servers that have gone stand there again: these are held back until they write, or have outlasted [`STALE`].
+
+mod departed;
+mod followed;
+
+pub use followed::Restored;
 
 use super::faults::{self, Fault, Faults};
 use super::incarnation::{Incarnation, Key};
+use super::position::Position;
 use crate::Name;
 use crate::time::Time;
+use departed::Departed;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -19,6 +29,10 @@
 /// about two seconds.
 pub const GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long a server that has gone is held back where it stands in a copy of the store: the platform drops the entry of
+/// one that is silent after three heartbeats of 1.2 s, so that whose entry still stands after five of them writes it.
+pub const STALE: Duration = Duration::from_millis(6_000);
+
 /// One backend server in one of its lifetimes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Server {
@@ -85,12 +99,14 @@
     named: bool,
     /// By when an entry that is missing in the store must be back.
     missing_until: Option<Time>,
+    /// Until when a server is held back that had gone and stands in a copy of the store.
+    held_until: Option<Time>,
 }
 
 impl Entry {
     /// Says whether new work may go to the server.
     fn is_open(&self) -> bool {
-        self.named && !self.server.leaving
+        self.named && !self.server.leaving && self.held_until.is_none()
     }
 
     /// Gives what the entry adds to the directory's digest: nothing where no new work may go there.
@@ -103,25 +119,45 @@
     }
 }
 
+/// How the store told of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// Its entry stands there, whoever wrote it when.
+    List,
+    /// Its entry was written.
+    Write,
+}
+
 /// The servers, as one host knows them.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<Name, Entry>,
     /// The ids of the incarnations that are known.
     ids: HashMap<Key, Name>,
+    /// How far the store is known.
+    position: Position,
+    /// Whether the store has listed the servers.
+    listed: bool,
     /// Until when entries may be missing in the store although their servers live.
     doubtful_until: Option<Time>,
+    /// The same as it was when the store was lost, to go on with if it was away for a moment only.
+    doubtful_before: Option<Time>,
     /// The sum of the entries' digests, kept with each change: every notice tells it.
     digest: u64,
     /// The servers that have started again since this was last asked.
     restarts: Vec<Restart>,
     /// The entries that can't be read.
     faults: Faults,
+    /// The servers that have gone lately.
+    departed: Departed,
+    /// What the last list of a new era has shown, until it is asked for.
+    restored: Option<Restored>,
 }
 
 impl Directory {
     /// Notes that the store gives no answer: entries that are missing from now on may have lapsed.
     pub fn store_lost(&mut self) {
+        self.doubtful_before = self.doubtful_until;
         self.doubtful_until = Some(Time::NEVER);
     }
 
@@ -129,7 +165,7 @@
     /// away for so long that entries may have lapsed meanwhile.
     pub fn store_returned(&mut self, now: Time, lapsed: bool) {
         if !lapsed {
-            self.doubtful_until = None;
+            self.doubtful_until = self.doubtful_before.take();
             return;
         }
         let until = now + GRACE;
@@ -165,14 +201,14 @@
             self.close(fault);
         }
         for server in listing.servers {
-            self.learn(server);
+            self.learn(server, Source::List);
         }
     }
 
     /// Takes one change.
     pub fn apply(&mut self, change: Change, now: Time) {
         match change {
-            Change::Known(server) => self.learn(server),
+            Change::Known(server) => self.learn(server, Source::Write),
             Change::Unreadable(fault) => self.close(&fault),
             Change::Gone(id) => {
                 self.faults.clear(&id);
@@ -199,6 +235,7 @@
                 ..entry.server.clone()
             },
             missing_until: entry.missing_until,
+            held_until: None,
         });
     }
 
@@ -218,13 +255,34 @@
         self.faults.take_news()
     }
 
-    /// Drops the servers whose time to come back has passed; says whether any was dropped.
+    /// Drops the servers whose time to come back has passed, and takes up those that were held back for long enough; says
+    /// whether there was any.
     pub fn expire(&mut self, now: Time) -> bool {
-        let is_over = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
-        let over = self.entries.values().filter(|entry| is_over(entry));
-        let over: Vec<Name> = over.map(|entry| entry.server.id().clone()).collect();
-        over.iter().for_each(|id| drop(self.remove(id)));
-        !over.is_empty()
+        self.departed.expire(now);
+        let is_over = |until: Option<Time>| until.is_some_and(|until| until <= now);
+        let missing = self.ids_where(|entry| is_over(entry.missing_until));
+        for id in &missing {
+            self.depart(id, now);
+        }
+        let held = self.ids_where(|entry| is_over(entry.held_until));
+        for id in &held {
+            self.take_up(id);
+        }
+        !missing.is_empty() || !held.is_empty()
+    }
+
+    fn ids_where(&self, holds: impl Fn(&Entry) -> bool) -> Vec<Name> {
+        let entries = self.entries.iter().filter(|(_, entry)| holds(entry));
+        entries.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Takes up a server that was held back.
+    fn take_up(&mut self, id: &str) {
+        self.departed.clear(id);
+        if let Some(mut entry) = self.remove(id) {
+            entry.held_until = None;
+            self.insert(entry);
+        }
     }
 
     /// Marks an incarnation of a server as leaving on a peer's word.
@@ -287,8 +345,9 @@
 
     /// Takes a server's entry, unless it is of an incarnation before the one that is known. An incarnation that once
     /// said that it leaves doesn't come back.
-    fn learn(&mut self, mut server: Server) {
+    fn learn(&mut self, mut server: Server, source: Source) {
         self.faults.clear(server.id());
+        let mut held_until = None;
         if let Some(known) = self.entries.get(server.id()) {
             server.incarnation = server.incarnation.or_known(&known.server.incarnation);
             if known.server.incarnation.supersedes(&server.incarnation) {
@@ -296,11 +355,16 @@
             }
             let same = known.server.incarnation == server.incarnation;
             server.leaving |= same && known.server.leaving;
+            held_until = known.held_until.filter(|_| same && source == Source::List);
+        }
+        if source == Source::Write {
+            self.departed.clear(server.id());
         }
         self.insert(Entry {
             server,
             named: true,
             missing_until: None,
+            held_until,
         });
     }
 
@@ -321,8 +385,9 @@
         let id = entry.server.id().clone();
         if let Some(former) = self.remove(&id) {
             let now = &entry.server.incarnation;
-            if now.supersedes(&former.incarnation) {
+            if now.supersedes(&former.server.incarnation) {
                 let now = now.clone();
+                let former = former.server;
                 self.restarts.push(Restart { former, now });
             }
         }
@@ -332,11 +397,18 @@
     }
 
     /// Drops a server, and gives what was known of it.
-    fn remove(&mut self, id: &str) -> Option<Server> {
+    fn remove(&mut self, id: &str) -> Option<Entry> {
         let entry = self.entries.remove(id)?;
         self.digest = self.digest.wrapping_sub(entry.digest());
         self.ids.remove(&entry.server.key());
-        Some(entry.server)
+        Some(entry)
+    }
+
+    /// Drops a server that has gone.
+    fn depart(&mut self, id: &str, now: Time) {
+        if let Some(entry) = self.remove(id) {
+            self.departed.note(entry.server.incarnation, now);
+        }
     }
 
     fn entry_mut(&mut self, key: Key) -> Option<&mut Entry> {
@@ -347,7 +419,7 @@
     fn lose(&mut self, id: &str, now: Time) {
         let doubtful_until = self.doubtful_until.filter(|until| *until > now);
         match doubtful_until {
-            None => drop(self.remove(id)),
+            None => self.depart(id, now),
             Some(until) => {
                 if let Some(entry) = self.entries.get_mut(id) {
                     entry.missing_until.get_or_insert(until);
--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -6,6 +6,7 @@
 use super::config::Patch;
 use super::directory::Change;
 use super::loan::{self, Loan};
+use super::position::Position;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -61,8 +62,8 @@
     pub config: u64,
     /// The digest of the servers that the sender knows.
     pub servers: u64,
-    /// The store's revision up to which it knows them.
-    pub position: u64,
+    /// How far it knows them.
+    pub position: Position,
 }
 
 impl Confirmation {
@@ -76,10 +77,10 @@
 /// Changes of backend servers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Servers {
-    /// The store's revision that they follow on.
-    pub after: u64,
-    /// The store's revision up to which they are all.
-    pub position: u64,
+    /// What they follow on.
+    pub after: Position,
+    /// How far they are all.
+    pub position: Position,
     /// How much longer entries may be missing in the store although their servers live, in
     /// milliseconds.
     pub doubt_ms: u32,
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod pass;
 pub mod placement;
+pub mod position;
 pub mod progress;
 pub mod quarantine;
 pub mod reach;
--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -89,6 +89,8 @@
     unjudged: bool,
     /// Until when each request is barred.
     barred: BTreeMap<Fingerprint, Time>,
+    /// The requests that were barred lately and aren't any more, and since when. A copy of the store may hold them still.
+    released: BTreeMap<Fingerprint, Time>,
     /// What this host tells the others.
     own: Vec<Own>,
     /// What has been decided since it was last asked for.
@@ -207,6 +209,35 @@
         }
     }
 
+    /// Takes what a copy of the store lists: what is barred and missing there is to be kept again, what was released since
+    /// is to be removed again. The rest counts.
+    pub fn restore(&mut self, listed: &[(Fingerprint, Duration)], now: Time) {
+        let mut stale = Vec::new();
+        for (asked, left) in listed {
+            if left.is_zero() || self.released.contains_key(asked) {
+                stale.push(*asked);
+            } else {
+                self.learn(*asked, *left, now);
+            }
+        }
+        let is_listed = |asked: &&Fingerprint| listed.iter().any(|(other, _)| other == *asked);
+        let barred = self.barred.keys();
+        let missing: Vec<Fingerprint> = barred.filter(|asked| !is_listed(asked)).copied().collect();
+        let missing = missing
+            .into_iter()
+            .map(|asked| (asked, self.barring(asked)));
+        let stale = stale.into_iter().map(|asked| (asked, Decision::Released));
+        let verdicts: Vec<Verdict> = missing
+            .chain(stale)
+            .map(|(asked, decision)| Verdict {
+                asked,
+                decision,
+                first_hand: true,
+            })
+            .collect();
+        self.verdicts.extend(verdicts);
+    }
+
     /// Gives what the others are to be told now: what is new, and in a `whole` notice also what may have been lost.
     pub fn tell(&mut self, whole: bool, now: Time) -> Vec<Told> {
         /// Facts in a notice: some twenty bytes each, beside its holdings.
@@ -255,7 +286,7 @@
         }
         for asked in judgement.innocent {
             self.suspects.remove(&asked);
-            self.unbar(asked, self.is_first_hand(asked));
+            self.unbar(asked, self.is_first_hand(asked), now);
         }
     }
 
@@ -268,8 +299,9 @@
         let over = self.barred.iter().filter(|(_, until)| **until <= now);
         let over: Vec<Fingerprint> = over.map(|(asked, _)| *asked).collect();
         for asked in over {
-            self.unbar(asked, false);
+            self.unbar(asked, false, now);
         }
+        self.released.retain(|_, at| now.since(*at) < FORGOTTEN);
     }
 
     /// Adds an end; says whether it is new and counts.
@@ -311,7 +343,7 @@
             .get_mut(&asked)
             .is_some_and(|suspect| suspect.clear(at));
         if barred {
-            self.unbar(asked, first_hand);
+            self.unbar(asked, first_hand, at);
         }
         cleared || barred
     }
@@ -322,17 +354,24 @@
             return false;
         }
         self.barred.insert(asked, now + left);
-        let suspect = self.suspects.get(&asked);
+        self.released.remove(&asked);
         self.verdicts.push(Verdict {
             asked,
-            decision: Decision::Barred(suspect.map_or(0, |suspect| suspect.crashes().len())),
+            decision: self.barring(asked),
             first_hand: self.is_first_hand(asked),
         });
         true
     }
 
-    fn unbar(&mut self, asked: Fingerprint, first_hand: bool) {
+    /// Gives the decision that bars a request.
+    fn barring(&self, asked: Fingerprint) -> Decision {
+        let suspect = self.suspects.get(&asked);
+        Decision::Barred(suspect.map_or(0, |suspect| suspect.crashes().len()))
+    }
+
+    fn unbar(&mut self, asked: Fingerprint, first_hand: bool, now: Time) {
         if self.barred.remove(&asked).is_some() {
+            self.released.insert(asked, now);
             self.verdicts.push(Verdict {
                 asked,
                 decision: Decision::Released,
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -43,6 +43,8 @@
     pub config: u64,
     /// The digest of the backend servers that it knows.
     pub servers: u64,
+    /// The store's latest era that it knows of.
+    pub era: u64,
     /// How much longer entries may be missing in the store although their servers live, in
     /// milliseconds.
     pub doubt_ms: u32,
@@ -136,6 +138,8 @@
     different_since: Option<Time>,
     /// When the store was last asked outside of watches.
     fetched: Option<Time>,
+    /// The newer version of the configuration for which it was last asked, and when.
+    fetched_config: Option<(u64, Time)>,
 }
 
 impl Relay {
@@ -204,7 +208,10 @@
         /// Small beside the seconds within which a configuration must be in force; long enough for the
         /// watchers' message about what has changed to come first.
         const SPREAD: Duration = Duration::from_millis(150);
-        if is_behind(own, heard) {
+        let newest = newest_config(heard).filter(|version| *version > own.config);
+        if let Some(version) = newest
+            && self.may_fetch_config(version, now)
+        {
             return Some(SPREAD);
         }
         let in_doubt = own.lost || is_older(own.age, own.bound, OLD);
@@ -233,6 +240,18 @@
         due.then_some(SPREAD)
     }
 
+    /// Takes the right to one call for a configuration that a watcher has: the store may not have it, where it has come back
+    /// from a copy of before.
+    fn may_fetch_config(&mut self, version: u64, now: Time) -> bool {
+        let lately = self
+            .fetched_config
+            .is_some_and(|(fetched, at)| fetched == version && now.since(at) < AGAIN);
+        if !lately {
+            self.fetched_config = Some((version, now));
+        }
+        !lately
+    }
+
     /// Takes the right to one call outside of watches, if the last one is long enough ago.
     fn may_fetch(&mut self, pause: Duration, now: Time) -> bool {
         let may = self.fetched.is_none_or(|at| now.since(at) >= pause);
@@ -258,8 +277,13 @@
 
 /// Says whether a watcher has a newer configuration.
 pub fn is_behind(own: &Own<'_>, heard: &[Neighbour<'_>]) -> bool {
-    let mut watchers = heard.iter().filter(|host| host.word.in_contact);
-    watchers.any(|host| host.word.config > own.config)
+    newest_config(heard).is_some_and(|version| version > own.config)
+}
+
+/// Gives the version of the newest configuration that a watcher has.
+fn newest_config(heard: &[Neighbour<'_>]) -> Option<u64> {
+    let watchers = heard.iter().filter(|host| host.word.in_contact);
+    watchers.map(|host| host.word.config).max()
 }
 
 /// Gives how long there must have been too few watchers before a host steps in that has so many hosts
--- a/crates/alderglade-core/tests/testsuite/fleet/message.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/message.rs
@@ -1,6 +1,7 @@
 //! What a peer's answer confirms.
 
 use alderglade_core::fleet::message::Confirmation;
+use alderglade_core::fleet::position::Position;
 use alderglade_core::time::Time;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
         age: Duration::from_millis(400),
         config: 7,
         servers: 70,
-        position: 100,
+        position: Position::new(1, 100),
     };
     // When it arrives makes no difference: it may have waited in a socket for seconds.
     assert_eq!(answer.at(), Time::from_millis(9_600));
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod quarantine;
 mod reach;
 mod relay;
+mod restored;
 mod slowdown;
 mod spread;
 mod sse;
@@ -28,6 +29,7 @@
 use alderglade_core::fleet::book::{Hold, Load, Notice};
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
 use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::relay::Word;
 
 /// The figures of the users' engines.
@@ -55,7 +57,7 @@
     Notice {
         host: host.into(),
         domain: "north".into(),
-        incarnation,
+        incarnation: Position::new(1, incarnation),
         sequence,
         interval_ms: 250,
         whole: false,
--- a/crates/alderglade-core/tests/testsuite/fleet/relay.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/relay.rs
@@ -23,6 +23,7 @@
         in_contact,
         config: 7,
         servers: 70,
+        era: 1,
         doubt_ms: 0,
     }
 }
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/fleet/restored.rs
@@ -0,0 +1,403 @@
+//! A store that comes back from a copy, as hosts see it that follow it at different paces: revisions go back and are given
+//! out again, and what hosts tell each other of a former era comes late, twice, in another order, or never.
+
+use super::empty_notice;
+use crate::each_seed;
+use alderglade_core::fleet::book::Book;
+use alderglade_core::fleet::directory::{Change, Directory, GRACE, Listing, STALE, Server};
+use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
+use alderglade_core::fleet::incarnation::Incarnation;
+use alderglade_core::fleet::position::Position;
+use alderglade_core::fleet::quarantine::{BARRED, Decision, Quarantine};
+use alderglade_core::time::Time;
+use arbtest::arbitrary::{Result, Unstructured};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+fn server(id: &str, leaving: bool) -> Server {
+    Server {
+        incarnation: Incarnation::new(id, None),
+        service: "llm".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "north".into(),
+        slots: 16,
+        leaving,
+    }
+}
+
+fn listing(ids: &[&str]) -> Listing {
+    Listing {
+        servers: ids.iter().map(|id| server(id, false)).collect(),
+        unreadable: Vec::new(),
+    }
+}
+
+fn open(directory: &Directory) -> BTreeSet<String> {
+    let servers = directory.of_service("llm");
+    servers.map(|server| server.id().to_string()).collect()
+}
+
+fn named(ids: &[&str]) -> BTreeSet<String> {
+    ids.iter().map(ToString::to_string).collect()
+}
+
+/// A directory that has listed some servers in the first era.
+fn listed(ids: &[&str]) -> Directory {
+    let mut directory = Directory::default();
+    assert!(directory.take_list(listing(ids), Position::new(1, 100), Time(0)));
+    directory
+}
+
+#[test]
+fn a_later_era_is_later_whatever_its_revisions() {
+    assert!(Position::new(2, 1) > Position::new(1, 900));
+    assert!(Position::new(1, 901) > Position::new(1, 900));
+    assert!(!Position::new(2, 1).joins(Position::new(1, 900)));
+    assert!(!Position::new(1, 1).joins(Position::new(2, 900)));
+    assert!(Position::new(2, 1).joins(Position::new(2, 900)));
+}
+
+#[test]
+fn a_list_of_a_former_era_changes_nothing() {
+    let mut directory = listed(&["a"]);
+    assert!(directory.take_list(listing(&["b"]), Position::new(2, 7), Time(0)));
+    assert!(!directory.take_list(listing(&["a"]), Position::new(1, 800), Time(0)));
+    assert_eq!(directory.position(), Position::new(2, 7));
+}
+
+#[test]
+fn changes_of_another_history_are_not_taken() {
+    let mut directory = listed(&["a"]);
+    let gone = [Change::Gone("a".into())];
+    let (now, known) = (Time(0), Position::new(1, 100));
+    let wrong = [
+        (Position::new(2, 100), Position::new(2, 101)),
+        (known, Position::new(2, 101)),
+        (Position::new(0, 1), Position::new(0, 101)),
+        (Position::new(1, 101), Position::new(1, 102)),
+        (Position::new(1, 90), Position::new(1, 100)),
+    ];
+    for (after, position) in wrong {
+        assert!(!directory.take_changes(after, &gone, position, now));
+    }
+    assert_eq!(open(&directory), named(&["a"]));
+    assert!(directory.take_changes(known, &gone, Position::new(1, 101), now));
+}
+
+#[test]
+fn another_hosts_position_of_another_era_is_not_taken_over() {
+    let mut directory = listed(&["a"]);
+    let digest = directory.digest();
+    directory.confirm(digest, Position::new(2, 4));
+    assert_eq!(directory.position(), Position::new(1, 100));
+    directory.confirm(digest, Position::new(1, 104));
+    assert_eq!(directory.position(), Position::new(1, 104));
+}
+
+#[test]
+fn who_is_missing_in_the_copy_has_a_while_to_come_back() {
+    let mut directory = listed(&["a", "b", "c"]);
+    let now = Time::from_millis(5_000);
+    directory.take_list(listing(&["a"]), Position::new(2, 40), now);
+    let restored = directory.take_restored().expect("a new era");
+    assert_eq!((restored.missing, restored.held_back), (2, 0));
+    assert_eq!(directory.take_restored(), None);
+    assert_eq!(open(&directory), named(&["a", "b", "c"]));
+    directory.apply(Change::Known(server("b", false)), now + GRACE / 2);
+    directory.expire(now + GRACE);
+    assert_eq!(open(&directory), named(&["a", "b"]));
+}
+
+#[test]
+fn a_short_outage_after_the_copy_takes_none_of_that_while() {
+    let mut directory = listed(&["a"]);
+    directory.take_list(listing(&["a", "b"]), Position::new(2, 40), Time(0));
+    directory.store_lost();
+    directory.store_returned(Time::from_millis(300), false);
+    directory.apply(Change::Gone("a".into()), Time::from_millis(400));
+    assert_eq!(open(&directory), named(&["a", "b"]));
+    directory.expire(Time::from_millis(2_000));
+    assert_eq!(open(&directory), named(&["b"]));
+}
+
+#[test]
+fn who_had_gone_and_stands_in_the_copy_waits_until_it_writes() {
+    let mut directory = listed(&["a", "b"]);
+    directory.apply(Change::Gone("b".into()), Time(0));
+    let now = Time::from_millis(3_000);
+    directory.take_list(listing(&["a", "b"]), Position::new(2, 40), now);
+    assert_eq!(
+        directory.take_restored().map(|seen| seen.held_back),
+        Some(1)
+    );
+    assert_eq!(open(&directory), named(&["a"]));
+    // Another list of the same era, as after forgotten history, says nothing new of it.
+    directory.take_list(listing(&["a", "b"]), Position::new(2, 44), now);
+    assert_eq!(open(&directory), named(&["a"]));
+    directory.apply(Change::Known(server("b", false)), now);
+    assert_eq!(open(&directory), named(&["a", "b"]));
+}
+
+#[test]
+fn who_had_gone_and_outlasts_its_heartbeats_lives() {
+    let mut directory = listed(&["a", "b"]);
+    directory.apply(Change::Gone("b".into()), Time(0));
+    let now = Time::from_millis(3_000);
+    directory.take_list(listing(&["a", "b"]), Position::new(2, 40), now);
+    assert!(!directory.expire(now + STALE - Duration::from_millis(1)));
+    assert!(directory.expire(now + STALE));
+    assert_eq!(open(&directory), named(&["a", "b"]));
+}
+
+#[test]
+fn a_host_that_starts_in_a_later_era_is_not_taken_for_its_former_life() {
+    let mut book = Book::default();
+    let mut notice = empty_notice("h", 0, 900);
+    notice.incarnation = Position::new(1, 700);
+    assert!(book.hear(&notice, Time(0)));
+    notice.incarnation = Position::new(2, 500);
+    notice.sequence = 1;
+    assert!(book.hear(&notice, Time(1)), "a new life");
+    notice.incarnation = Position::new(1, 700);
+    notice.sequence = 901;
+    notice.giants = 3;
+    assert!(!book.hear(&notice, Time(2)), "late, of the former one");
+    assert_eq!(book.giants(), 0);
+}
+
+fn asked(body: &str) -> Fingerprint {
+    let content = Content {
+        workspace: None,
+        method: "POST",
+        host: "one.example",
+        target: "/x/",
+        body: body.as_bytes(),
+    };
+    content.fingerprint()
+}
+
+#[test]
+fn what_the_copy_lacks_of_barred_requests_is_kept_again_and_what_was_released_goes_again() {
+    let mut quarantine = Quarantine::default();
+    let [held, released, new] = ["held", "released", "new"].map(asked);
+    let now = Time::from_millis(1_000);
+    quarantine.learn(held, BARRED, now);
+    quarantine.learn(released, BARRED, now);
+    quarantine.release(released, now);
+    quarantine.take_verdicts();
+    quarantine.restore(&[(released, BARRED), (new, BARRED)], now);
+    let verdicts = quarantine.take_verdicts();
+    let of = |asked| verdicts.iter().find(move |verdict| verdict.asked == asked);
+    assert!(matches!(of(held), Some(v) if v.decision != Decision::Released && v.first_hand));
+    assert!(matches!(of(released), Some(v) if v.decision == Decision::Released && v.first_hand));
+    assert!(quarantine.bars(new, now).is_some());
+    assert!(quarantine.bars(released, now).is_none());
+}
+
+/// The store: what stands there, and the history of the present era.
+#[derive(Clone, Default)]
+struct Store {
+    era: u64,
+    revision: u64,
+    /// The servers that stand there; the value says whether they say that they leave.
+    entries: BTreeMap<String, bool>,
+    changes: Vec<(u64, Change)>,
+}
+
+impl Store {
+    fn position(&self) -> Position {
+        Position::new(self.era, self.revision)
+    }
+
+    fn write(&mut self, id: &str, leaving: bool) {
+        if self.entries.insert(id.into(), leaving) != Some(leaving) {
+            self.revision += 1;
+            let change = Change::Known(server(id, leaving));
+            self.changes.push((self.revision, change));
+        }
+    }
+
+    fn remove(&mut self, id: &str) {
+        if self.entries.remove(id).is_some() {
+            self.revision += 1;
+            self.changes.push((self.revision, Change::Gone(id.into())));
+        }
+    }
+
+    fn listing(&self) -> Listing {
+        let servers = self.entries.iter();
+        Listing {
+            servers: servers.map(|(id, leaving)| server(id, *leaving)).collect(),
+            unreadable: Vec::new(),
+        }
+    }
+
+    fn since(&self, revision: u64) -> Vec<Change> {
+        let later = self.changes.iter().filter(|(at, _)| *at > revision);
+        later.map(|(_, change)| change.clone()).collect()
+    }
+}
+
+/// What a host passes on.
+#[derive(Clone)]
+enum Told {
+    Changes(Position, Vec<Change>, Position),
+    Known(u64, Position),
+}
+
+/// A world of servers that live, a store, and hosts.
+struct World {
+    store: Store,
+    copies: Vec<Store>,
+    /// The servers that live, and whether they leave.
+    live: BTreeMap<String, bool>,
+    born: u64,
+    hosts: Vec<Directory>,
+    /// What each host has known to leave.
+    known_to_leave: Vec<BTreeSet<String>>,
+    told: Vec<Told>,
+}
+
+impl World {
+    fn new(hosts: usize) -> World {
+        World {
+            store: Store {
+                era: 1,
+                ..Store::default()
+            },
+            copies: vec![Store::default()],
+            live: BTreeMap::new(),
+            born: 0,
+            hosts: (0..hosts).map(|_| Directory::default()).collect(),
+            known_to_leave: vec![BTreeSet::new(); hosts],
+            told: Vec::new(),
+        }
+    }
+
+    /// Something happens to the servers or the store.
+    fn happen(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let ids: Vec<String> = self.live.keys().cloned().collect();
+        let any = if ids.is_empty() {
+            None
+        } else {
+            Some(u.choose(&ids)?.clone())
+        };
+        match (u.int_in_range(0..=6)?, any) {
+            (0 | 1, _) | (_, None) => {
+                self.born += 1;
+                let id = format!("s{}", self.born);
+                self.store.write(&id, false);
+                self.live.insert(id, false);
+            }
+            (2, Some(id)) => {
+                self.store.write(&id, true);
+                self.live.insert(id, true);
+            }
+            (3, Some(id)) => {
+                self.store.remove(&id);
+                self.live.remove(&id);
+            }
+            (4, _) => self.copies.push(self.store.clone()),
+            (5, _) => {
+                let copy = u.choose(&self.copies)?.clone();
+                self.store = Store {
+                    era: self.store.era + 1,
+                    ..copy
+                };
+            }
+            (_, Some(id)) => self.store.write(&id, self.live[&id]),
+        }
+        Ok(())
+    }
+
+    /// A host asks the store, and passes on what has changed.
+    fn follow(&mut self, host: usize, now: Time) {
+        let (directory, store) = (&mut self.hosts[host], &self.store);
+        let (known, position) = (directory.position(), store.position());
+        if !directory.is_listed() || known.era != store.era {
+            directory.take_list(store.listing(), position, now);
+        } else {
+            let changes = store.since(known.revision);
+            directory.take_changes(known, &changes, position, now);
+            self.told.push(Told::Changes(known, changes, position));
+        }
+        let told = Told::Known(directory.digest(), directory.position());
+        self.told.push(told);
+    }
+
+    /// A host hears what some host told at some time.
+    fn hear(&mut self, u: &mut Unstructured<'_>, host: usize, now: Time) -> Result<()> {
+        if self.told.is_empty() {
+            return Ok(());
+        }
+        match u.choose(&self.told)?.clone() {
+            Told::Changes(after, changes, position) => {
+                self.hosts[host].take_changes(after, &changes, position, now);
+            }
+            Told::Known(digest, position) => self.hosts[host].confirm(digest, position),
+        }
+        Ok(())
+    }
+
+    /// No host uses a server that it has known to leave, and none goes back.
+    fn check(&mut self, before: &[Position]) {
+        for (host, directory) in self.hosts.iter().enumerate() {
+            assert!(directory.position() >= before[host]);
+            let open = open(directory);
+            let known = &mut self.known_to_leave[host];
+            assert!(open.is_disjoint(known), "{open:?} {known:?}");
+            let leaving = directory.leaving();
+            let ids = (1..=self.born).map(|number| format!("s{number}"));
+            let of = |id: &String| leaving.contains(&Incarnation::new(&**id, None).key());
+            known.extend(ids.filter(of));
+        }
+    }
+
+    /// All servers that live have written theirs again, the entries of the others have lapsed, and each host has caught up.
+    fn settle(&mut self, now: Time) -> Time {
+        for (id, leaving) in self.live.clone() {
+            self.store.write(&id, leaving);
+        }
+        let stands: Vec<String> = self.store.entries.keys().cloned().collect();
+        for id in stands.iter().filter(|id| !self.live.contains_key(*id)) {
+            self.store.remove(id);
+        }
+        let later = now + STALE + GRACE;
+        for host in 0..self.hosts.len() {
+            self.follow(host, now);
+            self.hosts[host].expire(later);
+            self.follow(host, later);
+            self.hosts[host].expire(later + GRACE);
+        }
+        later + GRACE
+    }
+}
+
+#[test]
+fn hosts_agree_with_the_store_whatever_came_of_former_eras() {
+    each_seed(600, |u| {
+        let hosts = u.int_in_range(2..=5)?;
+        let mut world = World::new(hosts);
+        let mut now = Time(0);
+        for _ in 0..u.int_in_range(1..=90)? {
+            now = now + Duration::from_millis(u.int_in_range(1..=900)?);
+            let host = u.int_in_range(0..=hosts - 1)?;
+            let before: Vec<Position> = world.hosts.iter().map(Directory::position).collect();
+            match u.int_in_range(0..=6)? {
+                0..=2 => world.happen(u)?,
+                3 | 4 => world.follow(host, now),
+                5 => world.hear(u, host, now)?,
+                _ => drop(world.hosts[host].expire(now)),
+            }
+            world.check(&before);
+        }
+        world.settle(now);
+        let ready = world.live.iter().filter(|(_, leaving)| !**leaving);
+        let ready: BTreeSet<String> = ready.map(|(id, _)| id.clone()).collect();
+        for (host, directory) in world.hosts.iter().enumerate() {
+            assert_eq!(open(directory), ready, "host {host}");
+            assert_eq!(directory.digest(), world.hosts[0].digest());
+        }
+        Ok(())
+    });
+}
--- a/crates/alderglade-serve/src/daemon.rs
+++ b/crates/alderglade-serve/src/daemon.rs
@@ -29,7 +29,7 @@
     pub callers: SocketAddr,
     /// For the balancer's question.
     pub ready: SocketAddr,
-    /// For notices of other hosts, over UDP.
+    /// For other hosts: for their notices over UDP, and over TCP for what is too large for one.
     pub peers: SocketAddr,
     /// For operators.
     pub metrics: Option<SocketAddr>,
@@ -44,9 +44,8 @@
     let settings = &node.settings;
     let ready = listener(settings.ready)?;
     let callers = listener(settings.callers)?;
-    let metrics = settings.metrics.and_then(metrics_listener);
-    let address = settings.peers;
-    let peers = UdpSocket::bind(address).await.context(Snafu { address })?;
+    let metrics = settings.metrics.and_then(optional_listener);
+    let (peers, copies) = peer_sockets(settings.peers).await?;
     let addresses = Addresses {
         callers: callers.local_addr().unwrap_or(settings.callers),
         ready: ready.local_addr().unwrap_or(settings.ready),
@@ -55,6 +54,9 @@
             .as_ref()
             .and_then(|listener| listener.local_addr().ok()),
     };
+    if let Some(copies) = copies {
+        tokio::task::spawn_local(peer::serve_copies(node.clone(), copies));
+    }
     if let Some(metrics) = metrics {
         tokio::task::spawn_local(listen::metrics(node.clone(), metrics));
     }
@@ -69,8 +71,24 @@
     Ok(addresses)
 }
 
-/// Opens the listener for operators. A host serves without one: its port may be taken by another process.
-fn metrics_listener(address: SocketAddr) -> Option<TcpListener> {
+/// Opens the two sockets for other hosts, on the same port: where the system picks it, on one that is free for both.
+async fn peer_sockets(address: SocketAddr) -> Result<(UdpSocket, Option<TcpListener>), Error> {
+    /// Ports that are tried; the system seldom picks two in a row that are taken.
+    const TRIES: usize = 8;
+    let mut tries = 0;
+    loop {
+        let notices = UdpSocket::bind(address).await.context(Snafu { address })?;
+        let same = notices.local_addr().unwrap_or(address);
+        let copies = optional_listener(same);
+        tries += 1;
+        if copies.is_some() || address.port() != 0 || tries == TRIES {
+            return Ok((notices, copies));
+        }
+    }
+}
+
+/// Opens a listener for operators or other hosts. A host serves without: the port may be taken by another process.
+fn optional_listener(address: SocketAddr) -> Option<TcpListener> {
     let opened = listener(address);
     if let Err(error) = &opened {
         let problem = error.to_string();
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -63,6 +63,14 @@
 pub(super) const STORE_ROLE: Kind = info(3203, "store_role");
 /// The host counts as cut off from the store, or no longer does.
 pub(super) const STORE_REACH: Kind = info(3204, "store_reach");
+/// The store has come back from a copy.
+pub(super) const STORE_RESTORED: Kind = warn(3205, "store_restored");
+/// The servers were listed anew after that.
+pub(super) const SERVERS_RESTORED: Kind = info(3206, "servers_restored");
+/// The host's own entry was missing in the store and is written again.
+pub(super) const WRITTEN_AGAIN: Kind = info(3207, "entry_written_again");
+/// The configuration was taken from another host.
+pub(super) const CONFIG_COPIED: Kind = info(3208, "config_copied");
 /// Another entry host came, or came back.
 pub(super) const PEER_JOINED: Kind = info(3301, "peer_joined");
 /// Another entry host is silent; what it held lapses.
@@ -103,7 +111,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 37] = [
+pub const ALL: [Kind; 41] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -122,6 +130,10 @@
     STORE_BACK,
     STORE_ROLE,
     STORE_REACH,
+    STORE_RESTORED,
+    SERVERS_RESTORED,
+    WRITTEN_AGAIN,
+    CONFIG_COPIED,
     PEER_JOINED,
     PEER_LOST,
     PEER_FAULT,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -5,6 +5,7 @@
 use alderglade_core::Name;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use serde::{Serialize, Serializer};
+use std::net::SocketAddr;
 
 /// One log line.
 #[derive(Debug, Serialize)]
@@ -141,6 +142,38 @@
         /// The age of the host's word of the store, in milliseconds.
         store_age_ms: Option<u64>,
     },
+    /// The store has come back from a copy: what was written since is gone.
+    StoreRestored {
+        /// Its era.
+        era: u64,
+        /// The era before, as far as the host knew.
+        former_era: u64,
+    },
+    /// The servers were listed anew after that.
+    ServersRestored {
+        /// The store's era.
+        era: u64,
+        /// The revision of the list.
+        revision: u64,
+        /// The revision of the former era up to which the servers were known.
+        former_revision: u64,
+        /// Servers that are missing, and used for a while all the same.
+        missing: usize,
+        /// Servers that had gone and stand there again, and are not used for a while.
+        held_back: usize,
+    },
+    /// The host's own entry was missing in the store and is written again.
+    WrittenAgain {
+        /// The host.
+        name: &'a str,
+    },
+    /// The configuration was taken from another host, since the store didn't give it.
+    ConfigCopied {
+        /// Its version.
+        version: u64,
+        /// Where it came from.
+        from: SocketAddr,
+    },
     /// Other entry hosts came, or came back.
     PeerJoined {
         /// The first of them by name, no more than a few.
@@ -385,6 +418,10 @@
             Record::StoreBack { .. } => &kind::STORE_BACK,
             Record::StoreRole { .. } => &kind::STORE_ROLE,
             Record::StoreReach { .. } => &kind::STORE_REACH,
+            Record::StoreRestored { .. } => &kind::STORE_RESTORED,
+            Record::ServersRestored { .. } => &kind::SERVERS_RESTORED,
+            Record::WrittenAgain { .. } => &kind::WRITTEN_AGAIN,
+            Record::ConfigCopied { .. } => &kind::CONFIG_COPIED,
             Record::PeerJoined { .. } => &kind::PEER_JOINED,
             Record::PeerLost { .. } => &kind::PEER_LOST,
             Record::PeerFault { .. } => &kind::PEER_FAULT,
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -139,7 +139,8 @@
     .await;
 }
 
-async fn simple(
+/// Answers questions that need no waiting until the process ends.
+pub(crate) async fn simple(
     listener: TcpListener,
     answer: impl Fn(&Request<Incoming>) -> Response<Content> + Clone + 'static,
 ) {
@@ -164,13 +165,14 @@
                 .header_read_timeout(UNKNOWN_IDLE)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
-                log::debug!("an operator's connection: {error}");
+                log::debug!("a connection: {error}");
             }
         });
     }
 }
 
-fn plain(status: StatusCode, body: Vec<u8>) -> Response<Content> {
+/// Makes an answer.
+pub(crate) fn plain(status: StatusCode, body: Vec<u8>) -> Response<Content> {
     let mut response = Response::new(Content::Whole(Some(body.into())));
     *response.status_mut() = status;
     response
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -33,6 +33,8 @@
     pub store_calls: IntCounter,
     /// Age of the last word of the store, in milliseconds.
     pub store_age: IntGauge,
+    /// The store's era: how often it has come back from a copy, as it says.
+    pub store_era: IntGauge,
     /// The configuration's version.
     pub config: IntGauge,
     /// Backend servers known.
@@ -103,6 +105,10 @@
             )?,
             store_calls: IntCounter::new("alderglade_store_calls_total", "Calls to the store.")?,
             store_age: IntGauge::new("alderglade_store_age_ms", "Age of the store's last word.")?,
+            store_era: IntGauge::new(
+                "alderglade_store_era",
+                "The store's era, which rises when it comes back from a copy.",
+            )?,
             config: IntGauge::new("alderglade_config_version", "Configuration in force.")?,
             servers: IntGauge::new("alderglade_servers", "Backend servers known.")?,
             passed_over: IntGauge::new(
@@ -158,7 +164,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn prometheus::core::Collector>; 25] = [
+        let all: [Box<dyn prometheus::core::Collector>; 26] = [
             Box::new(self.answers.clone()),
             Box::new(self.aims.clone()),
             Box::new(self.first.clone()),
@@ -169,6 +175,7 @@
             Box::new(self.repeats_left.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.store_age.clone()),
+            Box::new(self.store_era.clone()),
             Box::new(self.config.clone()),
             Box::new(self.servers.clone()),
             Box::new(self.passed_over.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -3,7 +3,9 @@
 //! Decisions are those of `alderglade_core::fleet`; the host keeps what they go by, and notes here what
 //! its tasks learn and take up.
 
+mod catch_up;
 mod choice;
+mod era;
 mod faults;
 mod guard;
 mod hosts;
@@ -36,6 +38,7 @@
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::incarnation::Key;
+use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::quarantine::Verdict;
 use alderglade_core::time::Time;
 use std::cell::{Cell, RefCell};
@@ -81,8 +84,12 @@
     verdicts_made: Notify,
     /// Wakes whoever waits for a reason to ask the store.
     pub word_changed: Notify,
-    /// This lifetime of the process; `0` until the store has given it a number.
-    pub incarnation: Cell<u64>,
+    /// This lifetime of the process: where the store was when it took the host's entry.
+    pub incarnation: Cell<Position>,
+    /// The store's eras.
+    eras: era::Eras,
+    /// Since when other hosts have had a newer configuration.
+    behind_since: Cell<Option<Time>>,
     stopping_since: watch::Sender<Option<Time>>,
     /// Whether requests without an answer are cut off.
     ending: watch::Sender<bool>,
@@ -120,7 +127,9 @@
             verdicts: RefCell::default(),
             verdicts_made: Notify::new(),
             word_changed: Notify::new(),
-            incarnation: Cell::new(0),
+            incarnation: Cell::default(),
+            eras: era::Eras::default(),
+            behind_since: Cell::new(None),
             stopping_since: watch::Sender::new(None),
             ending: watch::Sender::new(false),
             in_hand: progress::InHand::default(),
@@ -228,9 +237,9 @@
         Some(key)
     }
 
-    /// Gives the store's revision up to which the backend servers are known.
-    pub fn servers_position(&self) -> u64 {
-        self.state.borrow().servers_position
+    /// Gives how far the store is known with regard to the backend servers.
+    pub fn servers_position(&self) -> Position {
+        self.state.borrow().directory.position()
     }
 
     /// Gives a server that new work may go to.
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -9,6 +9,7 @@
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::message::{Message, Servers};
+use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::spread;
 use std::net::SocketAddr;
 
@@ -67,7 +68,7 @@
     }
 
     /// Has changes of backend servers passed on to the hosts of the own domain, if this host watches.
-    pub(super) fn tell_changes(&self, after: u64, position: u64, changes: &[Change]) {
+    pub(super) fn tell_changes(&self, after: Position, position: Position, changes: &[Change]) {
         let doubt_ms = {
             let state = self.state.borrow();
             if changes.is_empty() || !state.watches_store() {
@@ -116,12 +117,17 @@
     /// missing here; the store is asked for these.
     pub fn take_servers(&self, servers: &Servers) {
         let mut state = self.state.borrow_mut();
-        let newer = servers.position > state.servers_position;
-        if !newer || servers.after > state.servers_position {
+        let Servers {
+            after, position, ..
+        } = *servers;
+        if !state.directory.lacks(after, position) {
             return;
         }
         state.take_doubt(servers.doubt_ms);
-        state.change_servers(&servers.changes, servers.position);
+        let changes = &servers.changes;
+        state
+            .directory
+            .take_changes(after, changes, position, clock::now());
         drop(state);
         self.tell_servers();
         self.book_changed.notify_one();
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -93,6 +93,7 @@
             in_contact: state.watches_store() && self.store.get().answered_within(IN_CONTACT, now),
             config: state.config_version(),
             servers: state.directory.digest(),
+            era: self.era(),
             doubt_ms: state.doubt_ms(now),
         }
     }
@@ -131,19 +132,18 @@
             age: state.freshness.age(now)?,
             config: state.config_version(),
             servers: state.directory.digest(),
-            position: state.servers_position,
+            position: state.directory.position(),
         })
     }
 
     /// Takes a peer's answer. It confirms only what this host knows too.
     pub fn take_confirmation(&self, answer: &Confirmation) {
         let state = &mut *self.state.borrow_mut();
-        if state.config_version() >= answer.config {
+        // A peer with an older one may have it from a copy of the store.
+        if state.config_version() == answer.config {
             state.freshness.confirm(answer.at());
         }
-        if state.directory.digest() == answer.servers {
-            state.servers_position = state.servers_position.max(answer.position);
-        }
+        state.directory.confirm(answer.servers, answer.position);
     }
 
     /// Takes what a peer tells of the store in a notice.
@@ -151,6 +151,7 @@
         if !word.in_contact {
             return;
         }
+        self.hear_era(word.era);
         let state = &mut *self.state.borrow_mut();
         // A watcher knows by itself; taken from each other, doubts would last for ever.
         if !state.watches_store() {
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -8,7 +8,7 @@
 use alderglade_core::fleet::book::Book;
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::config::Config;
-use alderglade_core::fleet::directory::{Change, Directory};
+use alderglade_core::fleet::directory::Directory;
 use alderglade_core::fleet::faults::Faults;
 use alderglade_core::fleet::freshness::Freshness;
 use alderglade_core::fleet::health::Health;
@@ -50,10 +50,6 @@
     pub hosts: Hosts,
     /// Who asks the store.
     pub(super) relay: Relay,
-    /// The store's revision up to which the backend servers are known.
-    pub(super) servers_position: u64,
-    /// Whether the store has listed them in this lifetime.
-    pub(super) listed: bool,
     /// Messages to the hosts of the own failure domain that have not been sent yet.
     pub(super) outbox: Vec<Message>,
     /// What each service may still be sent again.
@@ -80,8 +76,6 @@
             newcomers: Vec::new(),
             hosts: Hosts::default(),
             relay: Relay::default(),
-            servers_position: 0,
-            listed: false,
             outbox: Vec::new(),
             budgets: HashMap::new(),
             questions: Questions::new(rand::rng().random()),
@@ -108,16 +102,7 @@
 
     /// Says whether the host has learnt what it needs to serve.
     pub(super) fn has_learnt(&self) -> bool {
-        self.config.is_some() && self.listed
-    }
-
-    /// Takes changes of backend servers, which are all up to a revision of the store.
-    pub(super) fn change_servers(&mut self, changes: &[Change], position: u64) {
-        let now = clock::now();
-        for change in changes {
-            self.directory.apply(change.clone(), now);
-        }
-        self.servers_position = position;
+        self.config.is_some() && self.directory.is_listed()
     }
 
     /// Has the book know the engines, after the servers or the configuration have changed.
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -5,9 +5,10 @@
 use crate::event::{self, Record};
 use alderglade_core::Name;
 use alderglade_core::fleet::config::Config;
-use alderglade_core::fleet::directory::{Change, Listing};
+use alderglade_core::fleet::directory::{Change, Listing, Restored};
 use alderglade_core::fleet::faults::Fault;
 use alderglade_core::fleet::fingerprint::Fingerprint;
+use alderglade_core::fleet::position::Position;
 use alderglade_core::time::Time;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,15 +28,17 @@
     Servers {
         /// The servers.
         all: Listing,
-        /// The store's revision at which these were all.
-        position: u64,
+        /// Where the store was when these were all.
+        position: Position,
     },
     /// Changes of backend servers, oldest first; none where a watch has ended without any.
     Changes {
         /// The changes.
         changes: Vec<Change>,
-        /// The store's revision up to which these are all.
-        position: u64,
+        /// Where the store was when the first of them was new.
+        after: Position,
+        /// Up to where these are all.
+        position: Position,
     },
     /// An entry of hosts that can't be read.
     HostUnreadable(Fault),
@@ -47,8 +50,15 @@
     Quarantined(Fingerprint, Duration),
     /// A request may be sent again.
     Released(Fingerprint),
-    /// Nothing newer existed at this time.
-    Confirmed(Time),
+    /// All requests that a copy of the store says are sent to no server, with how much longer.
+    QuarantineRestored(Vec<(Fingerprint, Duration)>),
+    /// What the store holds of the configuration was the newest at this time.
+    Confirmed {
+        /// The time.
+        at: Time,
+        /// The version that it holds; `None` where that can't be read.
+        held: Option<u64>,
+    },
     /// The store gives no answer.
     Lost(String),
     /// The store has answered a call.
@@ -84,7 +94,11 @@
             News::Config(config) => self.take_config(config),
             News::ConfigUnreadable(problem) => self.tell_config_fault(problem),
             News::Servers { all, position } => self.take_list(all, position, now),
-            News::Changes { changes, position } => self.take_changes(&changes, position),
+            News::Changes {
+                changes,
+                after,
+                position,
+            } => self.take_changes(after, &changes, position, now),
             News::HostUnreadable(fault) => self.host_faults(|faults| faults.note(&fault)),
             News::Host(host) => {
                 self.host_faults(|faults| faults.clear(&host.name));
@@ -100,7 +114,10 @@
             News::Released(asked) => {
                 self.with_quarantine(|quarantine, now| quarantine.release(asked, now));
             }
-            News::Confirmed(at) => self.state.borrow_mut().freshness.confirm(at),
+            News::QuarantineRestored(listed) => {
+                self.with_quarantine(|quarantine, now| quarantine.restore(&listed, now));
+            }
+            News::Confirmed { at, held } => self.confirm_config(at, held),
             News::Lost(problem) => self.store_lost(&problem),
             News::Answered => self.store_answered(now),
         }
@@ -120,26 +137,25 @@
     }
 
     /// Takes the whole list of backend servers, unless peers have told of later changes while it was on its way.
-    fn take_list(&self, all: Listing, position: u64, now: Time) {
+    fn take_list(&self, all: Listing, position: Position, now: Time) {
         let mut state = self.state.borrow_mut();
-        if state.listed && position < state.servers_position {
+        if !state.directory.take_list(all, position, now) {
             return;
         }
-        state.directory.replace(all, now);
-        state.servers_position = position;
-        state.listed = true;
+        let restored = state.directory.take_restored();
         drop(state);
+        restored.iter().for_each(tell_restored);
         self.learnt.notify_waiters();
         self.tell_servers();
     }
 
-    /// Takes changes of backend servers, and has them passed on.
-    fn take_changes(&self, changes: &[Change], position: u64) {
+    /// Takes changes of backend servers, unless peers have told of them while they were on their way, and has them passed
+    /// on.
+    fn take_changes(&self, after: Position, changes: &[Change], position: Position, now: Time) {
         let mut state = self.state.borrow_mut();
-        let after = state.servers_position;
-        state.change_servers(changes, position);
+        let taken = state.directory.take_changes(after, changes, position, now);
         drop(state);
-        if changes.is_empty() {
+        if !taken || changes.is_empty() {
             return;
         }
         self.tell_servers();
@@ -148,7 +164,7 @@
     }
 
     /// Takes a configuration, unless one as new is in force.
-    fn take_config(&self, config: Config) {
+    pub(super) fn take_config(&self, config: Config) {
         let mut state = self.state.borrow_mut();
         state.config_fault = None;
         let old = state.config.clone();
@@ -171,6 +187,16 @@
         event::write(&Record::ConfigInForce { version, before });
     }
 
+    /// Takes that the store has confirmed what it holds of the configuration. Where that is older than the one in force,
+    /// the store has come back from a copy, and says nothing of keys that were taken away.
+    fn confirm_config(&self, at: Time, held: Option<u64>) {
+        let mut state = self.state.borrow_mut();
+        let in_force = state.config_version();
+        if held.is_none_or(|held| held >= in_force) {
+            state.freshness.confirm(at);
+        }
+    }
+
     /// Forgets the records of servers that are gone and writes how many there are, and which have started again.
     pub(super) fn tell_servers(&self) {
         self.tell_restarts();
@@ -221,3 +247,14 @@
         self.ask_store.notify_waiters();
     }
 }
+
+/// Writes what the first list of a new era has shown.
+fn tell_restored(restored: &Restored) {
+    event::write(&Record::ServersRestored {
+        era: restored.position.era,
+        revision: restored.position.revision,
+        former_revision: restored.former.revision,
+        missing: restored.missing,
+        held_back: restored.held_back,
+    });
+}
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -2,9 +2,12 @@
 //!
 //! A message that is lost is made good by a later one, so nothing is acknowledged or sent again.
 
+mod copy;
 mod hear;
 mod tell;
 
+pub use copy::serve as serve_copies;
+
 use crate::clock;
 use crate::event::{self, Record};
 use crate::node::Node;
@@ -32,6 +35,9 @@
         beat.tick().await;
         clock::watch(&mut suspension);
         node.tick();
+        if let Some(source) = node.config_source() {
+            tokio::task::spawn_local(copy::take_config(node.clone(), source));
+        }
         teller.heartbeat().await;
         teller.ask(number).await;
     }
--- /dev/null
+++ b/crates/alderglade-serve/src/peer/copy.rs
@@ -0,0 +1,81 @@
+//! What is too large for a datagram, from host to host over HTTP, on the port of the datagrams.
+
+use crate::client;
+use crate::clock;
+use crate::listen;
+use crate::node::Node;
+use alderglade_core::fleet::config::Config;
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Where the configuration in force is given.
+const CONFIGURATION: &str = "/configuration";
+/// How long another host may take to give it: some hundred KB over a link of 20 Mbit/s that others use too.
+const LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Why another host gave nothing.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("the call can't be made"))]
+    Call { source: http::Error },
+    #[snafu(display("no answer in {} ms", LIMIT.as_millis()))]
+    Silent,
+    #[snafu(display("it can't be reached"))]
+    Contact { source: client::Error },
+    #[snafu(display("it answered {status}"))]
+    Refused { status: StatusCode },
+    #[snafu(display("what it gave can't be read"))]
+    Unreadable { source: postcard::Error },
+}
+
+/// Gives other hosts what they ask for, until the process ends.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    listen::simple(listener, move |request| {
+        let config = node.config_in_force();
+        match config.filter(|_| request.uri().path() == CONFIGURATION) {
+            Some(config) => match postcard::to_stdvec(&*config) {
+                Ok(bytes) => listen::plain(StatusCode::OK, bytes),
+                Err(error) => {
+                    super::tell_fault(&error.to_string());
+                    listen::plain(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+                }
+            },
+            None => listen::plain(StatusCode::NOT_FOUND, Vec::new()),
+        }
+    })
+    .await;
+}
+
+/// Takes the configuration of another host, if it is newer.
+pub(super) async fn take_config(node: Rc<Node>, from: SocketAddr) {
+    match fetch_config(&node, from).await {
+        Ok(config) => node.take_copy(config, from),
+        Err(error) => super::tell_fault(&format!("{from}: {error}")),
+    }
+}
+
+async fn fetch_config(node: &Node, from: SocketAddr) -> Result<Config, Error> {
+    let request = Request::get(CONFIGURATION)
+        .header(http::header::HOST, from.to_string())
+        .body(Full::new(Bytes::new()))
+        .context(CallSnafu)?;
+    let exchange = async {
+        let exchange = node.client.send(from, request, true).await?;
+        exchange.collect().await
+    };
+    let Ok(answer) = clock::timeout(LIMIT, exchange).await else {
+        return SilentSnafu.fail();
+    };
+    let answer = answer.context(ContactSnafu)?;
+    let status = answer.status();
+    if status != StatusCode::OK {
+        return RefusedSnafu { status }.fail();
+    }
+    postcard::from_bytes(answer.body()).context(UnreadableSnafu)
+}
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -10,6 +10,7 @@
 use alderglade_core::fleet::loan::Questions;
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::pass::Figures;
+use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::quarantine::{Fact, Quarantine, Told};
 use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
@@ -147,7 +148,7 @@
     Ok(Notice {
         host: "peer".into(),
         domain: "north".into(),
-        incarnation: 1,
+        incarnation: Position::new(1, 1),
         sequence,
         interval_ms: u.arbitrary()?,
         whole: u.arbitrary()?,
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -8,6 +8,7 @@
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::{self, Engine, Shared, Work};
+use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use serde::Serialize;
@@ -128,7 +129,7 @@
         Notice {
             host: self.name.clone(),
             domain: "domain-1".into(),
-            incarnation: 1,
+            incarnation: Position::new(1, 1),
             sequence: self.sequence,
             interval_ms: 1_000,
             whole,
