A host that has just started asks others for a newer configuration before it serves

Change: once the store has listed the hosts and given the configuration, up to six hosts are asked for their version (the question for the age of their word, which hosts without a confirmed word answer too now); two answers are enough, or 150 ms. A newer configuration is fetched at once, 500 ms at most. Requests that have come by then wait for it, as they do for the first configuration.

--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -56,8 +56,8 @@
 pub struct Confirmation {
     /// The question's time, on the clock of the host that asked.
     pub asked_us: u64,
-    /// The age of the sender's word of the store when it answered.
-    pub age: Duration,
+    /// The age of the sender's word of the store when it answered; `None` where it has none that counts yet.
+    pub age: Option<Duration>,
     /// The version of the sender's configuration.
     pub config: u64,
     /// The digest of the servers that the sender knows.
@@ -68,9 +68,9 @@
 
 impl Confirmation {
     /// Gives a time, on the clock of the host that asked, up to which the sender knew all that the store
-    /// had accepted. The way there is not known, so the time of the question counts.
-    pub fn at(&self) -> Time {
-        Time(self.asked_us) - self.age
+    /// had accepted, if it knew so. The way there is not known, so the time of the question counts.
+    pub fn at(&self) -> Option<Time> {
+        self.age.map(|age| Time(self.asked_us) - age)
     }
 }
 
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -5,6 +5,7 @@
 
 mod catch_up;
 mod choice;
+mod consultation;
 mod era;
 mod faults;
 mod guard;
@@ -88,6 +89,8 @@
     pub incarnation: Cell<Position>,
     /// The store's eras.
     eras: era::Eras,
+    /// What others tell this host as it starts.
+    consultation: consultation::Consultation,
     /// Since when other hosts have had a newer configuration.
     behind_since: Cell<Option<Time>>,
     stopping_since: watch::Sender<Option<Time>>,
@@ -129,6 +132,7 @@
             word_changed: Notify::new(),
             incarnation: Cell::default(),
             eras: era::Eras::default(),
+            consultation: consultation::Consultation::default(),
             behind_since: Cell::new(None),
             stopping_since: watch::Sender::new(None),
             ending: watch::Sender::new(false),
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -123,13 +123,14 @@
         one.and_then(address).into_iter().collect()
     }
 
-    /// Answers a peer's question; a host without any word of the store has no answer.
+    /// Answers a peer's question; a host without a configuration has no answer.
     pub fn confirm(&self, ask: Ask) -> Option<Confirmation> {
         let now = clock::now();
         let state = self.state.borrow();
+        state.config.as_ref()?;
         Some(Confirmation {
             asked_us: ask.asked_us,
-            age: state.freshness.age(now)?,
+            age: state.freshness.age(now),
             config: state.config_version(),
             servers: state.directory.digest(),
             position: state.directory.position(),
@@ -137,11 +138,14 @@
     }
 
     /// Takes a peer's answer. It confirms only what this host knows too.
-    pub fn take_confirmation(&self, answer: &Confirmation) {
+    pub fn take_confirmation(&self, answer: &Confirmation, from: SocketAddr) {
+        self.consultation.note_answer(from, answer.config);
         let state = &mut *self.state.borrow_mut();
         // A peer with an older one may have it from a copy of the store.
-        if state.config_version() == answer.config {
-            state.freshness.confirm(answer.at());
+        if state.config_version() == answer.config
+            && let Some(at) = answer.at()
+        {
+            state.freshness.confirm(at);
         }
         state.directory.confirm(answer.servers, answer.position);
     }
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -100,11 +100,6 @@
         self.relay.role() != Role::Follower
     }
 
-    /// Says whether the host has learnt what it needs to serve.
-    pub(super) fn has_learnt(&self) -> bool {
-        self.config.is_some() && self.directory.is_listed()
-    }
-
     /// Has the book know the engines, after the servers or the configuration have changed.
     pub(super) fn note_engines(&mut self) {
         let Some(config) = &self.config else {
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -44,6 +44,8 @@
     HostUnreadable(Fault),
     /// An entry host, or its new address.
     Host(Host),
+    /// All entry hosts have been told.
+    HostsListed,
     /// An entry host has left the store.
     HostGone(Name),
     /// A request is sent to no server for so much longer.
@@ -104,6 +106,7 @@
                 self.host_faults(|faults| faults.clear(&host.name));
                 self.state.borrow_mut().hosts.insert(host);
             }
+            News::HostsListed => self.consultation.note_hosts(),
             News::HostGone(name) => {
                 self.host_faults(|faults| faults.clear(&name));
                 self.state.borrow_mut().hosts.remove(&name);
@@ -127,7 +130,7 @@
     /// servers, but no longer than `patience`.
     pub async fn config_soon(&self, patience: Duration) -> Option<Rc<Config>> {
         let known = async {
-            while !self.state.borrow().has_learnt() {
+            while !self.has_learnt() {
                 self.learnt.notified().await;
             }
         };
@@ -136,6 +139,13 @@
         self.state.borrow().config.clone()
     }
 
+    /// Says whether the host has learnt what it needs to serve.
+    fn has_learnt(&self) -> bool {
+        let state = self.state.borrow();
+        let known = state.config.is_some() && state.directory.is_listed();
+        known && self.consultation.is_over()
+    }
+
     /// Takes the whole list of backend servers, unless peers have told of later changes while it was on its way.
     fn take_list(&self, all: Listing, position: Position, now: Time) {
         let mut state = self.state.borrow_mut();
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -2,6 +2,7 @@
 //!
 //! A message that is lost is made good by a later one, so nothing is acknowledged or sent again.
 
+mod consult;
 mod copy;
 mod hear;
 mod tell;
@@ -28,6 +29,7 @@
     tokio::task::spawn_local(hear::run(node.clone(), socket));
     tokio::task::spawn_local(tell_changes(node.clone(), teller.clone()));
     tokio::task::spawn_local(send_letters(node.clone(), teller.clone()));
+    tokio::task::spawn_local(consult::run(node.clone()));
     let mut suspension = Suspension::default();
     let mut beat = tokio::time::interval(heartbeat::SHORTEST);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -39,7 +39,7 @@
         Message::Spread(notice) => pass_on(node, socket, notice, sender).await,
         Message::PassedOn(passed) => take_notice(node, &passed.notice, passed.origin),
         Message::Ask(ask) => answer(node, socket, ask, sender).await,
-        Message::Confirmation(confirmation) => node.take_confirmation(&confirmation),
+        Message::Confirmation(confirmation) => node.take_confirmation(&confirmation, sender),
         Message::Servers(servers) => node.take_servers(&servers),
         Message::Config(patch) => node.take_patch(&patch),
         Message::Borrow(request) => lend(node, socket, &request, sender).await,
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -57,7 +57,9 @@
         match message {
             Message::Notice(notice) | Message::Spread(notice) => self.hear(&notice, now),
             Message::PassedOn(passed) => self.hear(&passed.notice, now),
-            Message::Confirmation(confirmation) => drop(confirmation.at()),
+            Message::Confirmation(confirmation) => {
+                confirmation.at();
+            }
             Message::Servers(servers) => {
                 for change in servers.changes {
                     self.directory.apply(change, now);
