Hosts tell each other of servers that break requests off before any answer

Cause: engines whose health is good and that reset each request within some milliseconds look empty, and draw the work.

Ways: as it stands (three failures of one's own); told by hosts, counting for others where a second host of the own failure domain, or one of another domain, has seen the same, (a) for all broken answers, (b) only for requests that were broken off before any answer, or met silence. One host's word alone doubts nobody: its own link may be broken; nor do several of one other domain. What was told ends with the next answer, or after two seconds.

A test without network: 72 hosts, 60 engines, four sick: over 300 sends to them alone, under 60 together.

--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -60,6 +60,8 @@
     pub leaving: Vec<Key>,
     /// Servers that refuse work or are slow, as the sender was told by servers.
     pub passed_over: Vec<PassedOver>,
+    /// Servers from which the sender's last answer is missing.
+    pub unanswered: Vec<Key>,
     /// What the sender has seen of requests under which servers end.
     pub quarantine: Vec<Told>,
     /// What it holds.
--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -4,15 +4,19 @@
 //! grows with each failure in a row. It is tried again by ordinary requests when the time is over, so
 //! that a few bad answers never empty a service: where all are doubted, all are used.
 //!
-//! Hosts tell each other only what servers or their machines say: which of them refuse work, by another one's word, which
-//! are slow, by their own, and at whose address nobody listens. That is true for everybody, while silence may lie in the
-//! host's own link.
+//! Hosts tell each other what servers or their machines say: which of them refuse work, by another one's word, which
+//! are slow, by their own, and at whose address nobody listens. That is true for everybody. Silence and broken connections
+//! may lie in the host's own link: they are told too, and count for others where a second host has seen the same.
+
+mod witness;
 
 use super::incarnation::Key;
+use crate::Name;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
+use witness::Witnesses;
 
 /// The first time out after a server could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
@@ -27,6 +31,9 @@
 /// The least time between two questions of this host to a server how slow it is, where it isn't known to be: they
 /// are priced like health checks.
 const QUESTIONS_APART: Duration = Duration::from_secs(3);
+/// How long peers are told that the last request to a server got no answer. A server that is asked again only when it is over
+/// takes two requests in this time.
+const TOLD_UNANSWERED: Duration = Duration::from_secs(2);
 /// The weight of the newest answer in the share of failures.
 const NEWEST: f64 = 0.15;
 /// A share of failures above which a server counts as failing.
@@ -39,6 +46,8 @@
     Sound,
     /// It answered with a failure of its own, or broke its answer off.
     Failed,
+    /// It broke the request off before any answer.
+    Broken,
     /// It could not be reached, or stayed silent.
     Silent,
     /// Its machine says that nobody listens at its address.
@@ -56,6 +65,8 @@
     out_until: Time,
     /// Whether the last of them found that nobody listens there.
     closed: bool,
+    /// When the last call got no answer, if there was none since.
+    unanswered: Option<Time>,
     /// Until when it is passed over by a server's word.
     passed_over_until: Time,
     /// Whether this host has that word from a server, not from a peer.
@@ -70,6 +81,12 @@
         self.passed_over_until > now
     }
 
+    /// Says whether the last call got no answer, a short while ago.
+    fn is_unanswered(&self, now: Time) -> bool {
+        self.unanswered
+            .is_some_and(|at| now.since(at) < TOLD_UNANSWERED)
+    }
+
     /// Gives what this host tells its peers of the server, if anything.
     fn told(&self, server: Key, now: Time) -> Option<PassedOver> {
         let closed = self.out_until.left(now);
@@ -107,6 +124,8 @@
 #[derive(Debug, Default)]
 pub struct Health {
     records: HashMap<Key, Record>,
+    /// What other hosts tell of servers that don't answer them.
+    witnesses: Witnesses,
 }
 
 impl Health {
@@ -116,9 +135,11 @@
         let failed = if outcome == Outcome::Sound { 0.0 } else { 1.0 };
         record.failures += NEWEST * (failed - record.failures);
         record.closed = outcome == Outcome::Closed;
+        let unanswered = matches!(outcome, Outcome::Broken | Outcome::Silent);
+        record.unanswered = unanswered.then_some(now);
         match outcome {
             Outcome::Sound => record.silences = 0,
-            Outcome::Failed => {
+            Outcome::Failed | Outcome::Broken => {
                 if record.failures > FAILING {
                     record.out_until = now + FIRST_PAUSE;
                 }
@@ -183,17 +204,32 @@
         told.take(MOST).collect()
     }
 
+    /// Lists the servers whose last answer to this host is missing, as peers are told: no more than fit a notice.
+    pub fn told_unanswered(&self, now: Time) -> Vec<Key> {
+        /// Some 100 bytes.
+        const MOST: usize = 16;
+        let records = self.records.iter();
+        let told = records.filter(|(_, record)| record.is_unanswered(now));
+        told.map(|(server, _)| *server).take(MOST).collect()
+    }
+
+    /// Takes all the servers whose last answer to another host is missing.
+    pub fn hear_unanswered(&mut self, host: &Name, domain: &Name, servers: &[Key], now: Time) {
+        self.witnesses.hear(host, domain, servers, now);
+    }
+
     /// Gives how many servers are passed over by any server's word.
     pub fn passed_over(&self, now: Time) -> usize {
         let records = self.records.values();
         records.filter(|record| record.is_passed_over(now)).count()
     }
 
-    /// Says whether a server should be passed over now where others can serve.
-    pub fn doubted(&self, server: Key, now: Time) -> bool {
-        self.records
-            .get(&server)
-            .is_some_and(|record| record.out_until > now || record.is_passed_over(now))
+    /// Says whether a server should be passed over now where others can serve, by a host of a failure domain.
+    pub fn doubted(&self, server: Key, own_domain: &str, now: Time) -> bool {
+        let record = self.records.get(&server);
+        let out = record.is_some_and(|record| record.out_until > now || record.is_passed_over(now));
+        let seen = record.is_some_and(|record| record.is_unanswered(now));
+        out || self.witnesses.doubt(server, own_domain, seen, now)
     }
 
     /// Gives the share of a server's recent calls that failed, from `0.0` to `1.0`.
--- a/crates/alderglade-core/tests/testsuite/fleet/health.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/health.rs
@@ -9,14 +9,14 @@
     let mut health = Health::default();
     let id = key("a");
     health.note(id, Outcome::Silent, Time(0));
-    assert!(health.doubted(key("a"), Time::from_millis(499)));
-    assert!(!health.doubted(key("a"), Time::from_millis(500)));
+    assert!(health.doubted(key("a"), "north", Time::from_millis(499)));
+    assert!(!health.doubted(key("a"), "north", Time::from_millis(500)));
     health.note(id, Outcome::Silent, Time::from_millis(500));
-    assert!(health.doubted(key("a"), Time::from_millis(1_499)));
+    assert!(health.doubted(key("a"), "north", Time::from_millis(1_499)));
     for _ in 0..20 {
         health.note(id, Outcome::Silent, Time(0));
     }
-    assert!(!health.doubted(key("a"), Time::from_millis(2_000)));
+    assert!(!health.doubted(key("a"), "north", Time::from_millis(2_000)));
 }
 
 #[test]
@@ -25,9 +25,9 @@
     let id = key("a");
     health.note(id, Outcome::Failed, Time(0));
     health.note(id, Outcome::Failed, Time(0));
-    assert!(!health.doubted(key("a"), Time(0)));
+    assert!(!health.doubted(key("a"), "north", Time(0)));
     health.note(id, Outcome::Failed, Time(0));
-    assert!(health.doubted(key("a"), Time(0)));
+    assert!(health.doubted(key("a"), "north", Time(0)));
 }
 
 #[test]
@@ -58,8 +58,8 @@
     let mut other = Health::default();
     other.hear_passed_over(&words[0], later);
     for health in [&told, &other] {
-        assert!(health.doubted(key("a"), Time::from_millis(2_999)));
-        assert!(!health.doubted(key("a"), Time::from_millis(3_000)));
+        assert!(health.doubted(key("a"), "north", Time::from_millis(2_999)));
+        assert!(!health.doubted(key("a"), "north", Time::from_millis(3_000)));
     }
     assert!(
         other.told_passed_over(later).is_empty(),
@@ -75,7 +75,7 @@
         left_ms: u32::MAX,
     };
     health.hear_passed_over(&told, Time(0));
-    assert!(!health.doubted(key("a"), Time::from_millis(3_000)));
+    assert!(!health.doubted(key("a"), "north", Time::from_millis(3_000)));
 }
 
 /// Two hosts that find a server slow at the same time each hear the other's word a moment later. Were each to give up its
@@ -114,13 +114,13 @@
     words
         .iter()
         .for_each(|word| other.hear_passed_over(word, sent));
-    assert!(other.doubted(closed, Time::from_millis(499)));
+    assert!(other.doubted(closed, "north", Time::from_millis(499)));
     assert!(
-        !other.doubted(closed, Time::from_millis(500)),
+        !other.doubted(closed, "north", Time::from_millis(500)),
         "as long as the finder"
     );
     assert!(
-        !other.doubted(silent, sent),
+        !other.doubted(silent, "north", sent),
         "the silence may lie in the finder's link"
     );
     assert!(other.told_passed_over(sent).is_empty());
@@ -136,3 +136,111 @@
     }
     assert_eq!(finder.told_passed_over(Time(1)).len(), 32);
 }
+
+/// Two hosts of a failure domain, or hosts of two domains, are believed that a server leaves them without an answer; one host,
+/// or several of one other domain, whose way there may be broken, are not.
+#[test]
+fn a_server_is_doubted_where_a_second_host_has_seen_the_same() {
+    let now = Time::from_millis(100);
+    let sick = key("a");
+    let told = |hosts: &[(&str, &str)], seen: bool| {
+        let mut health = Health::default();
+        for (host, domain) in hosts {
+            health.hear_unanswered(&(*host).into(), &(*domain).into(), &[sick], now);
+        }
+        if seen {
+            health.note(sick, Outcome::Broken, now);
+        }
+        health.doubted(sick, "north", now)
+    };
+    assert!(!told(&[], true));
+    assert!(!told(&[("h1", "north")], false));
+    assert!(!told(&[("h5", "south"), ("h6", "south")], false));
+    assert!(told(&[("h1", "north"), ("h2", "north")], false));
+    assert!(told(&[("h1", "north")], true));
+    assert!(told(&[("h5", "south")], true));
+    assert!(told(&[("h5", "south"), ("h9", "east")], false));
+}
+
+#[test]
+fn what_hosts_tell_of_a_server_ends_with_its_next_answer_to_them() {
+    let sick = key("a");
+    let mut sender = Health::default();
+    let mut receiver = Health::default();
+    sender.note(sick, Outcome::Broken, Time(0));
+    let tell = |sender: &Health, receiver: &mut Health, now| {
+        let told = sender.told_unanswered(now);
+        receiver.hear_unanswered(&"h1".into(), &"north".into(), &told, now);
+    };
+    receiver.hear_unanswered(&"h2".into(), &"north".into(), &[sick], Time(0));
+    tell(&sender, &mut receiver, Time(0));
+    assert!(receiver.doubted(sick, "north", Time(0)));
+    sender.note(sick, Outcome::Sound, Time(1));
+    tell(&sender, &mut receiver, Time(1));
+    assert!(!receiver.doubted(sick, "north", Time(1)));
+    sender.note(sick, Outcome::Silent, Time(2));
+    assert!(
+        sender.told_unanswered(Time::from_millis(2_100)).is_empty(),
+        "it lapses"
+    );
+}
+
+/// A deployment with four engines that reset all that they get, and so look empty: hosts choose the engine that all together
+/// hold least at, of those they don't doubt. Gives the sends that such engines got in six seconds.
+fn sends_to_sick(told: bool) -> usize {
+    const HOSTS: usize = 72;
+    const ENGINES: usize = 60;
+    const SICK: usize = 4;
+    /// Requests a second, and how long an answer runs, in milliseconds.
+    const RATE: u64 = 107;
+    const RUNS: u64 = 1_700;
+    /// How long notices take, with the time in which they are collected, in milliseconds.
+    const NOTICE: u64 = 4;
+    let engine = |number: usize| key(&format!("e{number}"));
+    let domain = |host: usize| ["north", "south", "east"][host % 3];
+    let mut hosts: Vec<Health> = (0..HOSTS).map(|_| Health::default()).collect();
+    let mut busy_until = vec![Vec::new(); ENGINES];
+    let mut notices: Vec<(u64, usize)> = Vec::new();
+    let mut sends = 0;
+    for number in 0..6 * RATE {
+        let at = number * 1_000 / RATE;
+        let now = Time::from_millis(at);
+        let due = notices.iter().filter(|(sent, _)| sent + NOTICE <= at);
+        for (_, from) in due.copied().collect::<Vec<_>>() {
+            let list = hosts[from].told_unanswered(now);
+            let name = format!("h{from}").into();
+            for host in hosts.iter_mut().filter(|_| told) {
+                host.hear_unanswered(&name, &domain(from).into(), &list, now);
+            }
+        }
+        notices.retain(|(sent, _)| sent + NOTICE > at);
+        // Heartbeats, which tell the same again.
+        if number % 40 == 0 {
+            notices.extend((0..HOSTS).map(|host| (at, host)));
+        }
+        let host = (number as usize * 31) % HOSTS;
+        let load = |number: &usize| {
+            let doubted = hosts[host].doubted(engine(*number), domain(host), now);
+            let running: &Vec<u64> = &busy_until[*number];
+            (doubted, running.iter().filter(|until| **until > at).count())
+        };
+        let chosen = (0..ENGINES).min_by_key(load).expect("an engine");
+        if chosen < SICK {
+            sends += 1;
+            hosts[host].note(engine(chosen), Outcome::Broken, now);
+            notices.push((at, host));
+        } else {
+            hosts[host].note(engine(chosen), Outcome::Sound, now);
+            busy_until[chosen].push(at + RUNS);
+        }
+    }
+    sends
+}
+
+/// Engines that reset all they get draw the work, since they look empty. That hosts tell each other keeps it from them.
+#[test]
+fn engines_that_reset_all_they_get_draw_little_work() {
+    let (alone, together) = (sends_to_sick(false), sends_to_sick(true));
+    assert!(alone > 300, "{alone}");
+    assert!(together < 60, "{together}");
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
@@ -211,8 +211,8 @@
         health.note(first, Outcome::Silent, Time(0));
     }
     health.note_passed_over(first, Time(0));
-    assert!(health.doubted(first, Time(1)));
-    assert!(!health.doubted(second, Time(1)));
+    assert!(health.doubted(first, "north", Time(1)));
+    assert!(!health.doubted(second, "north", Time(1)));
     assert_eq!(health.failing(second), 0.0);
 
     let mut book = Book::default();
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -66,6 +66,7 @@
         word: Word::default(),
         leaving: Vec::new(),
         passed_over: Vec::new(),
+        unanswered: Vec::new(),
         quarantine: Vec::new(),
         holdings: Vec::new(),
     }
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -90,7 +90,9 @@
         }
         Error::NotSent => Miss::NotSent,
         Error::Lost { .. } => {
-            node.note(server.key(), Outcome::Failed);
+            node.note(server.key(), Outcome::Broken);
+            // Others are told at once: they may be about to send there too.
+            node.book_changed.notify_one();
             broken_off(node, job, server, None).await;
             Miss::Lost
         }
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -35,7 +35,7 @@
 fn doubts(book: &Book, health: &Health, own_domain: &Name, server: &Server, now: Time) -> bool {
     let elsewhere = server.domain != *own_domain;
     let cut_off = elsewhere && book.is_cut_off(&server.domain, now);
-    cut_off || health.doubted(server.key(), now)
+    cut_off || health.doubted(server.key(), own_domain, now)
 }
 
 impl Node {
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -65,6 +65,13 @@
     for told in &notice.passed_over {
         state.health.hear_passed_over(told, now);
     }
+    let Notice {
+        host,
+        domain,
+        unanswered,
+        ..
+    } = notice;
+    state.health.hear_unanswered(host, domain, unanswered, now);
     let joined = state.book.hear(notice, now);
     if joined {
         state.newcomers.push(notice.host.clone());
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -129,6 +129,7 @@
             word,
             leaving: state.directory.leaving(),
             passed_over: state.health.told_passed_over(clock::now()),
+            unanswered: state.health.told_unanswered(clock::now()),
             quarantine: state.quarantine.tell(whole, clock::now()),
             holdings,
         }
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -159,6 +159,7 @@
         word: Word::default(),
         leaving: vec![engine(1).key()],
         passed_over: vec![passed_over],
+        unanswered: vec![engine(2).key()],
         quarantine: vec![told(u)?],
         holdings,
     })
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -138,6 +138,7 @@
             word: Word::default(),
             leaving: Vec::new(),
             passed_over: Vec::new(),
+            unanswered: Vec::new(),
             quarantine: Vec::new(),
             holdings: if whole {
                 self.book.whole(Time(0))
