--- a/crates/alderglade-core/tests/testsuite/fleet/directory.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/directory.rs
@@ -1,24 +1,12 @@
 //! Backend servers that come, leave, crash and lapse while the store is away.
 
-use super::key;
+use super::{key, server};
 use crate::each_seed;
 use alderglade_core::fleet::directory::{Change, Directory, GRACE, Listing, Server};
 use alderglade_core::fleet::faults::Fault;
-use alderglade_core::fleet::incarnation::Incarnation;
 use alderglade_core::time::Time;
 use std::time::Duration;
 
-fn server(id: &str, leaving: bool) -> Server {
-    Server {
-        incarnation: Incarnation::new(id, None),
-        service: "llm".into(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        domain: "north".into(),
-        slots: 16,
-        leaving,
-    }
-}
-
 fn listing(servers: Vec<Server>) -> Listing {
     Listing {
         servers,
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -27,6 +27,7 @@
 mod sse;
 
 use alderglade_core::fleet::book::{Hold, Load, Notice};
+use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::position::Position;
@@ -52,6 +53,18 @@
     Incarnation::new(id, None).key()
 }
 
+/// A server of engines in the northern domain that doesn't say when it was born.
+fn server(id: &str, leaving: bool) -> Server {
+    Server {
+        incarnation: Incarnation::new(id, None),
+        service: "llm".into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: "north".into(),
+        slots: 16,
+        leaving,
+    }
+}
+
 /// A notice of a host of the northern domain that holds nothing.
 fn empty_notice(host: &str, incarnation: u64, sequence: u64) -> Notice {
     Notice {
--- a/crates/alderglade-core/tests/testsuite/fleet/restored.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/restored.rs
@@ -1,10 +1,10 @@
 //! A store that comes back from a copy, as hosts see it that follow it at different paces: revisions go back and are given
 //! out again, and what hosts tell each other of a former era comes late, twice, in another order, or never.
 
-use super::empty_notice;
+use super::{empty_notice, server};
 use crate::each_seed;
 use alderglade_core::fleet::book::Book;
-use alderglade_core::fleet::directory::{Change, Directory, GRACE, Listing, STALE, Server};
+use alderglade_core::fleet::directory::{Change, Directory, GRACE, Listing, STALE};
 use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
 use alderglade_core::fleet::incarnation::Incarnation;
 use alderglade_core::fleet::position::Position;
@@ -14,17 +14,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-fn server(id: &str, leaving: bool) -> Server {
-    Server {
-        incarnation: Incarnation::new(id, None),
-        service: "llm".into(),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        domain: "north".into(),
-        slots: 16,
-        leaving,
-    }
-}
-
 fn listing(ids: &[&str]) -> Listing {
     Listing {
         servers: ids.iter().map(|id| server(id, false)).collect(),
