A prompt that stood still is read by other engines the next time

Cause: a long prompt is read by up to seventeen engines.

Ways: the first engine avoided (stood); long prompts only to engines that no two hosts had doubted within ten seconds, unless they answered since; the engines of a reading that stood still left out of the next one, where there are enough others, and none of them told of.

Kept: the last. Deployments with fewer than some thirty engines have not enough others, and go on as before.

--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -23,6 +23,7 @@
     let pool = sound(usable);
     let whole = pool[0].figures.read(work.prompt);
     let widest = ((whole / PART).ceil() as usize).clamp(1, pool.len().min(MOST_PARTS));
+    let pool = others(work, pool, widest);
     let quickest = whole / widest as f64 + timing::idle_pass(pool[0]);
     let Some(costed) = cheapest(work, &pool, whole, widest, state.pressure) else {
         return wait_or_refuse(work, quickest);
@@ -44,6 +45,14 @@
     })
 }
 
+/// Leaves out the engines at which the prompt has stood still before, where there are enough others.
+fn others<'a>(work: &Work, pool: Vec<&'a Engine>, enough: usize) -> Vec<&'a Engine> {
+    let others = pool.iter().copied();
+    let others = others.filter(|engine| !work.stood_still.contains(&engine.id));
+    let others: Vec<&Engine> = others.collect();
+    if others.len() >= enough { others } else { pool }
+}
+
 /// Lists the engines that aren't doubted, or all where each of them is.
 fn sound<'a>(usable: &[&'a Engine]) -> Vec<&'a Engine> {
     let sound: Vec<&Engine> = usable
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -58,6 +58,8 @@
     pub worth: f64,
     /// Servers that have failed it.
     pub avoid: Vec<Key>,
+    /// Servers that read it together when nothing came of it: one of them may be sick, and nobody says which.
+    pub stood_still: Vec<Key>,
     /// A number drawn by chance for this look, by which hosts that choose at the same moment choose differently; `None`
     /// where no other host chooses.
     pub draw: Option<u64>,
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -49,6 +49,7 @@
         came_back: false,
         worth: worth(5_000),
         avoid: Vec::new(),
+        stood_still: Vec::new(),
         draw: None,
     }
 }
@@ -313,6 +314,23 @@
     plan(choose(&work, &engines, &CALM));
 }
 
+/// A prompt that stood still at seventeen engines, one of which may be sick, is read by others; where there are too few of
+/// them, by any.
+#[test]
+fn a_prompt_that_stood_still_is_read_by_other_engines() {
+    for (count, others) in [(60, true), (20, false)] {
+        let engines = engines(count);
+        let mut work = long(120_000);
+        let first = plan(choose(&work, &engines, &CALM));
+        work.stood_still = first.helpers.clone();
+        work.stood_still.push(first.first);
+        let second = plan(choose(&work, &engines, &CALM));
+        let again = second.helpers.iter().chain([&second.first]);
+        let again = again.filter(|engine| work.stood_still.contains(engine));
+        assert_eq!(again.count() == 0, others);
+    }
+}
+
 #[test]
 fn doubted_engines_serve_where_there_is_no_other() {
     let mut engines = engines(3);
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -101,6 +101,10 @@
     pub reserves: u32,
     /// Servers that have failed the request.
     pub avoid: Vec<Key>,
+    /// Servers that read parts of it now, beside the one that answers.
+    readers: Vec<Key>,
+    /// Servers that read it together when nothing came of it.
+    pub stood_still: Vec<Key>,
     /// Why it has been held back so far, which is written once for each reason.
     pub held_for: Vec<Reason>,
 }
@@ -151,6 +155,7 @@
         // Memory that is set aside and a budget that is asked for take a while.
         job.cleared(node, &life).await?;
         tries.all += 1;
+        tries.readers.clone_from(&plan.helpers);
         tell_placed(node, job, &placed.server, &plan, tries.all);
         job.progress
             .set_stage(Stage::Sent(placed.server.id().clone()));
@@ -273,8 +278,7 @@
     silence: Duration,
 ) -> Plan {
     clock::patience(silence).await;
-    attempt::note_silent(node, job, silent, tries.all, "silence");
-    tries.avoid.push(silent.key());
+    note_standstill(node, job, tries, silent);
     held.set_aside();
     let life = Life::new().send().lost();
     loop {
@@ -289,6 +293,19 @@
     }
 }
 
+/// Notes that nothing has come from a server. Where others read parts, any of them may be the one at fault: the server is not
+/// told of as silent, and the next engines are others, so that the same one doesn't hold the prompt up again.
+fn note_standstill(node: &Node, job: &Job, tries: &mut Tries, silent: &Server) {
+    if tries.readers.is_empty() {
+        attempt::note_silent(node, job, silent, tries.all, "silence");
+    } else {
+        attempt::tell(job, silent, tries.all, "silence");
+        tries.stood_still.push(silent.key());
+        tries.stood_still.append(&mut tries.readers);
+    }
+    tries.avoid.push(silent.key());
+}
+
 /// Says whether what a server has answered counts.
 fn judge(
     node: &Node,
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -155,6 +155,7 @@
         came_back: job.came_back(),
         worth: placement::worth(prompt.tokens),
         avoid: tries.avoid.clone(),
+        stood_still: tries.stood_still.clone(),
         draw: Some(rand::rng().random()),
     }
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -201,6 +201,7 @@
         left: Duration::from_secs(15),
         worth: placement::worth(prompt),
         avoid: Vec::new(),
+        stood_still: Vec::new(),
         draw: Some(prompt),
     }
 }
