--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -1,4 +1,5 @@
-//! Messages between entry hosts, over UDP: who holds what at which server, and what the store has told.
+//! Messages between entry hosts, over UDP: who holds what at which server, and what the store has told; and copies of what is too
+//! large for them, over TCP on the same port.
 //!
 //! A message that is lost is made good by a later one, so nothing is acknowledged or sent again.
 
--- a/crates/alderglade-serve/src/settings.rs
+++ b/crates/alderglade-serve/src/settings.rs
@@ -18,7 +18,7 @@
     pub ready: SocketAddr,
     /// Where operators read metrics, if anywhere.
     pub metrics: Option<SocketAddr>,
-    /// Where other entry hosts send notices, over UDP.
+    /// Where other entry hosts send notices over UDP, and ask over TCP for what is too large for one.
     pub peers: SocketAddr,
     /// The time between the request to stop and the kill.
     pub grace: Duration,
