One way to hold a server back and to take it up again

Found reading the change once more: two functions of the directory differed only in the time that they set.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -266,7 +266,8 @@
         }
         let held = self.ids_where(|entry| is_over(entry.held_until));
         for id in &held {
-            self.take_up(id);
+            self.departed.clear(id);
+            self.hold(id, None);
         }
         !missing.is_empty() || !held.is_empty()
     }
@@ -276,11 +277,10 @@
         entries.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Takes up a server that was held back.
-    fn take_up(&mut self, id: &str) {
-        self.departed.clear(id);
+    /// Holds a server back until a time, or no longer.
+    fn hold(&mut self, id: &str, until: Option<Time>) {
         if let Some(mut entry) = self.remove(id) {
-            entry.held_until = None;
+            entry.held_until = until;
             self.insert(entry);
         }
     }
--- a/crates/alderglade-core/src/fleet/directory/followed.rs
+++ b/crates/alderglade-core/src/fleet/directory/followed.rs
@@ -96,7 +96,7 @@
             .collect();
         self.replace(listing, now);
         for id in &gone {
-            self.hold_back(id, now + STALE);
+            self.hold(id, Some(now + STALE));
         }
         let missing = self
             .entries
@@ -109,12 +109,4 @@
             held_back: gone.len(),
         });
     }
-
-    /// Holds a server back until a time.
-    fn hold_back(&mut self, id: &str, until: Time) {
-        if let Some(mut entry) = self.remove(id) {
-            entry.held_until = Some(until);
-            self.insert(entry);
-        }
-    }
 }
