What servers say of themselves in answers is read and written to the log

The three words are translated now and each change of them is a line (3109 to 3111); nothing goes by them yet.

--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -28,3 +28,4 @@
 pub mod slowdown;
 pub mod spread;
 pub mod sse;
+pub mod statement;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -57,7 +57,10 @@
         Ok(exchange) => exchange,
         Err(error) => return Err(unanswered(node, job, server, number, &error).await),
     };
-    let reply = node.translator.reply(&exchange.head.headers);
+    let head = &exchange.head;
+    let statement = node.translator.statement(head.status, &head.headers);
+    node.hear_statement(server, &statement);
+    let reply = node.translator.reply(&head.headers);
     let own = reply.id.as_ref().is_none_or(|id| *id == job.ask.id);
     if !own {
         tell(job, server, number, "the answer belongs to another request");
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -55,6 +55,12 @@
 pub(super) const ENTRY_UNREADABLE: Kind = warn(3107, "entry_unreadable");
 /// An entry that couldn't be read can be read again, or is gone.
 pub(super) const ENTRY_MENDED: Kind = info(3108, "entry_mended");
+/// A backend server says in an answer that it leaves.
+pub(super) const SERVER_LEAVES: Kind = info(3109, "server_leaves");
+/// A backend server wants nothing from this host for a while.
+pub(super) const SERVER_BACKOFF: Kind = info(3110, "server_backoff");
+/// A backend server says how many requests a second it takes, or no more.
+pub(super) const SERVER_LIMIT: Kind = info(3111, "server_limit");
 /// The store gives no answer.
 pub(super) const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store answers again.
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -92,6 +92,25 @@
         /// When the one that is over began, in Unix milliseconds.
         former_born_ms: Option<u64>,
     },
+    /// A backend server says in an answer that it leaves.
+    ServerLeaves {
+        /// The server.
+        server: &'a str,
+    },
+    /// A backend server wants nothing from this host for a while.
+    ServerBackoff {
+        /// The server.
+        server: &'a str,
+        /// For how long.
+        for_ms: u64,
+    },
+    /// A backend server says how many requests a second it takes from all hosts.
+    ServerLimit {
+        /// The server.
+        server: &'a str,
+        /// The requests; missing where it names no limit any more.
+        per_second: Option<f64>,
+    },
     /// An entry of the store can't be read; it is passed over.
     EntryUnreadable {
         /// What it is of: `servers`, `hosts` or `quarantine`.
@@ -412,6 +431,9 @@
             Record::ServerRefusing { .. } => &kind::SERVER_REFUSING,
             Record::ServerSlow { .. } => &kind::SERVER_SLOW,
             Record::ServerRestarted { .. } => &kind::SERVER_RESTARTED,
+            Record::ServerLeaves { .. } => &kind::SERVER_LEAVES,
+            Record::ServerBackoff { .. } => &kind::SERVER_BACKOFF,
+            Record::ServerLimit { .. } => &kind::SERVER_LIMIT,
             Record::EntryUnreadable { .. } => &kind::ENTRY_UNREADABLE,
             Record::EntryMended { .. } => &kind::ENTRY_MENDED,
             Record::StoreLost { .. } => &kind::STORE_LOST,
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -18,6 +18,7 @@
 mod repeats;
 mod restart;
 mod state;
+mod statement;
 mod stop;
 mod store;
 
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -18,6 +18,7 @@
 use alderglade_core::fleet::quarantine::Quarantine;
 use alderglade_core::fleet::reach::Reach;
 use alderglade_core::fleet::relay::{Relay, Role};
+use alderglade_core::fleet::statement::Statement;
 use alderglade_core::time::Time;
 use rand::RngExt;
 use std::collections::HashMap;
@@ -60,6 +61,8 @@
     pub(super) questions: Questions,
     /// Own calls that run at plain backend servers.
     pub(super) calls: HashMap<Key, u32>,
+    /// What servers have said of themselves in their last answers.
+    pub(super) statements: HashMap<Key, Statement>,
 }
 
 impl Default for State {
@@ -83,6 +86,7 @@
             budgets: HashMap::new(),
             questions: Questions::new(rand::rng().random()),
             calls: HashMap::new(),
+            statements: HashMap::new(),
         }
     }
 }
--- a/crates/alderglade-serve/src/translate.rs
+++ b/crates/alderglade-serve/src/translate.rs
@@ -2,8 +2,9 @@
 
 use alderglade_core::Name;
 use alderglade_core::fleet::placement::Share;
+use alderglade_core::fleet::statement::Statement;
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, StatusCode};
 use snafu::Snafu;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -126,6 +127,10 @@
     /// Reads the head of a backend server's answer.
     fn reply(&self, head: &HeaderMap) -> Reply;
 
+    /// Reads what a backend server says of itself in the head of an answer to a request or an order; what can't be read is
+    /// left out.
+    fn statement(&self, status: StatusCode, head: &HeaderMap) -> Statement;
+
     /// Gives the headers of a backend server's answer that go to the caller.
     fn give_back(&self, head: &HeaderMap) -> HeaderMap;
 
