Servers' limits are kept over all hosts: a request goes there by a grant of the limit's owner

Callers saw nothing; a server in need got 21 requests in four seconds where 12 may come. Cause: of what a server says of itself in an answer nothing was read, and a host could not keep the sum of all by itself. Ruled out: that each host kept to it and only the sum did not (single hosts sent three a second to a server that takes 1.1), and that it was repeats (all 73 sends in the logs were first ones).

Now one of the hosts, by rendezvous hashing among those heard of, gives out a grant for each request to a server with a limit; who gets none has the request go elsewhere, or refuses it with the time until the next grant. A successor begins with nothing to give. Nothing is sent without a permit, which is asked for at the one place through which all ways go: first sends, repeats, streams that go on, parts and memory of long prompts. What is told of a limit, by answers and by notices, is ordered by when the server said it; an answer without a limit ends it only if it was made after the last one that named it.

--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -8,6 +8,7 @@
 use crate::fleet::incarnation::Key;
 use crate::fleet::position::Position;
 use crate::fleet::quarantine::Told;
+use crate::fleet::rate_limit;
 use crate::fleet::relay::Word;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -64,6 +65,8 @@
     pub unanswered: Vec<Key>,
     /// What the sender has seen of requests under which servers end.
     pub quarantine: Vec<Told>,
+    /// Servers that have named the most requests that they take, as the sender was told by them.
+    pub limits: Vec<rate_limit::Told>,
     /// What it holds.
     pub holdings: Vec<Holding>,
 }
--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -7,6 +7,7 @@
 use super::directory::Change;
 use super::loan::{self, Loan};
 use super::position::Position;
+use super::rate_limit::{self, Grant};
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -33,6 +34,10 @@
     Borrow(loan::Request),
     /// The answer to that.
     Loan(Loan),
+    /// The sender asks the owner of a server's limit for leave to send it one request.
+    Claim(rate_limit::Request),
+    /// The answer to that.
+    Grant(Grant),
 }
 
 /// A notice of another host, passed on.
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod position;
 pub mod progress;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod reach;
 pub mod relay;
 pub mod slowdown;
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -0,0 +1,227 @@
+//! Backend servers that name the most requests a second that they take from all hosts together.
+//!
+//! Each host hears of a limit in the answers that it gets, and hosts tell each other. One of them, which rendezvous hashing
+//! picks among those that live, owns a limit: it gives out a [`Grant`] for each request, and a host without one sends its
+//! request elsewhere. Nothing is kept beyond the owner's life. Its successor starts with nothing to give, so that what both
+//! have given out stays within what the server takes.
+
+mod bucket;
+
+use super::incarnation::Key;
+use super::statement::Rate;
+use crate::Name;
+use crate::time::Time;
+use bucket::Bucket;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How long hosts are told that a server names no limit any more: some of the longest intervals between notices.
+const TOLD_OVER: Duration = Duration::from_secs(10);
+/// How long a limit's owner that grants nothing has a host wait that takes another one for the owner: until both have heard
+/// the same notices.
+const NOT_OWNER: Duration = Duration::from_millis(300);
+/// How long the limit of a server is remembered that is not known any more.
+const REMEMBERED: Duration = Duration::from_secs(60);
+/// What a rate is told in: requests in so many seconds.
+const TOLD_SECONDS: f64 = 1_000.0;
+
+/// A limit, as hosts tell each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The server.
+    pub server: Key,
+    /// The requests that it takes in a thousand seconds; `0` where it names no limit any more.
+    pub per_thousand_s: u32,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl Told {
+    fn rate(&self) -> Option<Rate> {
+        let number = f64::from(self.per_thousand_s) / TOLD_SECONDS;
+        Rate::per_second(number).filter(|_| self.per_thousand_s > 0)
+    }
+}
+
+/// Asks the owner of a limit for leave to send one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// The question's number; comes back in the answer.
+    pub number: u64,
+    /// The host that asks.
+    pub host: Name,
+    /// What it knows of the limit, which the owner may not have heard of.
+    pub told: Told,
+}
+
+/// The answer to that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The question's number.
+    pub number: u64,
+    /// How long the host should wait before it asks again, in milliseconds; `0` if it may send.
+    pub wait_ms: u32,
+}
+
+/// What is known of one server's limit.
+#[derive(Debug)]
+struct Known {
+    /// The limit; `None` where the server names none any more.
+    rate: Option<Rate>,
+    /// When the server said so, at the earliest for the word that there is none, else at the latest.
+    as_of: Time,
+    /// Whether this host heard it from the server.
+    first_hand: bool,
+    /// Until when this host gets no grant.
+    denied_until: Time,
+}
+
+impl Known {
+    fn told(&self, server: Key, now: Time) -> Option<Told> {
+        let age = now.since(self.as_of);
+        let is_told = self.first_hand && (self.rate.is_some() || age < TOLD_OVER);
+        let rate = self.rate.map_or(0.0, |rate| rate.get() * TOLD_SECONDS);
+        is_told.then_some(Told {
+            server,
+            per_thousand_s: rate as u32,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+}
+
+/// The limits that a host knows, and those that it owns.
+#[derive(Debug, Default)]
+pub struct Limits {
+    known: HashMap<Key, Known>,
+    owned: HashMap<Key, Bucket>,
+}
+
+impl Limits {
+    /// Takes what a server says in the answer to a request that was `sent` at a time; says whether that is news.
+    ///
+    /// The word that there is no limit counts only in an answer that was made after the last one that named it: answers
+    /// pass each other on their way.
+    pub fn hear(&mut self, server: Key, rate: Option<Rate>, sent: Time, now: Time) -> bool {
+        let before = self.known.get(&server);
+        let before_rate = before.and_then(|known| known.rate);
+        let denied_until = before.map_or(now, |known| known.denied_until);
+        let as_of = match rate {
+            Some(_) => now,
+            None if before.is_some_and(|known| known.rate.is_some() && known.as_of <= sent) => sent,
+            None => return false,
+        };
+        let known = Known {
+            rate,
+            as_of,
+            first_hand: true,
+            denied_until,
+        };
+        self.known.insert(server, known);
+        rate != before_rate
+    }
+
+    /// Takes another host's word; says whether that is news.
+    pub fn hear_told(&mut self, told: &Told, now: Time) -> bool {
+        let as_of = now - Duration::from_millis(u64::from(told.age_ms));
+        let before = self.known.get(&told.server);
+        if before.is_some_and(|known| known.as_of >= as_of) {
+            return false;
+        }
+        let rate = told.rate();
+        let changes = rate != before.and_then(|known| known.rate);
+        let known = Known {
+            rate,
+            as_of,
+            first_hand: false,
+            denied_until: before.map_or(now, |known| known.denied_until),
+        };
+        self.known.insert(told.server, known);
+        changes
+    }
+
+    /// Lists the limits that this host has heard of last from their servers: no more than fit a notice.
+    pub fn told(&self, now: Time) -> Vec<Told> {
+        /// Some 300 bytes.
+        const MOST: usize = 24;
+        let known = self.known.iter();
+        let told = known.filter_map(|(server, known)| known.told(*server, now));
+        told.take(MOST).collect()
+    }
+
+    /// Gives the limit of a server, if it has one.
+    pub fn rate(&self, server: Key) -> Option<Rate> {
+        self.known.get(&server)?.rate
+    }
+
+    /// Gives how many servers have one.
+    pub fn count(&self) -> usize {
+        let limited = self.known.values().filter(|known| known.rate.is_some());
+        limited.count()
+    }
+
+    /// Gives how long this host gets no grant for a server.
+    pub fn denied_for(&self, server: Key, now: Time) -> Duration {
+        let known = self.known.get(&server).filter(|known| known.rate.is_some());
+        known.map_or(Duration::ZERO, |known| known.denied_until.left(now))
+    }
+
+    /// Notes that this host should not ask for a grant for a while.
+    pub fn deny(&mut self, server: Key, wait: Duration, now: Time) {
+        if let Some(known) = self.known.get_mut(&server) {
+            known.denied_until = now + wait;
+        }
+    }
+
+    /// Makes the question for a grant; gives `None` where the server has no limit.
+    pub fn ask(&self, server: Key, host: &Name, number: u64, now: Time) -> Option<Request> {
+        let known = self.known.get(&server)?;
+        let rate = known.rate?.get() * TOLD_SECONDS;
+        Some(Request {
+            number,
+            host: host.clone(),
+            told: Told {
+                server,
+                per_thousand_s: rate as u32,
+                age_ms: u32::try_from(now.since(known.as_of).as_millis()).unwrap_or(u32::MAX),
+            },
+        })
+    }
+
+    /// Answers a host's question, where `owner` is the limit's owner as this host, named `own`, sees it.
+    pub fn grant(&mut self, request: &Request, owner: &str, own: &str, now: Time) -> Grant {
+        let server = request.told.server;
+        self.hear_told(&request.told, now);
+        let wait = match self.rate(server) {
+            None => Duration::ZERO,
+            Some(_) if owner != own => NOT_OWNER,
+            Some(rate) => {
+                let bucket = self.owned.entry(server);
+                let bucket = bucket.or_insert_with(|| Bucket::new(now));
+                bucket.take(&request.host, rate, now)
+            }
+        };
+        // A wait below a millisecond is none that could be told.
+        let wait_ms = wait.as_micros().div_ceil(1_000);
+        Grant {
+            number: request.number,
+            wait_ms: u32::try_from(wait_ms).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Forgets the servers that are not known any more and were not heard of lately: an entry may lapse, and come back in
+    /// the same lifetime.
+    pub fn retain(&mut self, is_known: impl Fn(Key) -> bool, now: Time) {
+        self.known
+            .retain(|server, known| is_known(*server) || now.since(known.as_of) < REMEMBERED);
+        let known = &self.known;
+        self.owned.retain(|server, _| known.contains_key(server));
+    }
+}
+
+/// Gives the host that owns a server's limit among some.
+pub fn owner<'a>(server: Key, hosts: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
+    let weight = |host: &&Name| xxh3_64_with_seed(host.as_bytes(), server.number());
+    hosts.max_by_key(|host| (weight(host), *host))
+}
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/fleet/chance.rs
@@ -0,0 +1,21 @@
+//! Chance by seeds.
+
+/// Numbers drawn by chance from a seed, as many as a run of thousands of steps needs.
+pub(super) struct Chance(pub(super) u64);
+
+impl Chance {
+    /// Gives a number below `end`, which isn't zero.
+    pub(super) fn below(&mut self, end: u64) -> u64 {
+        // Splitmix: each step's bits are spread over the whole word.
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut word = self.0;
+        word = (word ^ (word >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        word = (word ^ (word >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (word ^ (word >> 31)) % end
+    }
+
+    /// Draws one of so many hosts.
+    pub(super) fn host(&mut self, count: usize) -> usize {
+        self.below(count as u64) as usize
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/loan.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/loan.rs
@@ -1,6 +1,7 @@
 //! Loans between hosts' budgets: the bound holds over all hosts however messages fare, and what is left is spent where
 //! the failures are.
 
+use super::chance::Chance;
 use alderglade_core::Name;
 use alderglade_core::fleet::budget::{Bound, Budget, LENT_FOR, REPEAT};
 use alderglade_core::fleet::loan::{Loan, Questions, Request};
@@ -17,26 +18,6 @@
     "llm".into()
 }
 
-/// Numbers drawn by chance from a seed, as many as a run of thousands of steps needs.
-struct Chance(u64);
-
-impl Chance {
-    /// Gives a number below `end`, which isn't zero.
-    fn below(&mut self, end: u64) -> u64 {
-        // Splitmix: each step's bits are spread over the whole word.
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut word = self.0;
-        word = (word ^ (word >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        word = (word ^ (word >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        (word ^ (word >> 31)) % end
-    }
-
-    /// Draws one of so many hosts.
-    fn host(&mut self, count: usize) -> usize {
-        self.below(count as u64) as usize
-    }
-}
-
 /// What hosts send each other.
 #[derive(Clone)]
 enum Message {
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod book;
 mod budget;
 mod caller;
+mod chance;
 mod config;
 mod directory;
 mod faults;
@@ -19,6 +20,7 @@
 mod placement;
 mod progress;
 mod quarantine;
+mod rate_limit;
 mod reach;
 mod relay;
 mod restored;
@@ -81,6 +83,7 @@
         passed_over: Vec::new(),
         unanswered: Vec::new(),
         quarantine: Vec::new(),
+        limits: Vec::new(),
         holdings: Vec::new(),
     }
 }
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
-use crate::node::Node;
+use crate::node::{Node, Permit};
 use crate::translate::{Dispatch, Helper, Reply};
 use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
@@ -31,7 +31,7 @@
     Lost,
 }
 
-/// Sends a job to a server and waits for the head of the answer.
+/// Sends a job to a server and waits for the head of the answer. Nothing is sent where the permit doesn't hold any more.
 ///
 /// # Errors
 ///
@@ -40,10 +40,15 @@
     node: &Rc<Node>,
     job: &Job,
     server: &Server,
+    permit: Permit,
     helpers: Vec<Helper>,
     last_event: Option<String>,
     number: u32,
 ) -> Result<(Exchange, Reply), Miss> {
+    if !node.honours(&permit) {
+        tell(job, server, number, "the server takes nothing now");
+        return Err(Miss::NotSent);
+    }
     let dispatch = Dispatch {
         server: server.id().clone(),
         time_left: job.left(),
@@ -53,13 +58,14 @@
     };
     let fresh = !job.route.kind.repeatable();
     let request = outgoing(node, job, &dispatch);
+    let sent = clock::now();
     let exchange = match node.client.send(server.address, request, fresh).await {
         Ok(exchange) => exchange,
         Err(error) => return Err(unanswered(node, job, server, number, &error).await),
     };
     let head = &exchange.head;
     let statement = node.translator.statement(head.status, &head.headers);
-    node.hear_statement(server, &statement);
+    node.hear_statement(server, &statement, sent);
     let reply = node.translator.reply(&head.headers);
     let own = reply.id.as_ref().is_none_or(|id| *id == job.ask.id);
     if !own {
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -117,7 +117,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 41] = [
+pub const ALL: [Kind; 44] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -132,6 +132,9 @@
     SERVER_RESTARTED,
     ENTRY_UNREADABLE,
     ENTRY_MENDED,
+    SERVER_LEAVES,
+    SERVER_BACKOFF,
+    SERVER_LIMIT,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -10,7 +10,7 @@
 use crate::event::{self, Record};
 use crate::forward;
 use crate::job::Job;
-use crate::node::{Held, InFlight, Node, Stage};
+use crate::node::{Held, InFlight, Node, Permit, Stage};
 use crate::relay;
 use crate::slowdown::Reading;
 use crate::ticket::Tickets;
@@ -58,6 +58,12 @@
     pub silence: Duration,
 }
 
+/// A plan, and the leave to send the prompt by it.
+struct Choice {
+    plan: Plan,
+    permit: Permit,
+}
+
 /// A generation for which all is taken up that its plan needs.
 struct Placed {
     /// The server that answers.
@@ -145,9 +151,9 @@
     let mut found = None;
     loop {
         job.progress.set_stage(Stage::Waits);
-        let plan = match found.take() {
-            Some(plan) => plan,
-            None => next_plan(node, job, tries, &life).await?,
+        let Choice { plan, permit } = match found.take() {
+            Some(choice) => choice,
+            None => next_choice(node, job, tries, &life).await?,
         };
         let Some(mut placed) = take_up(node, job, &plan, tries).await else {
             continue;
@@ -163,14 +169,19 @@
         tries.arrivals += 1;
         let sent = life.send();
         let silence = silence(job, &plan);
-        life = match send(node, job, tries, &mut placed, last_event.clone(), silence).await {
+        let attempt = Attempt {
+            permit,
+            last_event: last_event.clone(),
+            silence,
+        };
+        life = match send(node, job, tries, &mut placed, attempt).await {
             Sending::Answered(exchange) => {
                 placed.held.take_back();
                 return Ok(placed.open(exchange, silence));
             }
             Sending::Missed(miss) => note_miss(node, job, tries, &placed.server, sent, miss),
-            Sending::Replaced(plan) => {
-                found = Some(plan);
+            Sending::Replaced(choice) => {
+                found = Some(choice);
                 sent.lost()
             }
         };
@@ -182,17 +193,33 @@
 }
 
 /// Gives the plan of the next send, where the budget allows one more.
-async fn next_plan(
+async fn next_choice(
     node: &Rc<Node>,
     job: &Job,
     tries: &mut Tries,
     life: &Life<Waiting>,
-) -> Result<Plan, Refusal> {
-    let plan = place::place(node, job, tries, life).await?;
+) -> Result<Choice, Refusal> {
+    let choice = permitted(node, job, tries, life).await?;
     if tries.arrivals > 0 && !node.spend_repeat(&job.ask.id, &job.service).await {
         return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
     }
-    Ok(plan)
+    Ok(choice)
+}
+
+/// Gives a plan by which the prompt may be sent.
+async fn permitted(
+    node: &Rc<Node>,
+    job: &Job,
+    tries: &mut Tries,
+    life: &Life<Waiting>,
+) -> Result<Choice, Refusal> {
+    loop {
+        let plan = place::place(node, job, tries, life).await?;
+        // An engine that takes nothing now isn't chosen the next time.
+        if let Ok(permit) = node.permit_plan(&plan).await {
+            return Ok(Choice { plan, permit });
+        }
+    }
 }
 
 /// Takes up what a plan needs; gives `None` where its server is gone or the memory can't be set aside, and another
@@ -225,6 +252,16 @@
     caller::silence(patience).min(late)
 }
 
+/// One send of a generation.
+struct Attempt {
+    /// The leave to send it.
+    permit: Permit,
+    /// The last event that its caller already has.
+    last_event: Option<String>,
+    /// How long the server may say nothing before another one is looked for.
+    silence: Duration,
+}
+
 /// What became of a send.
 enum Sending {
     /// The head of an answer that counts has come.
@@ -232,32 +269,36 @@
     /// There is no such answer.
     Missed(Miss),
     /// The server is silent, and another one can take the request by this plan.
-    Replaced(Plan),
+    Replaced(Choice),
 }
 
-/// Sends a generation to one server and waits for the head of an answer that counts. A server that says nothing for
-/// `silence` is left where another one is found; else it has as long as the caller waits.
+/// Sends a generation to one server and waits for the head of an answer that counts. A server that says nothing for as long
+/// as it may is left where another one is found; else it has as long as the caller waits.
 async fn send(
     node: &Rc<Node>,
     job: &Job,
     tries: &mut Tries,
     placed: &mut Placed,
-    last_event: Option<String>,
-    silence: Duration,
+    attempt: Attempt,
 ) -> Sending {
+    let Attempt {
+        permit,
+        last_event,
+        silence,
+    } = attempt;
     let server = &placed.server;
     let sends_left = tries.are_left(job.route.max_attempts);
     let more = sends_left && job.route.kind.repeatable();
     let number = tries.all;
     let helpers = placed.helpers.clone();
-    let answer = attempt::send(node, job, server, helpers, last_event, number);
+    let answer = attempt::send(node, job, server, permit, helpers, last_event, number);
     let answer = async { judge(node, job, server, number, answer.await) };
     tokio::select! {
         // An answer that is there goes before any sign that there was none.
         biased;
         sending = answer => sending,
-        plan = find_other(node, job, tries, server, &mut placed.held, silence), if more => {
-            Sending::Replaced(plan)
+        choice = find_other(node, job, tries, server, &mut placed.held, silence), if more => {
+            Sending::Replaced(choice)
         }
         () = attempt::over(node, job, server, number) => Sending::Missed(Miss::Lost),
         () = clock::patience(job.left()) => {
@@ -276,7 +317,7 @@
     silent: &Server,
     held: &mut Held,
     silence: Duration,
-) -> Plan {
+) -> Choice {
     clock::patience(silence).await;
     note_standstill(node, job, tries, silent);
     held.set_aside();
@@ -285,9 +326,10 @@
         let plan = place::place(node, job, tries, &life).await;
         let other = plan.ok().filter(|plan| plan.first != silent.key());
         if let Some(plan) = other
+            && let Ok(permit) = node.permit_plan(&plan).await
             && node.spend_repeat(&job.ask.id, &job.service).await
         {
-            return plan;
+            return Choice { plan, permit };
         }
         clock::sleep(attempt::LOOK_AGAIN).await;
     }
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -111,6 +111,9 @@
     };
     let work = work(job, tries, figures.stride);
     let engines = node.engines(&job.service, figures);
+    if engines.is_empty() {
+        return no_engines(node, job);
+    }
     let demand = placement::demand(&work, &figures, engines.len());
     let before = demand.map_or(0, |demand| {
         let place = line.get_or_insert_with(|| node.line_up(demand));
@@ -125,10 +128,16 @@
     placement::choose(&work, &engines, &shared)
 }
 
+/// Refuses a prompt that no engine takes now. Where that is for a while only, its caller hears for how long.
+fn no_engines(node: &Node, job: &Job) -> Decision {
+    let after = node.opens_in(&job.service);
+    Decision::Refuse(after.unwrap_or(placement::NO_ENGINES))
+}
+
 /// Places a stream of a service that states no figures for its engines: least own calls first.
 fn without_figures(node: &Node, job: &Job, tries: &Tries) -> Decision {
     match node.pick(&job.service, &tries.avoid) {
-        None => Decision::Refuse(COME_BACK),
+        None => no_engines(node, job),
         Some(server) => Decision::Send(Plan {
             first: server.key(),
             helpers: Vec::new(),
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -41,6 +41,8 @@
     pub servers: IntGauge,
     /// Backend servers that are passed over by any server's word.
     pub passed_over: IntGauge,
+    /// Backend servers that have named a limit.
+    pub limited: IntGauge,
     /// Backend servers that have started again under their id.
     pub restarts: IntCounter,
     /// Entries of the store that couldn't be read, counted once for each change of them.
@@ -115,6 +117,10 @@
                 "alderglade_passed_over_servers",
                 "Servers passed over by any server's word.",
             )?,
+            limited: IntGauge::new(
+                "alderglade_limited_servers",
+                "Servers that have named the most requests that they take.",
+            )?,
             restarts: IntCounter::new(
                 "alderglade_server_restarts_total",
                 "Servers that have started again under their id.",
@@ -164,7 +170,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let all: [Box<dyn prometheus::core::Collector>; 26] = [
+        let all: [Box<dyn prometheus::core::Collector>; 27] = [
             Box::new(self.answers.clone()),
             Box::new(self.aims.clone()),
             Box::new(self.first.clone()),
@@ -179,6 +185,7 @@
             Box::new(self.config.clone()),
             Box::new(self.servers.clone()),
             Box::new(self.passed_over.clone()),
+            Box::new(self.limited.clone()),
             Box::new(self.restarts.clone()),
             Box::new(self.unreadable.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -11,6 +11,7 @@
 mod guard;
 mod hosts;
 mod outbox;
+mod permit;
 mod progress;
 mod quarantine;
 mod reach;
@@ -25,6 +26,7 @@
 pub use guard::{Call, Connected, Held, InFlight, InLine};
 pub use hosts::{Host, Hosts};
 pub use outbox::{Letter, Ways};
+pub use permit::{Closed, Permit};
 pub use progress::{Progress, Stage};
 pub use state::State;
 pub use store::News;
@@ -78,6 +80,8 @@
     pub letters_written: Notify,
     /// Wakes whoever waits for a part of another host's budget.
     lent: Notify,
+    /// Questions for grants that are not answered yet.
+    claims: RefCell<permit::Claims>,
     /// Wakes whoever waits for the answer of a server that may have started again.
     restarted: Notify,
     /// What was decided on requests and the store has not been told yet.
@@ -127,6 +131,7 @@
             letters: RefCell::default(),
             letters_written: Notify::new(),
             lent: Notify::new(),
+            claims: RefCell::default(),
             restarted: Notify::new(),
             verdicts: RefCell::default(),
             verdicts_made: Notify::new(),
@@ -277,6 +282,7 @@
         metrics.repeats_left.set(self.repeats_left(state, now));
         let passed_over = state.health.passed_over(now) as i64;
         metrics.passed_over.set(passed_over);
+        metrics.limited.set(state.limits.count() as i64);
         metrics.hosts.set(state.book.hosts() as i64);
         let age = state.freshness.age(now);
         let age = age.map_or(-1, |age| age.as_millis() as i64);
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -39,21 +39,22 @@
 }
 
 impl Node {
-    /// Gives the engines of a service as this host sees them, in the order of their ids.
+    /// Gives the engines of a service that take something of this host now, as it sees them, in the order of their ids.
     pub fn engines(&self, service: &str, figures: Figures) -> Vec<Engine> {
         let now = clock::now();
         let own_domain = &self.settings.domain;
         let mut state = self.state.borrow_mut();
+        let servers = state.directory.of_service(service);
+        let open = servers.filter(|server| state.is_open(server.key(), now));
+        let open: Vec<Server> = open.cloned().collect();
         let State {
-            directory,
             book,
             health,
             pauses,
             ..
         } = &mut *state;
         let pauses = pauses.get(service).copied().unwrap_or_default();
-        directory
-            .of_service(service)
+        open.iter()
             .map(|server| {
                 let key = server.key();
                 Engine {
@@ -86,13 +87,14 @@
         self.pressure.get().mean
     }
 
-    /// Picks the plain backend server with the fewest own calls that hasn't been tried.
+    /// Picks the plain backend server with the fewest own calls that hasn't been tried, among those that take something now.
     pub fn pick(&self, service: &str, tried: &[Key]) -> Option<Server> {
         let now = clock::now();
         let state = self.state.borrow();
         let mut rng = rand::rng();
         let cost = |server: &Server, draw: f64| self.cost(&state, server, tried, now) + DRAW * draw;
         let servers = state.directory.of_service(service);
+        let servers = servers.filter(|server| state.is_open(server.key(), now));
         let costs = servers.map(|server| (cost(server, rng.random::<f64>()), server));
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         least.map(|(_, server)| server.clone())
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -16,9 +16,9 @@
 use alderglade_core::fleet::loan::Questions;
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::quarantine::Quarantine;
+use alderglade_core::fleet::rate_limit::Limits;
 use alderglade_core::fleet::reach::Reach;
 use alderglade_core::fleet::relay::{Relay, Role};
-use alderglade_core::fleet::statement::Statement;
 use alderglade_core::time::Time;
 use rand::RngExt;
 use std::collections::HashMap;
@@ -39,6 +39,8 @@
     pub health: Health,
     /// What is known of requests under which servers end.
     pub quarantine: Quarantine,
+    /// The limits that servers have named.
+    pub limits: Limits,
     /// The age of the store's word.
     pub freshness: Freshness,
     /// Whether the store is in reach.
@@ -61,8 +63,6 @@
     pub(super) questions: Questions,
     /// Own calls that run at plain backend servers.
     pub(super) calls: HashMap<Key, u32>,
-    /// What servers have said of themselves in their last answers.
-    pub(super) statements: HashMap<Key, Statement>,
 }
 
 impl Default for State {
@@ -75,6 +75,7 @@
             pauses: HashMap::new(),
             health: Health::default(),
             quarantine: Quarantine::default(),
+            limits: Limits::default(),
             freshness: Freshness::default(),
             reach: Reach::default(),
             config_fault: None,
@@ -86,7 +87,6 @@
             budgets: HashMap::new(),
             questions: Questions::new(rand::rng().random()),
             calls: HashMap::new(),
-            statements: HashMap::new(),
         }
     }
 }
@@ -132,6 +132,16 @@
         self.book.set_engines(engines.collect());
     }
 
+    /// Gives how long a server takes nothing of this host.
+    pub(super) fn closed_for(&self, server: Key, now: Time) -> Duration {
+        self.limits.denied_for(server, now)
+    }
+
+    /// Says whether a server takes something of this host now.
+    pub(super) fn is_open(&self, server: Key, now: Time) -> bool {
+        self.closed_for(server, now).is_zero()
+    }
+
     /// Gives how much longer entries of servers may be missing in the store although the servers live, in
     /// milliseconds, as peers are told it.
     pub(super) fn doubt_ms(&self, now: Time) -> u32 {
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -1,31 +1,49 @@
 //! What servers say of themselves in their answers.
 
 use super::Node;
+use crate::clock;
 use crate::event::{self, Record};
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::incarnation::Key;
+use alderglade_core::fleet::rate_limit::Told;
 use alderglade_core::fleet::statement::{Rate, Statement};
+use alderglade_core::time::Time;
 
 impl Node {
-    /// Takes what a server says of itself in an answer, and writes what is new of it.
-    pub fn hear_statement(&self, server: &Server, statement: &Statement) {
-        let mut state = self.state.borrow_mut();
-        let before = state.statements.insert(server.key(), *statement);
-        drop(state);
-        let before = before.unwrap_or_default();
-        let id = server.id();
-        if statement.leaving && !before.leaving {
-            event::write(&Record::ServerLeaves { server: id });
+    /// Takes what a server says of itself in the answer to something that was `sent` at a time.
+    pub fn hear_statement(&self, server: &Server, statement: &Statement, sent: Time) {
+        self.hear_limit(server, statement.rate, sent);
+    }
+
+    /// Takes what peers tell of servers' limits.
+    pub fn hear_limits(&self, limits: &[Told]) {
+        let now = clock::now();
+        for told in limits {
+            if self.state.borrow_mut().limits.hear_told(told, now) {
+                self.tell_limit(told.server);
+            }
         }
-        if let Some(span) = statement.backoff {
-            event::write(&Record::ServerBackoff {
-                server: id,
-                for_ms: span.as_millis() as u64,
-            });
+    }
+
+    fn hear_limit(&self, server: &Server, rate: Option<Rate>, sent: Time) {
+        let key = server.key();
+        let news = {
+            let mut state = self.state.borrow_mut();
+            state.limits.hear(key, rate, sent, clock::now())
+        };
+        if news {
+            self.book_changed.notify_one();
+            self.tell_limit(key);
         }
-        if statement.rate != before.rate {
+    }
+
+    /// Writes what a server's limit is now.
+    fn tell_limit(&self, server: Key) {
+        let state = self.state.borrow();
+        if let Some(known) = state.directory.get(server) {
             event::write(&Record::ServerLimit {
-                server: id,
-                per_second: statement.rate.map(Rate::get),
+                server: known.id(),
+                per_second: state.limits.rate(server).map(Rate::get),
             });
         }
     }
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -214,9 +214,13 @@
         let mut state = self.state.borrow_mut();
         state.note_engines();
         let State {
-            directory, health, ..
+            directory,
+            health,
+            limits,
+            ..
         } = &mut *state;
         health.retain(|server| directory.get(server).is_some());
+        limits.retain(|server| directory.knows(server), clock::now());
         let known = directory.len();
         let leaving = directory.leaving().len();
         self.metrics.servers.set(known as i64);
--- a/crates/alderglade-serve/src/order.rs
+++ b/crates/alderglade-serve/src/order.rs
@@ -1,14 +1,13 @@
 //! Calls to engines beside the requests that they serve: memory set aside, and questions.
 
-use crate::client::Client;
 use crate::clock;
+use crate::node::Node;
 use crate::translate::Order;
+use alderglade_core::fleet::directory::Server;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use snafu::{ResultExt, Snafu};
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// How long a call may take. Engines answer at once; the rest is the way.
@@ -34,29 +33,29 @@
     },
 }
 
-/// Makes a call and gives the answer as a whole.
+/// Makes a call to a server and gives the answer as a whole. What the server says of itself in its head is taken.
 ///
 /// # Errors
 ///
 /// Where no answer comes.
-pub async fn call(
-    client: &Rc<Client>,
-    address: SocketAddr,
-    order: Order,
-) -> Result<Response<Bytes>, Error> {
+pub async fn call(node: &Node, server: &Server, order: Order) -> Result<Response<Bytes>, Error> {
     let request = Request::builder()
         .method(order.method)
         .uri(order.path)
         .header(http::header::CONTENT_TYPE, order.content_type)
-        .header(http::header::HOST, address.to_string())
+        .header(http::header::HOST, server.address.to_string())
         .body(Full::new(order.body))
         .context(UnwritableSnafu)?;
     let exchange = async {
-        let exchange = client.send(address, request, false).await?;
+        let exchange = node.client.send(server.address, request, false).await?;
         exchange.collect().await
     };
-    match clock::timeout(LIMIT, exchange).await {
-        Err(_) => Err(Error::Silent),
-        Ok(answer) => answer.context(ContactSnafu),
-    }
+    let sent = clock::now();
+    let Ok(answer) = clock::timeout(LIMIT, exchange).await else {
+        return SilentSnafu.fail();
+    };
+    let answer = answer.context(ContactSnafu)?;
+    let statement = node.translator.statement(answer.status(), answer.headers());
+    node.hear_statement(server, &statement, sent);
+    Ok(answer)
 }
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -6,6 +6,7 @@
 use alderglade_core::fleet::book::Notice;
 use alderglade_core::fleet::loan::Request;
 use alderglade_core::fleet::message::{Ask, Message, PassedOn};
+use alderglade_core::fleet::rate_limit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -44,6 +45,8 @@
         Message::Config(patch) => node.take_patch(&patch),
         Message::Borrow(request) => lend(node, socket, &request, sender).await,
         Message::Loan(loan) => node.take_loan(loan),
+        Message::Claim(request) => grant(node, socket, &request, sender).await,
+        Message::Grant(grant) => node.take_grant(grant),
     }
 }
 
@@ -82,6 +85,7 @@
         });
     }
     drop(state);
+    node.hear_limits(&notice.limits);
     node.hear_quarantine(&notice.quarantine);
     node.take_word(&notice.word);
 }
@@ -92,6 +96,12 @@
     tell::send(socket, &message, &[sender]).await;
 }
 
+/// Answers a peer that wants to send a request to a server with a limit.
+async fn grant(node: &Node, socket: &UdpSocket, request: &rate_limit::Request, sender: SocketAddr) {
+    let message = Message::Grant(node.grant(request));
+    tell::send(socket, &message, &[sender]).await;
+}
+
 /// Tells a peer the age of this host's word of the store, if it has one.
 async fn answer(node: &Node, socket: &UdpSocket, ask: Ask, sender: SocketAddr) {
     if let Some(confirmation) = node.confirm(ask) {
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -131,6 +131,7 @@
             passed_over: state.health.told_passed_over(clock::now()),
             unanswered: state.health.told_unanswered(clock::now()),
             quarantine: state.quarantine.tell(whole, clock::now()),
+            limits: state.limits.told(clock::now()),
             holdings,
         }
     }
--- a/crates/alderglade-serve/src/slowdown.rs
+++ b/crates/alderglade-serve/src/slowdown.rs
@@ -78,7 +78,7 @@
 /// doesn't answer or doesn't say.
 async fn ask(node: &Rc<Node>, server: Key) -> Option<f64> {
     let server = node.server(server)?;
-    let report = order::call(&node.client, server.address, node.translator.report()).await;
+    let report = order::call(node, &server, node.translator.report()).await;
     match report {
         Ok(answer) => {
             let status = node.translator.status(answer.body());
--- a/crates/alderglade-serve/src/ticket.rs
+++ b/crates/alderglade-serve/src/ticket.rs
@@ -63,9 +63,9 @@
         for share in shares {
             let taken = tickets.note(request, share)?;
             let order = node.translator.reserve(&taken.name, share, hold);
-            let client = node.client.clone();
+            let node = node.clone();
             orders.push(tokio::task::spawn_local(async move {
-                let result = order::call(&client, taken.server.address, order).await;
+                let result = order::call(&node, &taken.server, order).await;
                 Reply { taken, result }
             }));
         }
@@ -168,7 +168,7 @@
         return;
     }
     let order = node.translator.reserve(&taken.name, &taken.share, hold);
-    match order::call(&node.client, taken.server.address, order).await {
+    match order::call(node, &taken.server, order).await {
         Ok(answer) => {
             hears(node, taken, &answer);
         }
@@ -180,7 +180,7 @@
     let mut problem = String::new();
     for _ in 0..RELEASE_TRIES {
         let order = node.translator.release(&taken.name);
-        match order::call(&node.client, taken.server.address, order).await {
+        match order::call(node, &taken.server, order).await {
             Ok(_) => return,
             Err(error) => problem = error.to_string(),
         }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -7,7 +7,7 @@
 use crate::event::{self, Record};
 use crate::forward;
 use crate::job::Job;
-use crate::node::{Node, Stage};
+use crate::node::{Node, Permit, Stage};
 use crate::translate::Reply;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::directory::Server;
@@ -27,6 +27,12 @@
 /// The part of its time that a repeatable request gives one server while others are left.
 const FIRST_TRY: f64 = 0.4;
 
+/// A server, and the leave to send it the request.
+struct Choice {
+    server: Server,
+    permit: Permit,
+}
+
 /// How one try ended.
 enum Try {
     /// The server's answer is there as a whole.
@@ -36,7 +42,7 @@
     /// It was sent, and there is no answer that counts.
     Missed(Life<Waiting>),
     /// The server is silent, and this other one can take the request.
-    Replaced(Life<Waiting>, Server),
+    Replaced(Life<Waiting>, Choice),
     /// The request's time is over.
     Expired(Life<Waiting>),
 }
@@ -70,15 +76,15 @@
     let mut sends = 0;
     let mut found = None;
     loop {
-        let server = match found.take() {
-            Some(server) => server,
+        let choice = match found.take() {
+            Some(choice) => choice,
             None => next_server(node, job, &life, &tried, sends).await?,
         };
         job.cleared(node, &life).await?;
-        tried.push(server.key());
+        tried.push(choice.server.key());
         sends += 1;
         let more = sends < job.route.max_attempts;
-        match one_try(node, job, &server, life, &tried, sends).await {
+        match one_try(node, job, choice, life, &tried, sends).await {
             Try::Whole(response) if more && worth_repeating(job, &response) => {
                 life = Life::new().send().lost();
                 *failed = Some(response);
@@ -113,18 +119,38 @@
     life: &Life<Waiting>,
     tried: &[Key],
     sends: u32,
-) -> Result<Server, Refusal> {
+) -> Result<Choice, Refusal> {
     if !life.may_have_run() && !node.takes_requests() {
         return Err(life.refuse(ErrorKind::Draining, COME_BACK));
     }
-    let Some(server) = node.pick(&job.service, tried) else {
-        return Err(life.refuse(ErrorKind::NoCapacity, COME_BACK));
+    let Some(choice) = permitted(node, job, tried).await else {
+        return Err(no_server(node, job, life));
     };
     let used_up = sends >= job.route.max_attempts.max(1) || tried.len() >= MOST_CONNECTS;
     if used_up || (sends > 0 && !node.spend_repeat(&job.ask.id, &job.service).await) {
         return Err(life.refuse(ErrorKind::Overloaded, COME_BACK));
     }
-    Ok(server)
+    Ok(choice)
+}
+
+/// Picks a server that takes the request now, if there is one.
+async fn permitted(node: &Node, job: &Job, tried: &[Key]) -> Option<Choice> {
+    while !job.left().is_zero() {
+        let server = node.pick(&job.service, tried)?;
+        // One that takes nothing now isn't picked the next time.
+        if let Ok(permit) = node.permit(&server).await {
+            return Some(Choice { server, permit });
+        }
+    }
+    None
+}
+
+/// Refuses a request that no server takes now. Where that is for a while only, its caller hears for how long.
+fn no_server(node: &Node, job: &Job, life: &Life<Waiting>) -> Refusal {
+    match node.opens_in(&job.service) {
+        Some(after) => life.refuse(ErrorKind::Overloaded, after),
+        None => life.refuse(ErrorKind::NoCapacity, COME_BACK),
+    }
 }
 
 /// Sends a request to one server and waits for its whole answer. A server that is silent for its part of the time is left
@@ -132,17 +158,19 @@
 async fn one_try(
     node: &Rc<Node>,
     job: &Job,
-    server: &Server,
+    choice: Choice,
     life: Life<Waiting>,
     tried: &[Key],
     sends: u32,
 ) -> Try {
+    let Choice { server, permit } = choice;
+    let server = &server;
     let _call = node.call(server.key());
     tell_placed(node, job, server, sends);
     job.progress.set_stage(Stage::Sent(server.id().clone()));
     let more = sends < job.route.max_attempts && job.route.kind.repeatable();
     let sent = life.send();
-    let exchange = attempt::send(node, job, server, Vec::new(), None, sends);
+    let exchange = attempt::send(node, job, server, permit, Vec::new(), None, sends);
     let whole = async {
         let (exchange, reply) = exchange.await?;
         collect(node, job, server, sends, exchange, &reply).await
@@ -169,7 +197,7 @@
 
 /// Finds another server for a request whose server has been silent for its part of the time; waits on where there is
 /// none, or where the host ends before that one would have had its time.
-async fn find_other(node: &Node, job: &Job, silent: &Server, tried: &[Key], sends: u32) -> Server {
+async fn find_other(node: &Node, job: &Job, silent: &Server, tried: &[Key], sends: u32) -> Choice {
     clock::patience(job.left().mul_f64(FIRST_TRY)).await;
     attempt::note_silent(node, job, silent, sends, attempt::NO_ANSWER);
     loop {
@@ -178,9 +206,10 @@
         let cut_short = node.ends_in().is_some_and(|left| left < job.left());
         let room = tried.len() < MOST_CONNECTS && !cut_short;
         if let Some(server) = other.filter(|_| room)
+            && let Ok(permit) = node.permit(&server).await
             && node.spend_repeat(&job.ask.id, &job.service).await
         {
-            return server;
+            return Choice { server, permit };
         }
         clock::sleep(attempt::LOOK_AGAIN).await;
     }
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -12,6 +12,7 @@
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::quarantine::{Fact, Quarantine, Told};
+use alderglade_core::fleet::rate_limit::{self, Limits};
 use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use arbtest::arbitrary::{Result, Unstructured};
@@ -36,6 +37,7 @@
     health: Health,
     questions: Questions,
     quarantine: Quarantine,
+    limits: Limits,
 }
 
 impl Host {
@@ -49,6 +51,7 @@
             health: Health::default(),
             questions: Questions::new(0),
             quarantine: Quarantine::default(),
+            limits: Limits::default(),
         }
     }
 
@@ -67,7 +70,10 @@
             }
             Message::Config(patch) => drop(Config::default().patched(&patch)),
             Message::Loan(loan) => drop(self.questions.answer(loan, now)),
-            Message::Ask(_) | Message::Borrow(_) => {}
+            Message::Claim(request) => {
+                self.limits.grant(&request, "own", "own", now);
+            }
+            Message::Ask(_) | Message::Borrow(_) | Message::Grant(_) => {}
         }
     }
 
@@ -81,6 +87,9 @@
         for told in &notice.quarantine {
             self.quarantine.hear(told, now);
         }
+        for told in &notice.limits {
+            self.limits.hear_told(told, now);
+        }
         self.quarantine.judge(now);
         self.quarantine.expire(now);
         self.book.hear(notice, now);
@@ -130,6 +139,14 @@
     Ok(Told { asked, fact })
 }
 
+fn limit(u: &mut Unstructured<'_>) -> Result<rate_limit::Told> {
+    Ok(rate_limit::Told {
+        server: engine(3).key(),
+        per_thousand_s: u.arbitrary()?,
+        age_ms: u.arbitrary()?,
+    })
+}
+
 fn notice(u: &mut Unstructured<'_>, sequence: u64) -> Result<Notice> {
     let mut holdings = Vec::new();
     for _ in 0..u.int_in_range(0..=4)? {
@@ -161,6 +178,7 @@
         passed_over: vec![passed_over],
         unanswered: vec![engine(2).key()],
         quarantine: vec![told(u)?],
+        limits: vec![limit(u)?],
         holdings,
     })
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -140,6 +140,7 @@
             passed_over: Vec::new(),
             unanswered: Vec::new(),
             quarantine: Vec::new(),
+            limits: Vec::new(),
             holdings: if whole {
                 self.book.whole(Time(0))
             } else {
