A server that says in an answer that it leaves gets nothing more, from any host and on any way

Callers saw nothing; a leaving server got requests for six seconds after it had said so, and what it doesn't finish before it ends is lost. Cause: that a server leaves was known from its entry in the store only, and the store was away. Ruled out: that the word is taken when the request has ended (sends went on for as long as the store was away), and repeats.

An answer's word marks the lifetime as leaving at once, as the store's does, and all hosts are told by the notices that they send anyway. It holds on when the entry lapses and is written again; another lifetime isn't concerned. Why it holds: each way to a server goes by the directory, and by a permit that looks there again at the moment of the send.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -11,6 +11,7 @@
 
 mod departed;
 mod followed;
+mod leavers;
 
 pub use followed::Restored;
 
@@ -20,6 +21,7 @@
 use crate::Name;
 use crate::time::Time;
 use departed::Departed;
+use leavers::Leavers;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -150,6 +152,8 @@
     faults: Faults,
     /// The servers that have gone lately.
     departed: Departed,
+    /// The servers that have said lately that they leave.
+    leavers: Leavers,
     /// What the last list of a new era has shown, until it is asked for.
     restored: Option<Restored>,
 }
@@ -259,6 +263,8 @@
     /// whether there was any.
     pub fn expire(&mut self, now: Time) -> bool {
         self.departed.expire(now);
+        let entries = &self.ids;
+        self.leavers.expire(|key| entries.contains_key(&key), now);
         let is_over = |until: Option<Time>| until.is_some_and(|until| until <= now);
         let missing = self.ids_where(|entry| is_over(entry.missing_until));
         for id in &missing {
@@ -285,14 +291,17 @@
         }
     }
 
-    /// Marks an incarnation of a server as leaving on a peer's word.
-    pub fn mark_leaving(&mut self, key: Key) {
+    /// Marks an incarnation of a server as leaving, on its own word or a peer's; says whether that is news. It stays so
+    /// when its entry lapses and comes back.
+    pub fn mark_leaving(&mut self, key: Key, now: Time) -> bool {
+        self.leavers.note(key, now);
         let Some(entry) = self.entry_mut(key) else {
-            return;
+            return false;
         };
         let before = entry.digest();
-        entry.server.leaving = true;
+        let news = !std::mem::replace(&mut entry.server.leaving, true);
         self.digest = self.digest.wrapping_sub(before);
+        news
     }
 
     /// Lists the servers that are leaving.
@@ -357,6 +366,7 @@
             server.leaving |= same && known.server.leaving;
             held_until = known.held_until.filter(|_| same && source == Source::List);
         }
+        server.leaving |= self.leavers.has(server.key());
         if source == Source::Write {
             self.departed.clear(server.id());
         }
--- a/crates/alderglade-core/tests/testsuite/fleet/directory.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/directory.rs
@@ -41,12 +41,28 @@
 #[test]
 fn a_peers_word_is_enough_to_stop_using_a_server() {
     let mut directory = known(&["a", "b"]);
-    directory.mark_leaving(key("a"));
-    directory.mark_leaving(key("unknown"));
+    assert!(directory.mark_leaving(key("a"), Time(1)));
+    assert!(!directory.mark_leaving(key("a"), Time(2)), "it is known");
+    assert!(!directory.mark_leaving(key("unknown"), Time(1)));
     assert_eq!(usable(&directory), ["b"]);
     assert_eq!(directory.leaving(), [key("a")]);
 }
 
+/// The store is away for so long that a leaving server's entry lapses, and the server, which serves on, writes it again.
+#[test]
+fn a_server_that_leaves_does_so_after_its_entry_has_lapsed() {
+    let mut directory = known(&["a", "b"]);
+    directory.mark_leaving(key("a"), Time(1));
+    directory.apply(Change::Gone("a".into()), Time(2));
+    directory.apply(Change::Known(server("a", false)), Time(3));
+    assert_eq!(usable(&directory), ["b"]);
+    // What was told of a server before its entry is known counts as well.
+    directory.mark_leaving(key("c"), Time(4));
+    directory.expire(Time(5));
+    directory.apply(Change::Known(server("c", false)), Time(6));
+    assert_eq!(usable(&directory), ["b"]);
+}
+
 #[test]
 fn an_entry_that_goes_while_the_store_answers_is_gone_at_once() {
     let mut directory = known(&["a", "b"]);
@@ -118,7 +134,7 @@
                     directory.apply(Change::Unreadable(Fault { name, problem }), now);
                 }
                 0 => directory.apply(Change::Gone(id.into()), now),
-                1 => directory.mark_leaving(key(&id)),
+                1 => drop(directory.mark_leaving(key(&id), now)),
                 2 => directory.store_lost(),
                 3 => directory.store_returned(now, u.arbitrary()?),
                 4 => drop(directory.expire(now)),
--- a/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
@@ -72,9 +72,9 @@
 fn a_peers_word_that_it_leaves_is_of_one_lifetime() {
     let (first, second) = (born("a", 1), born("a", 2));
     let mut directory = after(&[ready(&second)]);
-    directory.mark_leaving(first.key());
+    directory.mark_leaving(first.key(), Time(0));
     assert_eq!(open(&directory), std::slice::from_ref(&second));
-    directory.mark_leaving(second.key());
+    directory.mark_leaving(second.key(), Time(0));
     assert!(open(&directory).is_empty());
     assert_eq!(directory.leaving(), [second.key()]);
 }
@@ -346,9 +346,9 @@
                 2 => told.push(host.directory.leaving()),
                 3 if !told.is_empty() => {
                     let notice = &told[u.int_in_range(0..=told.len() - 1)?];
-                    notice
-                        .iter()
-                        .for_each(|key| host.directory.mark_leaving(*key));
+                    for key in notice {
+                        host.directory.mark_leaving(*key, now);
+                    }
                 }
                 4 => host.list(&store, now),
                 5 => {
@@ -393,7 +393,7 @@
             directory.hear_born("a", 2);
         }
         if u.arbitrary()? {
-            directory.mark_leaving(first.key());
+            directory.mark_leaving(first.key(), Time(0));
         }
         let back = Time::from_millis(9_000);
         directory.store_returned(back, true);
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -12,9 +12,27 @@
 impl Node {
     /// Takes what a server says of itself in the answer to something that was `sent` at a time.
     pub fn hear_statement(&self, server: &Server, statement: &Statement, sent: Time) {
+        if statement.leaving {
+            self.hear_leaving(server);
+        }
         self.hear_limit(server, statement.rate, sent);
     }
 
+    /// Takes a server's own word that it leaves, which may come long before the store's: the store may be away.
+    fn hear_leaving(&self, server: &Server) {
+        let news = {
+            let mut state = self.state.borrow_mut();
+            state.directory.mark_leaving(server.key(), clock::now())
+        };
+        if news {
+            event::write(&Record::ServerLeaves {
+                server: server.id(),
+            });
+            self.tell_servers();
+            self.book_changed.notify_one();
+        }
+    }
+
     /// Takes what peers tell of servers' limits.
     pub fn hear_limits(&self, limits: &[Told]) {
         let now = clock::now();
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -63,7 +63,7 @@
     let now = clock::now();
     let mut state = node.state.borrow_mut();
     for server in &notice.leaving {
-        state.directory.mark_leaving(*server);
+        state.directory.mark_leaving(*server, now);
     }
     for told in &notice.passed_over {
         state.health.hear_passed_over(told, now);
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -79,7 +79,7 @@
 
     fn hear(&mut self, notice: &Notice, now: Time) {
         for server in &notice.leaving {
-            self.directory.mark_leaving(*server);
+            self.directory.mark_leaving(*server, now);
         }
         for told in &notice.passed_over {
             self.health.hear_passed_over(told, now);
