A server that asks for rest gets nothing from that host until its time is over

Callers saw nothing but some 5 ms; a server that turns all away got up to five requests in three seconds from a host that it had asked to stay away. Cause: its word was kept with the request that it turned away, which went elsewhere; the next request chose it anew, since it had nothing in hand. Ruled out: repeats (all but two of 22 sends were first ones).

Until the latest time that a server has named to this host it isn't chosen, gets no permit, and a request that no other server takes is refused at once with the time that is left. Other hosts go on: it asked this one. Why it holds: no send goes without a permit, which looks at the time when it is given and when it is used.

--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! every backend server. Nothing waits for another host: a host that is stopped, killed or cut
 //! off makes the others' view less exact and never keeps them from serving.
 
+pub mod backoff;
 pub mod book;
 pub mod budget;
 pub mod caller;
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Placement by every host on a shared load book.
 
+mod backoff;
 mod book;
 mod budget;
 mod caller;
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -113,7 +113,9 @@
 
     /// Says whether new work may go to a server as far as is known.
     fn takes_work(&self, server: Key) -> bool {
-        self.server(server).is_some()
+        let state = self.state.borrow();
+        let rests = !state.backoffs.left(server, clock::now()).is_zero();
+        !rests && state.directory.get(server).is_some()
     }
 
     /// Gives how long the servers of a service take nothing of this host, where there are such and none takes anything.
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -5,6 +5,7 @@
 use super::Hosts;
 use crate::clock;
 use alderglade_core::Name;
+use alderglade_core::fleet::backoff::Backoffs;
 use alderglade_core::fleet::book::{Book, Pauses};
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::config::Config;
@@ -39,6 +40,8 @@
     pub health: Health,
     /// What is known of requests under which servers end.
     pub quarantine: Quarantine,
+    /// Servers that want nothing of this host for a while.
+    pub(super) backoffs: Backoffs,
     /// The limits that servers have named.
     pub limits: Limits,
     /// The age of the store's word.
@@ -75,6 +78,7 @@
             pauses: HashMap::new(),
             health: Health::default(),
             quarantine: Quarantine::default(),
+            backoffs: Backoffs::default(),
             limits: Limits::default(),
             freshness: Freshness::default(),
             reach: Reach::default(),
@@ -134,7 +138,8 @@
 
     /// Gives how long a server takes nothing of this host.
     pub(super) fn closed_for(&self, server: Key, now: Time) -> Duration {
-        self.limits.denied_for(server, now)
+        let denied = self.limits.denied_for(server, now);
+        denied.max(self.backoffs.left(server, now))
     }
 
     /// Says whether a server takes something of this host now.
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -8,6 +8,7 @@
 use alderglade_core::fleet::rate_limit::Told;
 use alderglade_core::fleet::statement::{Rate, Statement};
 use alderglade_core::time::Time;
+use std::time::Duration;
 
 impl Node {
     /// Takes what a server says of itself in the answer to something that was `sent` at a time.
@@ -15,6 +16,9 @@
         if statement.leaving {
             self.hear_leaving(server);
         }
+        if let Some(span) = statement.backoff {
+            self.hear_backoff(server, span);
+        }
         self.hear_limit(server, statement.rate, sent);
     }
 
@@ -33,6 +37,19 @@
         }
     }
 
+    fn hear_backoff(&self, server: &Server, span: Duration) {
+        let begins = {
+            let mut state = self.state.borrow_mut();
+            state.backoffs.note(server.key(), span, clock::now())
+        };
+        if begins {
+            event::write(&Record::ServerBackoff {
+                server: server.id(),
+                for_ms: span.as_millis() as u64,
+            });
+        }
+    }
+
     /// Takes what peers tell of servers' limits.
     pub fn hear_limits(&self, limits: &[Told]) {
         let now = clock::now();
