The owner of a limit that was named just now grants at once

Where all servers of a service name limits in the same moment, callers were refused for the second in which an owner waits for the one before it, and for the first grant's time. A limit that is new to a host that has lived for three seconds had no owner before; one heard of by a host that has just started may have.

--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -189,6 +189,12 @@
         })
     }
 
+    /// Takes up a limit that its server has just named, as its owner. Nobody owned it before, so that grants may be given out
+    /// at once: where all servers of a service name limits in the same moment, callers would be refused until then.
+    pub fn begin(&mut self, server: Key, now: Time) {
+        self.owned.entry(server).or_insert_with(|| Bucket::new(now));
+    }
+
     /// Answers a host's question, where `owner` is the limit's owner as this host, named `own`, sees it.
     pub fn grant(&mut self, request: &Request, owner: &str, own: &str, now: Time) -> Grant {
         let server = request.told.server;
@@ -198,7 +204,7 @@
             Some(_) if owner != own => NOT_OWNER,
             Some(rate) => {
                 let bucket = self.owned.entry(server);
-                let bucket = bucket.or_insert_with(|| Bucket::new(now));
+                let bucket = bucket.or_insert_with(|| Bucket::succeed(now));
                 bucket.take(&request.host, rate, now)
             }
         };
--- a/crates/alderglade-core/src/fleet/rate_limit/bucket.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit/bucket.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// How long a new owner grants nothing: until the hosts that ask the former one have heard that it is gone or has been
+/// How long an owner that may follow another one grants nothing: until the hosts that ask the former one have heard that it is gone or has been
 /// followed.
 const SETTLING: Duration = heartbeat::LONGEST;
 /// The grants of how much time may be saved up where nobody asks for them.
@@ -27,8 +27,17 @@
 }
 
 impl Bucket {
-    /// Makes an owner's bucket, which is empty.
+    /// Makes the bucket of a limit's first owner.
     pub(super) fn new(now: Time) -> Bucket {
+        Bucket {
+            tokens: 1.0,
+            at: now,
+            line: HashMap::new(),
+        }
+    }
+
+    /// Makes the bucket of an owner that may follow another one: it is empty, and stays so for a while.
+    pub(super) fn succeed(now: Time) -> Bucket {
         Bucket {
             tokens: 0.0,
             at: now + SETTLING,
--- a/crates/alderglade-core/tests/testsuite/fleet/rate_limit.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/rate_limit.rs
@@ -53,6 +53,8 @@
 struct Run {
     rate: f64,
     hosts: usize,
+    /// The latest that a host hears of others that have come or gone, in milliseconds.
+    latest_ms: u64,
     /// Messages lost, in a hundred.
     lost: u64,
     /// The time between two ends of a host, which is back two seconds later.
@@ -82,7 +84,7 @@
                 name: format!("h{number}").into(),
                 limits: Limits::default(),
                 up: Time(0),
-                lag: ms(chance.below(900)),
+                lag: ms(chance.below(run.latest_ms)),
                 open: HashMap::new(),
             })
             .collect();
@@ -100,12 +102,14 @@
         world
     }
 
-    /// Has all hosts hear what the server says.
+    /// Has all hosts hear what the server says for the first time.
     fn tell_all(&mut self) {
         let rate = rate(self.run.rate);
         for host in &mut self.hosts {
             host.limits.hear(key("e"), Some(rate), self.now, self.now);
         }
+        let owner = self.owner(0);
+        self.hosts[owner].limits.begin(key("e"), self.now);
     }
 
     fn is_up(&self, host: usize, at: Time) -> bool {
@@ -277,9 +281,12 @@
 fn all_hosts_together_keep_to_a_limit() {
     for seed in 0..60_u64 {
         let mut chance = Chance(seed);
+        let hosts = [2, 3, 9, 40, 120][chance.host(5)];
         let run = Run {
             rate: [0.5, 1.2, 1.7, 5.0, 12.0, 30.0][chance.host(6)],
-            hosts: [2, 3, 9, 40][chance.host(4)],
+            hosts,
+            // What heartbeats of few hosts and of many allow.
+            latest_ms: if hosts > 40 { 2_600 } else { 900 },
             lost: chance.below(20),
             ends_each: (seed % 3 != 0).then(|| ms(1_500 + chance.below(4_000))),
             demand: [1, 10, 100][chance.host(3)],
@@ -298,6 +305,7 @@
         let run = Run {
             rate: number,
             hosts,
+            latest_ms: 900,
             lost: 1,
             ends_each: None,
             demand: 100,
@@ -310,6 +318,18 @@
     }
 }
 
+/// Who takes up a limit that was named just now has no one before it to wait for.
+#[test]
+fn the_first_owner_grants_at_once() {
+    let mut limits = Limits::default();
+    let now = Time::from_millis(10_000);
+    limits.hear(key("e"), Some(rate(2.0)), now, now);
+    limits.begin(key("e"), now);
+    let request = limits.ask(key("e"), &"a".into(), 1, now).expect("a limit");
+    assert_eq!(limits.grant(&request, "own", "own", now).wait_ms, 0);
+    assert_eq!(limits.grant(&request, "own", "own", now).wait_ms, 500);
+}
+
 /// Each of the hosts gets its part: nobody waits for ever behind others that ask more often.
 #[test]
 fn hosts_that_wait_are_told_different_times() {
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -171,7 +171,7 @@
     }
 
     /// Gives the host that owns a server's limit, as this one sees it.
-    fn limit_owner(&self, server: Key) -> Name {
+    pub(super) fn limit_owner(&self, server: Key) -> Name {
         let now = clock::now();
         let own = &self.settings.host;
         let state = self.state.borrow();
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -54,8 +54,9 @@
     pub fn hear_limits(&self, limits: &[Told]) {
         let now = clock::now();
         for told in limits {
-            if self.state.borrow_mut().limits.hear_told(told, now) {
-                self.tell_limit(told.server);
+            let news = self.state.borrow_mut().limits.hear_told(told, now);
+            if news {
+                self.note_limit(told.server);
             }
         }
     }
@@ -68,10 +69,23 @@
         };
         if news {
             self.book_changed.notify_one();
-            self.tell_limit(key);
+            self.note_limit(key);
         }
     }
 
+    /// Takes up a limit that is new, where this host owns it, and writes what it is now.
+    fn note_limit(&self, server: Key) {
+        /// How long a host must have lived to own a limit that is new to it: else the limit may be old, and another host
+        /// its owner.
+        const LIVED: Duration = Duration::from_secs(3);
+        let now = clock::now();
+        let lived = now.since(self.began) >= LIVED;
+        if lived && self.limit_owner(server) == self.settings.host {
+            self.state.borrow_mut().limits.begin(server, now);
+        }
+        self.tell_limit(server);
+    }
+
     /// Writes what a server's limit is now.
     fn tell_limit(&self, server: Key) {
         let state = self.state.borrow();
