A request under which servers end is barred at the sixth end, whoever else explains them

Cause: those that are barred first explain the ends of the others, which then needed three more of their own; and one that was released, since another one explained more, began to be counted anew.

At six ends nothing speaks for a request any more, and what is released keeps its ends. Innocent ones are answered somewhere before, which clears them.

--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -8,8 +8,9 @@
 //! all hosts hold the same one best. To be there is therefore no proof. A request is held guilty of [`ENOUGH`] ends only
 //! where no other one explains them: those at most ends go first, and what was beside them is explained by them. Of two
 //! that were at the same ends neither is barred before another end parts them, or [`MOST`] have come; nor is one where as
-//! many servers end without it at the same time, as when a rack fails. An answer that comes to its end clears its request
-//! of all that was before, and for a while ([`SOUND`]) of what comes after: what is asked often is at many ends.
+//! many servers end without it at the same time, as when a rack fails. At [`LAST`] ends nothing speaks for it any more. An
+//! answer that comes to its end clears its request of all that was before, and for a while ([`SOUND`]) of what comes after:
+//! what is asked often is at many ends.
 //!
 //! Facts only add up, and each names one lifetime of a server: told late, twice or in another order they come to the same.
 //! They are judged when all hosts have told theirs ([`SETTLED`]); what is to be judged waits for that.
@@ -32,9 +33,12 @@
 /// Ends of servers that show that a request causes them. One may be chance, two may be where many end at once; the users
 /// allow three.
 const ENOUGH: usize = 3;
-/// Ends from which on a request is barred even if others were at all of them too, or many servers ended beside: three
-/// sends beyond the third end are the most that users allow.
+/// Ends from which on a request is barred even if others were at all of them too, or many servers ended beside: the
+/// sixth is the last that users allow.
 const MOST: usize = 5;
+/// Ends from which on a request is barred whoever else explains them: where several such requests come together, those that
+/// are barred first explain the ends of the others, which would be sent on.
+const LAST: usize = 6;
 /// A request that has run for longer at a server has not ended it: such a one ends it as it begins to run, within 0.2 s
 /// in each of the ends recorded. Innocent long answers are seldom so young at three ends in a row.
 const BEGINS: Duration = Duration::from_millis(2_000);
@@ -284,8 +288,8 @@
                 self.own.push(Own::new(asked, Fact::barred(), now));
             }
         }
+        // Its ends stay known: one more than another one explains, and it was no chance.
         for asked in judgement.innocent {
-            self.suspects.remove(&asked);
             self.unbar(asked, self.is_first_hand(asked), now);
         }
     }
--- a/crates/alderglade-core/src/fleet/quarantine/evidence.rs
+++ b/crates/alderglade-core/src/fleet/quarantine/evidence.rs
@@ -1,6 +1,6 @@
 //! What speaks against a request, and who is held guilty by it.
 
-use super::{ENOUGH, MOST, SOUND};
+use super::{ENOUGH, LAST, MOST, SOUND};
 use crate::fleet::fingerprint::Fingerprint;
 use crate::fleet::incarnation::Key;
 use crate::time::Time;
@@ -136,10 +136,15 @@
         without.count() >= self.ends.len()
     }
 
-    /// Says whether there are so many ends that nothing else may explain them.
+    /// Says whether there are so many ends that neither chance nor another request at the same ones speaks for it.
     fn is_beyond_doubt(&self) -> bool {
         self.ends.len() >= MOST
     }
+
+    /// Says whether there are so many ends that it must not be sent again, whatever explains them.
+    fn is_at_its_last(&self) -> bool {
+        self.ends.len() >= LAST
+    }
 }
 
 /// Who is held guilty, and who no longer is.
@@ -173,7 +178,8 @@
     for one in &accused {
         let lesser = barred.iter().filter(|other| one.explains_more_than(other));
         let lesser: Vec<Fingerprint> = lesser.map(|other| other.asked).collect();
-        let answers = one.answers_for_enough(&explained) || !lesser.is_empty();
+        let alone = one.answers_for_enough(&explained) || !lesser.is_empty();
+        let answers = alone || one.is_at_its_last();
         let doubtful =
             || is_ambiguous(one, &accused, &explained) || one.is_one_of_many(all, &explained);
         if answers && (one.is_beyond_doubt() || !doubtful()) {
--- a/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/quarantine.rs
@@ -1,5 +1,7 @@
 //! Who is held guilty of the ends of servers, on hosts that tell each other what they see.
 
+mod several;
+
 use super::key;
 use crate::each_seed;
 use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
