Limits: one way to tell what is known of one; nobody is asked where there is none

A permit for a server without a limit opened a question that nobody was to answer; and what is told in a notice and in a question was worked out in two places.

--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -39,6 +39,17 @@
 }
 
 impl Told {
+    /// Tells what is known of a server's limit.
+    fn new(server: Key, known: &Known, now: Time) -> Told {
+        let rate = known.rate.map_or(0.0, |rate| rate.get() * TOLD_SECONDS);
+        let age = now.since(known.as_of).as_millis();
+        Told {
+            server,
+            per_thousand_s: rate as u32,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+
     fn rate(&self) -> Option<Rate> {
         let number = f64::from(self.per_thousand_s) / TOLD_SECONDS;
         Rate::per_second(number).filter(|_| self.per_thousand_s > 0)
@@ -65,6 +76,13 @@
     pub wait_ms: u32,
 }
 
+impl Grant {
+    /// Gives how long the host should wait; nothing if it may send.
+    pub fn wait(&self) -> Duration {
+        Duration::from_millis(u64::from(self.wait_ms))
+    }
+}
+
 /// What is known of one server's limit.
 #[derive(Debug)]
 struct Known {
@@ -79,15 +97,10 @@
 }
 
 impl Known {
-    fn told(&self, server: Key, now: Time) -> Option<Told> {
-        let age = now.since(self.as_of);
-        let is_told = self.first_hand && (self.rate.is_some() || age < TOLD_OVER);
-        let rate = self.rate.map_or(0.0, |rate| rate.get() * TOLD_SECONDS);
-        is_told.then_some(Told {
-            server,
-            per_thousand_s: rate as u32,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-        })
+    /// Says whether this host tells the others.
+    fn is_told(&self, now: Time) -> bool {
+        let lately = now.since(self.as_of) < TOLD_OVER;
+        self.first_hand && (self.rate.is_some() || lately)
     }
 }
 
@@ -145,8 +158,8 @@
     pub fn told(&self, now: Time) -> Vec<Told> {
         /// Some 300 bytes.
         const MOST: usize = 24;
-        let known = self.known.iter();
-        let told = known.filter_map(|(server, known)| known.told(*server, now));
+        let known = self.known.iter().filter(|(_, known)| known.is_told(now));
+        let told = known.map(|(server, known)| Told::new(*server, known, now));
         told.take(MOST).collect()
     }
 
@@ -176,16 +189,11 @@
 
     /// Makes the question for a grant; gives `None` where the server has no limit.
     pub fn ask(&self, server: Key, host: &Name, number: u64, now: Time) -> Option<Request> {
-        let known = self.known.get(&server)?;
-        let rate = known.rate?.get() * TOLD_SECONDS;
+        let known = self.known.get(&server).filter(|known| known.rate.is_some());
         Some(Request {
             number,
             host: host.clone(),
-            told: Told {
-                server,
-                per_thousand_s: rate as u32,
-                age_ms: u32::try_from(now.since(known.as_of).as_millis()).unwrap_or(u32::MAX),
-            },
+            told: Told::new(server, known?, now),
         })
     }
 
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -131,28 +131,28 @@
     /// Asks the owner of a server's limit for leave to send one request; gives how long to wait, or `None` where there is no
     /// limit.
     async fn claim(&self, server: Key) -> Option<Duration> {
-        let (number, answer) = self.claims.borrow_mut().open();
+        self.state.borrow().limits.rate(server)?;
         let own = &self.settings.host;
-        let request = {
+        let owner = self.limit_owner(server);
+        let ask = |number| {
             let state = self.state.borrow();
-            state.limits.ask(server, own, number, clock::now())?
+            state.limits.ask(server, own, number, clock::now())
         };
-        let owner = self.limit_owner(server);
         if owner == *own {
-            let grant = self.grant(&request);
-            return Some(Duration::from_millis(u64::from(grant.wait_ms)));
+            return Some(self.grant(&ask(0)?).wait());
         }
         let to = self.state.borrow().hosts.get(&owner);
         let Some(to) = to else {
             return Some(NO_ANSWER);
         };
+        let (number, answer) = self.claims.borrow_mut().open();
         self.write_letter(Letter {
             to,
-            message: Message::Claim(request),
+            message: Message::Claim(ask(number)?),
         });
         let grant = clock::timeout(ANSWER, answer).await;
         Some(match grant {
-            Ok(Ok(grant)) => Duration::from_millis(u64::from(grant.wait_ms)),
+            Ok(Ok(grant)) => grant.wait(),
             _ => NO_ANSWER,
         })
     }
