--- a/crates/alderglade-core/src/fleet/health/witness.rs
+++ b/crates/alderglade-core/src/fleet/health/witness.rs
@@ -1,9 +1,9 @@
 //! What other hosts tell of servers that leave their requests without an answer.
 //!
 //! One host's word may come of its own link, so that it doubts nobody for all. Two of the own failure domain, which see the
-//! server over links of the same kind, or hosts of two domains, are believed: a server that resets all it gets, and looks
-//! empty for that, drew 593 of 603 failed sends of six seconds from 72 hosts that each had to find out by three failures of
-//! their own; together they need two.
+//! server over links of the same kind, or hosts of two domains, are believed: a server that resets all it gets looks
+//! empty for that and draws work from every host, where each must find out by three failures of its own; together they
+//! need two.
 
 use crate::Name;
 use crate::fleet::incarnation::Key;
--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -5,8 +5,7 @@
 use super::{Decision, Engine, MOST_PARTS, Reason, Shared, Wait, Work, patience, timing};
 use std::time::Duration;
 
-/// The reading time of one part that a long prompt is cut to, in milliseconds; from a trial on the
-/// users' bench, where 50 ms was better than 150 ms.
+/// The reading time of one part that a long prompt is cut to, in milliseconds: a pause that most answers bear.
 const PART: f64 = 50.0;
 /// How long a prompt is held before it is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
--- a/crates/alderglade-core/src/fleet/placement/patience.rs
+++ b/crates/alderglade-core/src/fleet/placement/patience.rs
@@ -57,8 +57,7 @@
 /// where it has not been told so before.
 pub(super) fn is_spent(work: &Work) -> bool {
     /// The part of its aim for which a prompt is held at first. What is held in vain costs its caller more the longer it
-    /// lasts, and what is given up is late even if it is served after its return. Against 0.22, 2 in 100 more of all worth was
-    /// earned on days of high load with 18 engines; against 0.35, none with 18 and up to 2 in 100 with 60; 0.11 lost 1 in 100.
+    /// lasts, and what is given up is late even if it is served after its return.
     const FIRST: f64 = 0.5;
     /// The part of its time for which one is held whose caller has come back; by the users' pages one must
     /// not be held in vain for half of it.
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -9,13 +9,10 @@
 /// It packs short prompts onto the last engines, so that long ones find engines without them.
 const PACK: f64 = 144.0;
 /// What a millisecond sooner is worth to a prompt that is in time anyway, in milliseconds of [`PACK`]: little, since nobody
-/// gains by it, while a short answer on one more engine takes that engine from long prompts. On days
-/// without faults 4 in 100 more of the worth of long prompts was earned than at a whole millisecond, and as much of that of
-/// short ones.
+/// gains by it, while a short answer on one more engine takes that engine from long prompts.
 const SOONER: f64 = 0.2;
 /// The most that chance adds to the cost of an engine, in milliseconds of [`PACK`], where there are far more engines than
-/// read one prompt: it parts hosts that choose at the same moment. On 23 s of a quiet day with 150 engines 109 short
-/// replies of 4,998 were late in place of 385, and no fewer long prompts were in time; half of it left 205.
+/// read one prompt: it parts hosts that choose at the same moment.
 const CHANCE: f64 = 100.0;
 /// What a worth of one that is made late costs, the prompt's own or that of answers running there, in milliseconds: more
 /// than the whole order, so that nothing is made late for the sake of packing.
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -32,7 +32,7 @@
 /// Sends that are tried for one request where servers disclaim it or can't be reached, at most.
 const MOST_SENDS: u32 = 5;
 /// Servers at whose address nobody listens that are tried for one request beside those, at most. Each costs a way there and
-/// back. When a third of 150 servers crashed at once, 38 streams ended because five in a row were such.
+/// back, and where a third of many servers has crashed at once, five in a row are soon such.
 const MOST_CLOSED: u32 = 12;
 /// How long a first event may be late, beside a multiple of the time expected, before a stream that
 /// may be resumed is taken elsewhere; over the time that a dead server's work stands still.
