--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -35,7 +35,7 @@
 /// Prompts below this many tokens are short: they are read in one part and prefer quiet engines.
 pub const SHORT_PROMPT: u64 = 12_000;
 /// When a caller should come back to a service that no engine serves.
-pub const NO_ENGINES: Duration = Duration::from_millis(1_000);
+const NO_ENGINES: Duration = Duration::from_millis(1_000);
 
 /// A prompt to be placed.
 #[derive(Debug, Clone)]
--- a/crates/alderglade-core/src/fleet/quarantine.rs
+++ b/crates/alderglade-core/src/fleet/quarantine.rs
@@ -33,11 +33,10 @@
 /// Ends of servers that show that a request causes them. One may be chance, two may be where many end at once; the users
 /// allow three.
 const ENOUGH: usize = 3;
-/// Ends from which on a request is barred even if others were at all of them too, or many servers ended beside: the
-/// sixth is the last that users allow.
+/// Ends from which on a request is barred even if others were at all of them too, or many servers ended beside.
 const MOST: usize = 5;
-/// Ends from which on a request is barred whoever else explains them: where several such requests come together, those that
-/// are barred first explain the ends of the others, which would be sent on.
+/// Ends from which on a request is barred whoever else explains them: three sends beyond the third end are the most that
+/// users allow, and where several such requests come together, those that are barred first explain the others' ends.
 const LAST: usize = 6;
 /// A request that has run for longer at a server has not ended it: such a one ends it as it begins to run, within 0.2 s
 /// in each of the ends recorded. Innocent long answers are seldom so young at three ends in a row.
@@ -288,7 +287,7 @@
                 self.own.push(Own::new(asked, Fact::barred(), now));
             }
         }
-        // Its ends stay known: one more than another one explains, and it was no chance.
+        // Its ends stay known, and count towards its last.
         for asked in judgement.innocent {
             self.unbar(asked, self.is_first_hand(asked), now);
         }
--- a/crates/alderglade-core/src/fleet/rate_limit/bucket.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit/bucket.rs
@@ -7,8 +7,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// How long an owner that may follow another one grants nothing: until the hosts that ask the former one have heard that it is gone or has been
-/// followed.
+/// How long an owner that may follow another one grants nothing: until the hosts that ask the former one have heard that
+/// it is gone or has been followed.
 const SETTLING: Duration = heartbeat::LONGEST;
 /// The grants of how much time may be saved up where nobody asks for them.
 const SAVED: Duration = Duration::from_millis(250);
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -111,8 +111,11 @@
     };
     let work = work(job, tries, figures.stride);
     let engines = node.engines(&job.service, figures);
-    if engines.is_empty() {
-        return no_engines(node, job);
+    // Where that is for a while only, its caller hears for how long.
+    if engines.is_empty()
+        && let Some(after) = node.opens_in(&job.service)
+    {
+        return Decision::Refuse(after);
     }
     let demand = placement::demand(&work, &figures, engines.len());
     let before = demand.map_or(0, |demand| {
@@ -128,16 +131,10 @@
     placement::choose(&work, &engines, &shared)
 }
 
-/// Refuses a prompt that no engine takes now. Where that is for a while only, its caller hears for how long.
-fn no_engines(node: &Node, job: &Job) -> Decision {
-    let after = node.opens_in(&job.service);
-    Decision::Refuse(after.unwrap_or(placement::NO_ENGINES))
-}
-
 /// Places a stream of a service that states no figures for its engines: least own calls first.
 fn without_figures(node: &Node, job: &Job, tries: &Tries) -> Decision {
     match node.pick(&job.service, &tries.avoid) {
-        None => no_engines(node, job),
+        None => Decision::Refuse(node.opens_in(&job.service).unwrap_or(COME_BACK)),
         Some(server) => Decision::Send(Plan {
             first: server.key(),
             helpers: Vec::new(),
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -1,5 +1,6 @@
 //! What a host goes by when it chooses backend servers.
 
+use super::state::closed_for;
 use super::{Node, State};
 use crate::clock;
 use alderglade_core::Name;
@@ -44,20 +45,22 @@
         let now = clock::now();
         let own_domain = &self.settings.domain;
         let mut state = self.state.borrow_mut();
-        let servers = state.directory.of_service(service);
-        let open = servers.filter(|server| state.is_open(server.key(), now));
-        let open: Vec<Server> = open.cloned().collect();
         let State {
+            directory,
             book,
             health,
             pauses,
+            backoffs,
+            limits,
             ..
         } = &mut *state;
         let pauses = pauses.get(service).copied().unwrap_or_default();
-        open.iter()
-            .map(|server| {
+        directory
+            .of_service(service)
+            .filter_map(|server| {
                 let key = server.key();
-                Engine {
+                let open = closed_for(backoffs, limits, key, now).is_zero();
+                open.then(|| Engine {
                     id: key,
                     load: book.total(key),
                     ahead: book.ahead(key, now),
@@ -65,7 +68,7 @@
                     pauses,
                     near: server.domain == *own_domain,
                     doubted: doubts(book, health, own_domain, server, now),
-                }
+                })
             })
             .collect()
     }
@@ -94,7 +97,7 @@
         let mut rng = rand::rng();
         let cost = |server: &Server, draw: f64| self.cost(&state, server, tried, now) + DRAW * draw;
         let servers = state.directory.of_service(service);
-        let servers = servers.filter(|server| state.is_open(server.key(), now));
+        let servers = servers.filter(|server| state.closed_for(server.key(), now).is_zero());
         let costs = servers.map(|server| (cost(server, rng.random::<f64>()), server));
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         least.map(|(_, server)| server.clone())
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -6,7 +6,6 @@
 use super::{Letter, Node};
 use crate::clock;
 use alderglade_core::Name;
-use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::placement::Plan;
@@ -64,25 +63,19 @@
     /// # Errors
     ///
     /// Where the server takes none now; it is not among those to choose from until it does.
-    pub async fn permit(&self, server: &Server) -> Result<Permit, Closed> {
-        let key = server.key();
-        if !self.takes_work(key) {
+    pub async fn permit(&self, server: Key) -> Result<Permit, Closed> {
+        if !self.takes_work(server) {
             return Err(Closed);
         }
-        let Some(wait) = self.claim(key).await else {
-            return Ok(Permit {
-                server: key,
-                granted: false,
-            });
-        };
-        if !wait.is_zero() {
+        let wait = self.claim(server).await;
+        if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
             let mut state = self.state.borrow_mut();
-            state.limits.deny(key, wait, clock::now());
+            state.limits.deny(server, wait, clock::now());
             return Err(Closed);
         }
         Ok(Permit {
-            server: key,
-            granted: true,
+            server,
+            granted: wait.is_some(),
         })
     }
 
@@ -98,11 +91,9 @@
         others.sort();
         others.dedup();
         for other in others.into_iter().filter(|other| *other != plan.first) {
-            let server = self.server(other).ok_or(Closed)?;
-            self.permit(&server).await?;
+            self.permit(other).await?;
         }
-        let first = self.server(plan.first).ok_or(Closed)?;
-        self.permit(&first).await
+        self.permit(plan.first).await
     }
 
     /// Says whether a permit still holds: the server may have said something of itself since.
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -138,13 +138,7 @@
 
     /// Gives how long a server takes nothing of this host.
     pub(super) fn closed_for(&self, server: Key, now: Time) -> Duration {
-        let denied = self.limits.denied_for(server, now);
-        denied.max(self.backoffs.left(server, now))
-    }
-
-    /// Says whether a server takes something of this host now.
-    pub(super) fn is_open(&self, server: Key, now: Time) -> bool {
-        self.closed_for(server, now).is_zero()
+        closed_for(&self.backoffs, &self.limits, server, now)
     }
 
     /// Gives how much longer entries of servers may be missing in the store although the servers live, in
@@ -162,3 +156,9 @@
         }
     }
 }
+
+/// Gives how long a server takes nothing of this host, by the rest that it wants and by its limit.
+pub(super) fn closed_for(backoffs: &Backoffs, limits: &Limits, server: Key, now: Time) -> Duration {
+    let denied = limits.denied_for(server, now);
+    denied.max(backoffs.left(server, now))
+}
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -138,7 +138,7 @@
     while !job.left().is_zero() {
         let server = node.pick(&job.service, tried)?;
         // One that takes nothing now isn't picked the next time.
-        if let Ok(permit) = node.permit(&server).await {
+        if let Ok(permit) = node.permit(server.key()).await {
             return Some(Choice { server, permit });
         }
     }
@@ -206,7 +206,7 @@
         let cut_short = node.ends_in().is_some_and(|left| left < job.left());
         let room = tried.len() < MOST_CONNECTS && !cut_short;
         if let Some(server) = other.filter(|_| room)
-            && let Ok(permit) = node.permit(&server).await
+            && let Ok(permit) = node.permit(server.key()).await
             && node.spend_repeat(&job.ask.id, &job.service).await
         {
             return Choice { server, permit };
