--- a/crates/alderglade-core/src/error.rs
+++ b/crates/alderglade-core/src/error.rs
@@ -74,6 +74,8 @@
     Internal,
     /// Backend servers have ended under the request, and it is sent to none any more.
     Quarantined,
+    /// No backend server of the service is in a region in which the request may run.
+    NoHome,
 }
 
 /// One row of the table: what a kind means for the caller and the operator.
@@ -112,7 +114,7 @@
 }
 
 /// The table from kind to answer, in the order of [`Kind`].
-pub const TABLE: [Row; 21] = [
+pub const TABLE: [Row; 22] = [
     row(Kind::BadRequest, "bad_request", 400, Ran::No, false, 2001),
     row(
         Kind::Unauthorized,
@@ -204,6 +206,7 @@
     ),
     row(Kind::Internal, "internal", 500, Ran::Unknown, false, 2020),
     row(Kind::Quarantined, "quarantined", 503, Ran::No, true, 2021),
+    row(Kind::NoHome, "no_home", 503, Ran::No, true, 2022),
 ];
 
 impl Kind {
--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -4,6 +4,7 @@
 
 use super::{Demand, Load};
 use crate::Name;
+use crate::fleet::evacuation;
 use crate::fleet::health::PassedOver;
 use crate::fleet::incarnation::Key;
 use crate::fleet::position::Position;
@@ -67,6 +68,10 @@
     pub quarantine: Vec<Told>,
     /// Servers that have named the most requests that they take, as the sender was told by them.
     pub limits: Vec<rate_limit::Told>,
+    /// Servers that are cold, as the sender has it from themselves or the store.
+    pub cold: Vec<rate_limit::cold::Told>,
+    /// The failure domains that are evacuated.
+    pub evacuations: evacuation::Told,
     /// What it holds.
     pub holdings: Vec<Holding>,
 }
--- a/crates/alderglade-core/src/fleet/config.rs
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -5,10 +5,12 @@
 pub use patch::Patch;
 
 use super::book::Pauses;
+use super::homes::Homes;
 use super::pass::Figures;
 use crate::Name;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// How often a request of a route may run, and how it is answered.
@@ -79,6 +81,8 @@
     pub public: bool,
     /// Where its requests go; at least one.
     pub targets: Vec<Target>,
+    /// The regions in which its requests may run; empty where that is all.
+    pub regions: Arc<[Name]>,
 }
 
 impl Route {
@@ -106,6 +110,10 @@
     /// The connections that one backend server accepts from all callers together. Nothing goes by it:
     /// a host has as many connections to a server as requests in hand there.
     pub max_connections: u32,
+    /// How long a backend server is cold after its start.
+    pub cold_start: Duration,
+    /// The requests a second that one bears while it is cold; `0.0` where it bears any number.
+    pub cold_per_second: f64,
 }
 
 /// Bounds on what a caller sends.
@@ -139,6 +147,8 @@
     pub keys: Vec<Name>,
     /// Its rank; `0` comes first. Nothing goes by it: prompts are placed by what they are worth.
     pub priority: u32,
+    /// The regions in which its requests may run; empty where that is all.
+    pub regions: Arc<[Name]>,
 }
 
 /// Who a request is served for.
@@ -162,6 +172,8 @@
     routes: HashMap<Name, Vec<Route>>,
     services: HashMap<Name, Service>,
     keys: Option<HashMap<Name, Name>>,
+    /// The regions of the workspaces that name some.
+    regions: HashMap<Name, Arc<[Name]>>,
 }
 
 impl Config {
@@ -180,12 +192,17 @@
         for list in by_host.values_mut() {
             sort_routes(list);
         }
+        let named = workspaces.iter().flatten();
+        let named = named.filter(|workspace| !workspace.regions.is_empty());
+        let regions = named.map(|workspace| (workspace.name.clone(), workspace.regions.clone()));
+        let regions = regions.collect();
         Config {
             version,
             limits,
             routes: by_host,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             keys: workspaces.map(index_keys),
+            regions,
         }
     }
 
@@ -215,6 +232,13 @@
         self.services.get(name)
     }
 
+    /// Gives the regions in which a request on a route may run that is served for a workspace.
+    pub fn homes(&self, route: &Route, workspace: Option<&str>) -> Homes {
+        let of_workspace = workspace.and_then(|name| self.regions.get(name));
+        let both = [Some(&route.regions), of_workspace];
+        Homes::of(both.into_iter().flatten().cloned())
+    }
+
     /// Tells for whom a request with this key is served on a route.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
         let Some(keys) = &self.keys else {
--- a/crates/alderglade-core/src/fleet/config/patch.rs
+++ b/crates/alderglade-core/src/fleet/config/patch.rs
@@ -7,6 +7,7 @@
 use crate::Name;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// The difference of two configurations.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     services: Vec<Service>,
     dropped_keys: Vec<Name>,
     keys: Vec<Key>,
+    /// The regions of all workspaces that name some.
+    regions: HashMap<Name, Arc<[Name]>>,
 }
 
 /// Names a route.
@@ -94,6 +97,7 @@
             services: services.cloned().collect(),
             dropped_keys: dropped_keys.cloned().collect(),
             keys: keys.map(Key::of).collect(),
+            regions: new.regions.clone(),
         })
     }
 }
@@ -116,6 +120,7 @@
         let mut next = self.clone();
         next.version = patch.version;
         next.limits = patch.limits;
+        next.regions.clone_from(&patch.regions);
         let changed = patch.routes.iter().map(RouteKey::of);
         for key in patch.dropped_routes.iter().cloned().chain(changed) {
             if let Some(list) = next.routes.get_mut(&key.host) {
--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -8,12 +8,17 @@
 //!
 //! The store may come back from a copy some seconds old. What servers have written since is missing for [`GRACE`], and
 //! servers that have gone stand there again: these are held back until they write, or have outlasted [`STALE`].
+//!
+//! New work goes to no server of a failure domain that is evacuated. That is no property of the server: the digest by which
+//! hosts compare what they know of the servers leaves it out.
 
 mod departed;
 mod followed;
 mod leavers;
+mod server;
 
 pub use followed::Restored;
+pub use server::{Change, Chill, Listing, Restart, Server};
 
 use super::faults::{self, Fault, Faults};
 use super::incarnation::{Incarnation, Key};
@@ -22,7 +27,6 @@
 use crate::time::Time;
 use departed::Departed;
 use leavers::Leavers;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -35,64 +39,6 @@
 /// one that is silent after three heartbeats of 1.2 s, so that whose entry still stands after five of them writes it.
 pub const STALE: Duration = Duration::from_millis(6_000);
 
-/// One backend server in one of its lifetimes.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Server {
-    /// Which start of which server it is.
-    pub incarnation: Incarnation,
-    /// The service that it serves.
-    pub service: Name,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: Name,
-    /// The requests that it works on at once.
-    pub slots: u32,
-    /// Whether it has said that it leaves.
-    pub leaving: bool,
-}
-
-impl Server {
-    /// Gives the server's id.
-    pub fn id(&self) -> &Name {
-        &self.incarnation.id
-    }
-
-    /// Gives the key of facts about this incarnation.
-    pub fn key(&self) -> Key {
-        self.incarnation.key()
-    }
-}
-
-/// What changed about a server.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Change {
-    /// It is new or its entry says something else.
-    Known(Server),
-    /// Its entry can't be read, and so names no server to use.
-    Unreadable(Fault),
-    /// Its entry is gone.
-    Gone(Name),
-}
-
-/// All that the store lists of servers.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Listing {
-    /// The servers.
-    pub servers: Vec<Server>,
-    /// The entries that can't be read.
-    pub unreadable: Vec<Fault>,
-}
-
-/// A server that has started again.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Restart {
-    /// The lifetime that is over.
-    pub former: Server,
-    /// The one that goes on.
-    pub now: Incarnation,
-}
-
 /// A server that is known.
 #[derive(Debug, Clone)]
 struct Entry {
@@ -156,6 +102,10 @@
     leavers: Leavers,
     /// What the last list of a new era has shown, until it is asked for.
     restored: Option<Restored>,
+    /// The failure domains to whose servers nothing new is sent.
+    evacuated: BTreeSet<Name>,
+    /// The servers that have said since this was last asked that they are cold.
+    chills: Vec<Chill>,
 }
 
 impl Directory {
@@ -315,12 +265,33 @@
         self.digest
     }
 
+    /// Takes the failure domains to whose servers nothing new is sent; gives those before.
+    pub fn evacuate(&mut self, domains: BTreeSet<Name>) -> BTreeSet<Name> {
+        std::mem::replace(&mut self.evacuated, domains)
+    }
+
+    /// Gives the servers that have said since the last call that they are cold.
+    pub fn take_chills(&mut self) -> Vec<Chill> {
+        std::mem::take(&mut self.chills)
+    }
+
     /// Gives a server that new work may go to.
     pub fn get(&self, key: Key) -> Option<&Server> {
+        let server = self.sound(key)?;
+        self.is_reachable(server).then_some(server)
+    }
+
+    /// Gives a server that is known, listed and not leaving, whether its failure domain is evacuated or not.
+    pub fn sound(&self, key: Key) -> Option<&Server> {
         let entry = self.entries.get(self.ids.get(&key)?)?;
         entry.is_open().then_some(&entry.server)
     }
 
+    /// Says whether nothing forbids work in a server's failure domain.
+    fn is_reachable(&self, server: &Server) -> bool {
+        !self.evacuated.contains(&server.domain)
+    }
+
     /// Says whether an incarnation of a server is known and not over, whether it takes new work or not.
     pub fn knows(&self, key: Key) -> bool {
         self.ids.contains_key(&key)
@@ -337,11 +308,24 @@
 
     /// Lists the servers of a service that new work may go to, in the order of their ids.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.sound_of(service)
+            .filter(|server| self.is_reachable(server))
+    }
+
+    /// Lists the servers of a service that are listed and not leaving, those of evacuated failure domains among them.
+    pub fn sound_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
         let open = self.entries.values().filter(|entry| entry.is_open());
         open.map(|entry| &entry.server)
             .filter(move |server| &*server.service == service)
     }
 
+    /// Lists the servers of a failure domain that are listed and not leaving.
+    pub fn sound_in<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Server> {
+        let open = self.entries.values().filter(|entry| entry.is_open());
+        open.map(|entry| &entry.server)
+            .filter(move |server| &*server.domain == domain)
+    }
+
     /// Gives the number of servers known whose entries can be read.
     pub fn len(&self) -> usize {
         self.entries.values().filter(|entry| entry.named).count()
@@ -370,6 +354,13 @@
         if source == Source::Write {
             self.departed.clear(server.id());
         }
+        if server.cold_ms > 0 {
+            self.chills.push(Chill {
+                server: server.key(),
+                service: server.service.clone(),
+                span: Duration::from_millis(u64::from(server.cold_ms)),
+            });
+        }
         self.insert(Entry {
             server,
             named: true,
--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -1,17 +1,23 @@
-//! Backend servers that name the most requests a second that they take from all hosts together.
+//! Backend servers that take so many requests a second from all hosts together: they name a limit, or they are cold.
 //!
 //! Each host hears of a limit in the answers that it gets, and hosts tell each other. One of them, which rendezvous hashing
 //! picks among those that live, owns a limit: it gives out a [`Grant`] for each request, and a host without one sends its
 //! request elsewhere. Nothing is kept beyond the owner's life. Its successor starts with nothing to give, so that what both
 //! have given out stays within what the server takes.
+//!
+//! What a cold server bears ([`cold`]) is granted in the same way, and the smaller bound counts. It holds for hosts that are cut
+//! off as well, so only an owner that hears of most hosts grants it, and never more than half: hosts that disagree on who the
+//! owner is may ask two.
 
 mod bucket;
+pub mod cold;
 
 use super::incarnation::Key;
 use super::statement::Rate;
 use crate::Name;
 use crate::time::Time;
 use bucket::Bucket;
+use cold::Cold;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -63,8 +69,23 @@
     pub number: u64,
     /// The host that asks.
     pub host: Name,
-    /// What it knows of the limit, which the owner may not have heard of.
-    pub told: Told,
+    /// The server.
+    pub server: Key,
+    /// What it knows of the server's limit, which the owner may not have heard of.
+    pub told: Option<Told>,
+    /// What it knows of the server's cold spell.
+    pub cold: Option<cold::Told>,
+}
+
+/// Who owns a limit, as the host sees it that is asked for a grant.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The host itself.
+    pub own: &'a str,
+    /// The owner.
+    pub owner: &'a str,
+    /// Whether it hears of most of the hosts that there are.
+    pub majority: bool,
 }
 
 /// The answer to that.
@@ -92,8 +113,6 @@
     as_of: Time,
     /// Whether this host heard it from the server.
     first_hand: bool,
-    /// Until when this host gets no grant.
-    denied_until: Time,
 }
 
 impl Known {
@@ -108,6 +127,10 @@
 #[derive(Debug, Default)]
 pub struct Limits {
     known: HashMap<Key, Known>,
+    /// The servers that are cold.
+    cold: HashMap<Key, Cold>,
+    /// Until when this host gets no grant.
+    denied: HashMap<Key, Time>,
     owned: HashMap<Key, Bucket>,
 }
 
@@ -119,7 +142,6 @@
     pub fn hear(&mut self, server: Key, rate: Option<Rate>, sent: Time, now: Time) -> bool {
         let before = self.known.get(&server);
         let before_rate = before.and_then(|known| known.rate);
-        let denied_until = before.map_or(now, |known| known.denied_until);
         let as_of = match rate {
             Some(_) => now,
             None if before.is_some_and(|known| known.rate.is_some() && known.as_of <= sent) => sent,
@@ -129,7 +151,6 @@
             rate,
             as_of,
             first_hand: true,
-            denied_until,
         };
         self.known.insert(server, known);
         rate != before_rate
@@ -148,7 +169,6 @@
             rate,
             as_of,
             first_hand: false,
-            denied_until: before.map_or(now, |known| known.denied_until),
         };
         self.known.insert(told.server, known);
         changes
@@ -163,12 +183,58 @@
         told.take(MOST).collect()
     }
 
-    /// Gives the limit of a server, if it has one.
+    /// Takes that a server is cold for a while and bears only so much; says whether it wasn't known to be. `first_hand` says
+    /// whether the server or the store has said so, in which case this host tells the others.
+    pub fn chill(
+        &mut self,
+        server: Key,
+        rate: Rate,
+        span: Duration,
+        first_hand: bool,
+        now: Time,
+    ) -> bool {
+        let news = self.cold_rate(server, now).is_none();
+        let cold = self.cold.entry(server).or_default();
+        cold.extend(rate, now + span, first_hand);
+        news && !span.is_zero()
+    }
+
+    /// Takes another host's word on a cold server; says whether it wasn't known to be cold.
+    pub fn hear_cold(&mut self, told: &cold::Told, now: Time) -> bool {
+        let Some(rate) = told.rate() else {
+            return false;
+        };
+        self.chill(told.server, rate, told.left(), false, now)
+    }
+
+    /// Lists the cold servers that this host has heard of from themselves or the store: no more than fit a notice.
+    pub fn told_cold(&self, now: Time) -> Vec<cold::Told> {
+        /// Some 300 bytes.
+        const MOST: usize = 24;
+        let cold = self.cold.iter();
+        let told = cold.filter(|(_, cold)| cold.is_told(now));
+        let told = told.map(|(server, cold)| cold.tell(*server, now));
+        told.take(MOST).collect()
+    }
+
+    /// Gives what a cold server bears; `None` where it isn't cold.
+    fn cold_rate(&self, server: Key, now: Time) -> Option<Rate> {
+        self.cold.get(&server)?.rate_at(now)
+    }
+
+    /// Gives the limit that a server has named, if it has.
     pub fn rate(&self, server: Key) -> Option<Rate> {
         self.known.get(&server)?.rate
     }
 
-    /// Gives how many servers have one.
+    /// Gives what a server takes now from all hosts together, if there is a bound: its limit, or less where it is cold.
+    pub fn bound(&self, server: Key, now: Time) -> Option<Rate> {
+        let bounds = [self.rate(server), self.cold_rate(server, now)];
+        let least = |one: Rate, other: Rate| if other < one { other } else { one };
+        bounds.into_iter().flatten().reduce(least)
+    }
+
+    /// Gives how many servers have named a limit.
     pub fn count(&self) -> usize {
         let limited = self.known.values().filter(|known| known.rate.is_some());
         limited.count()
@@ -176,24 +242,33 @@
 
     /// Gives how long this host gets no grant for a server.
     pub fn denied_for(&self, server: Key, now: Time) -> Duration {
-        let known = self.known.get(&server).filter(|known| known.rate.is_some());
-        known.map_or(Duration::ZERO, |known| known.denied_until.left(now))
+        let until = self.denied.get(&server);
+        let left = until.map_or(Duration::ZERO, |until| until.left(now));
+        if left.is_zero() || self.bound(server, now).is_none() {
+            return Duration::ZERO;
+        }
+        left
     }
 
     /// Notes that this host should not ask for a grant for a while.
     pub fn deny(&mut self, server: Key, wait: Duration, now: Time) {
-        if let Some(known) = self.known.get_mut(&server) {
-            known.denied_until = now + wait;
+        if self.bound(server, now).is_some() {
+            self.denied.insert(server, now + wait);
         }
     }
 
-    /// Makes the question for a grant; gives `None` where the server has no limit.
+    /// Makes the question for a grant; gives `None` where there is no bound on what the server takes.
     pub fn ask(&self, server: Key, host: &Name, number: u64, now: Time) -> Option<Request> {
+        self.bound(server, now)?;
         let known = self.known.get(&server).filter(|known| known.rate.is_some());
+        let cold = self.cold.get(&server);
+        let cold = cold.filter(|cold| cold.rate_at(now).is_some());
         Some(Request {
             number,
             host: host.clone(),
-            told: Told::new(server, known?, now),
+            server,
+            told: known.map(|known| Told::new(server, known, now)),
+            cold: cold.map(|cold| cold.claim(server, now)),
         })
     }
 
@@ -203,16 +278,31 @@
         self.owned.entry(server).or_insert_with(|| Bucket::new(now));
     }
 
-    /// Answers a host's question, where `owner` is the limit's owner as this host, named `own`, sees it.
-    pub fn grant(&mut self, request: &Request, owner: &str, own: &str, now: Time) -> Grant {
-        let server = request.told.server;
-        self.hear_told(&request.told, now);
-        let wait = match self.rate(server) {
+    /// Answers a host's question.
+    pub fn grant(&mut self, request: &Request, view: &View<'_>, now: Time) -> Grant {
+        let server = request.server;
+        if let Some(told) = &request.told {
+            self.hear_told(told, now);
+        }
+        if let Some(told) = &request.cold {
+            self.hear_cold(told, now);
+        }
+        let is_cold = self.cold_rate(server, now).is_some();
+        let wait = match self.bound(server, now) {
             None => Duration::ZERO,
-            Some(_) if owner != own => NOT_OWNER,
+            Some(_) if view.owner != view.own => NOT_OWNER,
+            Some(_) if is_cold && !view.majority => NOT_OWNER,
             Some(rate) => {
+                let limited = self.rate(server).is_some();
                 let bucket = self.owned.entry(server);
-                let bucket = bucket.or_insert_with(|| Bucket::succeed(now));
+                let bucket = bucket.or_insert_with(|| {
+                    // Half of what a cold server bears is left for the owner before.
+                    if limited {
+                        Bucket::succeed(now)
+                    } else {
+                        Bucket::new(now)
+                    }
+                });
                 bucket.take(&request.host, rate, now)
             }
         };
@@ -229,8 +319,11 @@
     pub fn retain(&mut self, is_known: impl Fn(Key) -> bool, now: Time) {
         self.known
             .retain(|server, known| is_known(*server) || now.since(known.as_of) < REMEMBERED);
-        let known = &self.known;
-        self.owned.retain(|server, _| known.contains_key(server));
+        self.cold.retain(|_, cold| cold.rate_at(now).is_some());
+        self.denied.retain(|_, until| *until > now);
+        let (known, cold) = (&self.known, &self.cold);
+        self.owned
+            .retain(|server, _| known.contains_key(server) || cold.contains_key(server));
     }
 }
 
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -80,6 +80,13 @@
     pub lost: bool,
 }
 
+impl Own<'_> {
+    /// Says whether the host can't go by the watchers' word: it is old, or the store gave no answer.
+    fn is_in_doubt(&self) -> bool {
+        self.lost || is_older(self.age, self.bound, OLD)
+    }
+}
+
 /// What the store is asked about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
@@ -91,6 +98,8 @@
     Hosts,
     /// The requests that are sent to no server any more.
     Quarantine,
+    /// The failure domains to whose servers nothing new is sent.
+    Evacuations,
 }
 
 /// How the store is asked.
@@ -138,6 +147,8 @@
     different_since: Option<Time>,
     /// When the store was last asked outside of watches.
     fetched: Option<Time>,
+    /// When it was last asked so for the evacuations.
+    fetched_evacuations: Option<Time>,
     /// The newer version of the configuration for which it was last asked, and when.
     fetched_config: Option<(u64, Time)>,
 }
@@ -193,6 +204,7 @@
         let spread = match topic {
             Topic::Config => self.config_due(own, heard, now),
             Topic::Servers => self.servers_due(own, heard, now),
+            Topic::Evacuations => self.evacuations_due(own, now),
             Topic::Hosts | Topic::Quarantine => None,
         };
         spread.map(|spread| Errand::Fetch(spread.mul_f64(chance)))
@@ -214,8 +226,20 @@
         {
             return Some(SPREAD);
         }
-        let in_doubt = own.lost || is_older(own.age, own.bound, OLD);
-        let due = in_doubt && self.may_fetch(AGAIN_OLD, now);
+        let due = own.is_in_doubt() && self.may_fetch(AGAIN_OLD, now);
+        due.then_some(SPREAD)
+    }
+
+    /// Gives the time over which the hosts' calls for the evacuations are spread, if one is due: watchers tell of each, so that
+    /// only a host that doesn't hear of them asks.
+    fn evacuations_due(&mut self, own: &Own<'_>, now: Time) -> Option<Duration> {
+        /// Small beside the seconds within which an evacuation must be in force.
+        const SPREAD: Duration = Duration::from_millis(200);
+        let last = self.fetched_evacuations;
+        let due = own.is_in_doubt() && last.is_none_or(|at| now.since(at) >= AGAIN_OLD);
+        if due {
+            self.fetched_evacuations = Some(now);
+        }
         due.then_some(SPREAD)
     }
 
--- a/crates/alderglade-core/src/fleet/statement.rs
+++ b/crates/alderglade-core/src/fleet/statement.rs
@@ -11,6 +11,8 @@
     pub backoff: Option<Duration>,
     /// The most requests that the server takes, from all hosts together.
     pub rate: Option<Rate>,
+    /// How much longer the server is cold, if it says so.
+    pub cold: Option<Duration>,
 }
 
 /// Requests a second; more than zero.
--- a/crates/alderglade-core/tests/testsuite/fleet/config.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/config.rs
@@ -1,10 +1,12 @@
 //! Routing, keys and limits of a configuration.
 
 use crate::each_seed;
+use alderglade_core::Name;
 use alderglade_core::fleet::config::{
     Access, Config, Kind, Limits, Patch, Route, Service, Target, Workspace,
 };
 use arbtest::arbitrary::{Result, Unstructured};
+use std::sync::Arc;
 use std::time::Duration;
 
 fn route(name: &str, host: &str, prefix: &str, public: bool) -> Route {
@@ -28,6 +30,7 @@
                 weight: 10.0,
             },
         ],
+        regions: Vec::new().into(),
     }
 }
 
@@ -46,6 +49,7 @@
         name: "clinic".into(),
         keys: vec!["k1".into(), "k2".into()],
         priority: 1,
+        regions: Vec::new().into(),
     }]))
 }
 
@@ -112,6 +116,13 @@
     assert!(!stream(false).repeatable());
 }
 
+fn regions(u: &mut Unstructured<'_>) -> Result<Arc<[Name]>> {
+    let count = u.int_in_range(0..=2)?;
+    Ok((0..count)
+        .map(|number| Name::from(format!("g{number}")))
+        .collect())
+}
+
 /// A random configuration over a few names, so that two of them have much in common.
 fn any(u: &mut Unstructured<'_>, version: u64) -> Result<Config> {
     let mut routes = Vec::new();
@@ -124,6 +135,7 @@
             u.arbitrary()?,
         );
         route.max_attempts = u.int_in_range(1..=2)?;
+        route.regions = regions(u)?;
         routes.push(route);
     }
     let mut services = Vec::new();
@@ -132,6 +144,8 @@
             name: format!("s{number}").into(),
             engine: None,
             max_connections: u.int_in_range(1..=2)?,
+            cold_start: Duration::from_secs(u.int_in_range(0..=1)?),
+            cold_per_second: 0.0,
         });
     }
     let mut workspaces = Vec::new();
@@ -141,6 +155,7 @@
             name: format!("w{}", u.int_in_range(0..=2u8)?).into(),
             keys: vec![key.into()],
             priority: 1,
+            regions: regions(u)?,
         });
     }
     let limits = Limits {
--- /dev/null
+++ b/crates/alderglade-core/tests/testsuite/fleet/evacuation.rs
@@ -0,0 +1,188 @@
+//! Evacuated failure domains: all hosts come to the same word, however late, often and in which order they hear of it.
+
+use super::chance::Chance;
+use alderglade_core::Name;
+use alderglade_core::fleet::directory::{Change, Directory};
+use alderglade_core::fleet::evacuation::{self, Evacuations, RESTORED, Told};
+use alderglade_core::fleet::position::Position;
+use alderglade_core::time::Time;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const NOW: Time = Time(1_000_000);
+
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
+/// A position after the store has come back from a copy.
+fn copied(revision: u64) -> Position {
+    Position::new(2, revision)
+}
+
+fn domains(names: &[&str]) -> BTreeSet<Name> {
+    names.iter().map(|name| Name::from(*name)).collect()
+}
+
+fn change(domain: &str, evacuated: bool) -> evacuation::Change {
+    evacuation::Change {
+        domain: domain.into(),
+        evacuated,
+    }
+}
+
+fn listing(names: &[&str], position: Position) -> Evacuations {
+    let mut evacuations = Evacuations::default();
+    assert!(!evacuations.are_known());
+    evacuations.take(domains(names), position, NOW);
+    assert!(evacuations.are_known());
+    evacuations
+}
+
+fn told(names: &[&str], position: Position) -> Told {
+    listing(names, position).tell(NOW)
+}
+
+#[test]
+fn only_what_is_later_counts() {
+    let mut known = listing(&[], at(10));
+    assert!(known.hear(&told(&["north"], at(20)), NOW));
+    assert!(!known.hear(&told(&[], at(15)), NOW));
+    assert!(!known.change(&[change("north", false)], at(20)));
+    assert_eq!(known.in_force(), domains(&["north"]));
+    assert!(known.change(&[change("north", false)], at(25)));
+    assert!(!known.hear(&told(&["north"], at(20)), NOW));
+    assert_eq!(known.in_force(), domains(&[]));
+}
+
+#[test]
+fn of_several_changes_of_a_domain_the_last_counts() {
+    let mut known = listing(&["south"], at(10));
+    let changes = [
+        change("north", true),
+        change("south", false),
+        change("north", false),
+        change("north", true),
+    ];
+    assert!(known.change(&changes, at(14)));
+    assert_eq!(known.in_force(), domains(&["north"]));
+}
+
+/// A host that doesn't know them says nothing of them.
+#[test]
+fn who_knows_nothing_tells_nothing() {
+    let mut known = listing(&["north"], at(10));
+    assert!(!known.hear(&Evacuations::default().tell(NOW), NOW));
+    assert_eq!(known.in_force(), domains(&["north"]));
+}
+
+#[test]
+fn an_evacuation_that_a_copy_lacks_holds_until_it_could_be_written_again() {
+    let mut known = listing(&["north"], at(100));
+    assert!(!known.take(domains(&[]), copied(50), NOW));
+    assert_eq!(known.in_force(), domains(&["north"]));
+    // Who starts then lists only what the copy holds, and has the rest from others, but for no longer than they.
+    let later = NOW + RESTORED / 2;
+    let mut fresh = listing(&[], copied(60));
+    assert!(fresh.hear(&known.tell(later), later));
+    assert!(!known.hear(&fresh.tell(later), later));
+    assert_eq!(known.in_force(), domains(&["north"]));
+    assert!(!known.expire(later));
+    assert!(known.expire(NOW + RESTORED));
+    assert!(fresh.expire(NOW + RESTORED));
+    assert_eq!(known.in_force(), domains(&[]));
+    assert_eq!(fresh.in_force(), domains(&[]));
+}
+
+#[test]
+fn an_evacuation_that_is_written_again_after_a_copy_stays_until_it_is_taken_back() {
+    let mut known = listing(&["north"], at(100));
+    known.take(domains(&[]), copied(50), NOW);
+    assert!(!known.change(&[change("north", true)], copied(60)));
+    assert!(!known.expire(NOW + RESTORED * 2));
+    assert_eq!(known.in_force(), domains(&["north"]));
+    assert!(known.change(&[change("north", false)], copied(61)));
+    assert_eq!(known.in_force(), domains(&[]));
+}
+
+/// An evacuation that was taken back stands in the copy again: the store says so, and only the operator can end it.
+#[test]
+fn what_a_copy_holds_is_in_force() {
+    let mut known = listing(&[], at(100));
+    assert!(known.take(domains(&["north"]), copied(50), NOW));
+    assert!(!known.hear(&told(&[], at(100)), NOW));
+    assert_eq!(known.in_force(), domains(&["north"]));
+}
+
+/// Up to a thousand hosts, of which one at a time asks the store; messages are lost, doubled and late, hosts start again and
+/// are cut off.
+#[test]
+fn all_hosts_come_to_the_stores_word() {
+    for seed in 0..12_u64 {
+        let mut chance = Chance(seed);
+        let count = [3, 60, 1_000][chance.host(3)];
+        let mut store = domains(&[]);
+        let mut hosts: Vec<Evacuations> = (0..count).map(|_| Evacuations::default()).collect();
+        let mut letters: Vec<(usize, Told)> = Vec::new();
+        let mut revision = 1;
+        for _ in 0..60 {
+            revision += 1 + chance.below(3);
+            let domain = ["north", "south", "east"][chance.host(3)];
+            if !store.remove(domain) {
+                store.insert(domain.into());
+            }
+            hosts[chance.host(count)].take(store.clone(), at(revision), NOW);
+            for _ in 0..count.min(40) {
+                let from = chance.host(count);
+                letters.push((chance.host(count), hosts[from].tell(NOW)));
+            }
+            if chance.below(4) == 0 {
+                hosts[chance.host(count)] = Evacuations::default();
+            }
+            for _ in 0..chance.host(letters.len() + 1) {
+                let (to, told) = letters.swap_remove(chance.host(letters.len()));
+                hosts[to].hear(&told, NOW);
+            }
+        }
+        hosts[0].take(store.clone(), at(revision), NOW);
+        let told = hosts[0].tell(NOW);
+        for (number, host) in hosts.iter_mut().enumerate() {
+            host.hear(&told, NOW);
+            assert_eq!(host.in_force(), store, "seed {seed}, host {number}");
+        }
+    }
+}
+
+#[test]
+fn servers_of_an_evacuated_domain_take_no_new_work_and_stay_known() {
+    let mut directory = Directory::default();
+    let server = super::server("e1", false);
+    let key = server.key();
+    directory.apply(Change::Known(server), NOW);
+    let digest = directory.digest();
+    directory.evacuate(domains(&["north"]));
+    assert!(directory.get(key).is_none());
+    assert_eq!(directory.of_service("llm").count(), 0);
+    assert!(directory.sound(key).is_some());
+    assert_eq!(directory.sound_of("llm").count(), 1);
+    assert_eq!(directory.digest(), digest, "hosts compare servers by it");
+    assert_eq!(directory.evacuate(domains(&[])), domains(&["north"]));
+    assert!(directory.get(key).is_some());
+}
+
+#[test]
+fn an_entry_tells_of_a_cold_spell_once() {
+    let mut directory = Directory::default();
+    let mut server = super::server("e1", false);
+    server.cold_ms = 1_500;
+    let key = server.key();
+    directory.apply(Change::Known(server.clone()), NOW);
+    let chills = directory.take_chills();
+    assert_eq!(chills.len(), 1);
+    assert_eq!(chills[0].server, key);
+    assert_eq!(chills[0].span, Duration::from_millis(1_500));
+    assert!(directory.take_chills().is_empty());
+    server.cold_ms = 0;
+    directory.apply(Change::Known(server), NOW);
+    assert!(directory.take_chills().is_empty());
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
@@ -25,6 +25,7 @@
         domain: "north".into(),
         slots: 16,
         leaving,
+        cold_ms: 0,
     }
 }
 
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -5,13 +5,16 @@
 mod budget;
 mod caller;
 mod chance;
+mod cold;
 mod config;
 mod directory;
+mod evacuation;
 mod faults;
 mod fingerprint;
 mod freshness;
 mod health;
 mod heartbeat;
+mod homes;
 mod incarnation;
 mod life;
 mod line;
@@ -31,6 +34,7 @@
 
 use alderglade_core::fleet::book::{Hold, Load, Notice};
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::evacuation::Told;
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::position::Position;
@@ -65,6 +69,7 @@
         domain: "north".into(),
         slots: 16,
         leaving,
+        cold_ms: 0,
     }
 }
 
@@ -85,6 +90,8 @@
         unanswered: Vec::new(),
         quarantine: Vec::new(),
         limits: Vec::new(),
+        cold: Vec::new(),
+        evacuations: Told::default(),
         holdings: Vec::new(),
     }
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/rate_limit.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/rate_limit.rs
@@ -3,7 +3,7 @@
 use super::chance::Chance;
 use super::key;
 use alderglade_core::Name;
-use alderglade_core::fleet::rate_limit::{self, Grant, Limits, Request};
+use alderglade_core::fleet::rate_limit::{self, Grant, Limits, Request, View};
 use alderglade_core::fleet::statement::Rate;
 use alderglade_core::time::Time;
 use std::collections::HashMap;
@@ -24,6 +24,15 @@
     Rate::per_second(number).expect("a rate")
 }
 
+/// How a host named `own` sees that another one owns the limit.
+fn owned_by(owner: &str) -> View<'_> {
+    View {
+        own: "own",
+        owner,
+        majority: true,
+    }
+}
+
 /// What hosts send each other.
 enum Message {
     Ask(Request),
@@ -200,9 +209,12 @@
     fn grant(&mut self, host: usize, request: &Request) -> Grant {
         let owner = self.hosts[self.owner(host)].name.clone();
         let granting = &mut self.hosts[host];
-        granting
-            .limits
-            .grant(request, &owner, &granting.name, self.now)
+        let view = View {
+            own: &granting.name,
+            owner: &owner,
+            majority: true,
+        };
+        granting.limits.grant(request, &view, self.now)
     }
 
     fn take(&mut self, host: usize, grant: Grant) {
@@ -326,8 +338,8 @@
     limits.hear(key("e"), Some(rate(2.0)), now, now);
     limits.begin(key("e"), now);
     let request = limits.ask(key("e"), &"a".into(), 1, now).expect("a limit");
-    assert_eq!(limits.grant(&request, "own", "own", now).wait_ms, 0);
-    assert_eq!(limits.grant(&request, "own", "own", now).wait_ms, 500);
+    assert_eq!(limits.grant(&request, &owned_by("own"), now).wait_ms, 0);
+    assert_eq!(limits.grant(&request, &owned_by("own"), now).wait_ms, 500);
 }
 
 /// Each of the hosts gets its part: nobody waits for ever behind others that ask more often.
@@ -338,7 +350,7 @@
     limits.hear(key("e"), Some(rate(2.0)), now, now);
     let mut wait = |host: &str, now: Time| {
         let request = limits.ask(key("e"), &host.into(), 1, now).expect("a limit");
-        limits.grant(&request, "own", "own", now).wait_ms
+        limits.grant(&request, &owned_by("own"), now).wait_ms
     };
     // An owner begins with nothing: the first grant comes after it has settled, and then one each half second.
     assert_eq!(wait("a", now), 1_500);
@@ -359,7 +371,7 @@
     let request = limits
         .ask(key("e"), &"a".into(), 1, later)
         .expect("a limit");
-    assert!(limits.grant(&request, "other", "own", later).wait_ms > 0);
+    assert!(limits.grant(&request, &owned_by("other"), later).wait_ms > 0);
 }
 
 /// The owner may not have heard of the limit: the question tells.
@@ -370,7 +382,7 @@
     asking.hear(key("e"), Some(rate(1.0)), now, now);
     let request = asking.ask(key("e"), &"a".into(), 1, now).expect("a limit");
     let mut owner = Limits::default();
-    assert!(owner.grant(&request, "own", "own", now).wait_ms > 0);
+    assert!(owner.grant(&request, &owned_by("own"), now).wait_ms > 0);
     assert_eq!(owner.rate(key("e")), Some(rate(1.0)));
 }
 
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -45,6 +45,15 @@
     last_event: Option<String>,
     number: u32,
 ) -> Result<(Exchange, Reply), Miss> {
+    if !node.is_home(&job.homes, server) {
+        tell(
+            job,
+            server,
+            number,
+            "the server is in no home of the request",
+        );
+        return Err(Miss::NotSent);
+    }
     if !node.honours(&permit) {
         tell(job, server, number, "the server takes nothing now");
         return Err(Miss::NotSent);
@@ -138,7 +147,7 @@
     const PATIENCE: Duration = Duration::from_millis(50);
     let ran = began.map(|began| clock::now().since(began));
     // A server that was leaving has ended as it was asked to, whatever it still had.
-    if node.server(server.key()).is_some() {
+    if node.is_sound(server.key()) {
         node.note_broken(job.asked, server.key(), ran);
     }
     let inspection = Inspection {
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -61,6 +61,10 @@
 pub(super) const SERVER_BACKOFF: Kind = info(3110, "server_backoff");
 /// A backend server says how many requests a second it takes, or no more.
 pub(super) const SERVER_LIMIT: Kind = info(3111, "server_limit");
+/// A backend server is cold.
+pub(super) const SERVER_COLD: Kind = info(3112, "server_cold");
+/// Failure domains are evacuated, or no longer.
+pub(super) const EVACUATED: Kind = info(3113, "evacuated");
 /// The store gives no answer.
 pub(super) const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store answers again.
@@ -117,7 +121,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 44] = [
+pub const ALL: [Kind; 46] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -135,6 +139,8 @@
     SERVER_LEAVES,
     SERVER_BACKOFF,
     SERVER_LIMIT,
+    SERVER_COLD,
+    EVACUATED,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -5,6 +5,7 @@
 use alderglade_core::Name;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use serde::{Serialize, Serializer};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// One log line.
@@ -111,9 +112,21 @@
         /// The requests; missing where it names no limit any more.
         per_second: Option<f64>,
     },
+    /// A backend server is cold, and gets no more than it bears.
+    ServerCold {
+        /// The server.
+        server: &'a str,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
+    /// Which failure domains are evacuated has changed.
+    Evacuated {
+        /// Those that are.
+        domains: &'a BTreeSet<Name>,
+    },
     /// An entry of the store can't be read; it is passed over.
     EntryUnreadable {
-        /// What it is of: `servers`, `hosts` or `quarantine`.
+        /// What it is of: `servers`, `hosts`, `quarantine` or `evacuations`.
         of: &'a str,
         /// Its name; a digest of its text where that can't be read either.
         name: &'a str,
@@ -434,6 +447,8 @@
             Record::ServerLeaves { .. } => &kind::SERVER_LEAVES,
             Record::ServerBackoff { .. } => &kind::SERVER_BACKOFF,
             Record::ServerLimit { .. } => &kind::SERVER_LIMIT,
+            Record::ServerCold { .. } => &kind::SERVER_COLD,
+            Record::Evacuated { .. } => &kind::EVACUATED,
             Record::EntryUnreadable { .. } => &kind::ENTRY_UNREADABLE,
             Record::EntryMended { .. } => &kind::ENTRY_MENDED,
             Record::StoreLost { .. } => &kind::STORE_LOST,
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -150,6 +150,7 @@
     if let Some(left) = node.bars(asked) {
         return Err(Refusal::new(ErrorKind::Quarantined, left));
     }
+    let homes = config.homes(&route, workspace.as_deref());
     Ok(Job {
         ask,
         asked,
@@ -160,6 +161,7 @@
         route,
         service,
         workspace,
+        homes,
         config: config.version,
         progress,
         ends,
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
-use crate::node::{InLine, Node};
+use crate::node::{Closing, InLine, Node};
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::life::{Life, Waiting};
 use alderglade_core::fleet::pass::Figures;
@@ -40,6 +40,9 @@
         if tries.sends == 0 && !node.takes_requests() {
             return Err(life.refuse(ErrorKind::Draining, COME_BACK));
         }
+        if let Some(Closing { kind, after }) = node.closing(&job.service, &job.homes) {
+            return Err(life.refuse(kind, after));
+        }
         let ends_in = node.ends_in();
         match decide(node, job, tries, &mut line) {
             Decision::Send(plan)
@@ -110,13 +113,7 @@
         return without_figures(node, job, tries);
     };
     let work = work(job, tries, figures.stride);
-    let engines = node.engines(&job.service, figures);
-    // Where that is for a while only, its caller hears for how long.
-    if engines.is_empty()
-        && let Some(after) = node.opens_in(&job.service)
-    {
-        return Decision::Refuse(after);
-    }
+    let engines = node.engines(&job.service, figures, &job.homes);
     let demand = placement::demand(&work, &figures, engines.len());
     let before = demand.map_or(0, |demand| {
         let place = line.get_or_insert_with(|| node.line_up(demand));
@@ -133,8 +130,8 @@
 
 /// Places a stream of a service that states no figures for its engines: least own calls first.
 fn without_figures(node: &Node, job: &Job, tries: &Tries) -> Decision {
-    match node.pick(&job.service, &tries.avoid) {
-        None => Decision::Refuse(node.opens_in(&job.service).unwrap_or(COME_BACK)),
+    match node.pick(&job.service, &job.homes, &tries.avoid) {
+        None => Decision::Refuse(COME_BACK),
         Some(server) => Decision::Send(Plan {
             first: server.key(),
             helpers: Vec::new(),
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -9,6 +9,7 @@
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::config::Route;
 use alderglade_core::fleet::fingerprint::Fingerprint;
+use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::life::{Life, Waiting};
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
@@ -44,6 +45,8 @@
     pub service: Name,
     /// The workspace that it is served for.
     pub workspace: Option<Name>,
+    /// Where it may run.
+    pub homes: Homes,
     /// The version of the configuration that let it in.
     pub config: u64,
     /// How far it has come.
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -5,8 +5,10 @@
 
 mod catch_up;
 mod choice;
+mod cold;
 mod consultation;
 mod era;
+mod evacuation;
 mod faults;
 mod guard;
 mod hosts;
@@ -23,6 +25,7 @@
 mod stop;
 mod store;
 
+pub use choice::Closing;
 pub use guard::{Call, Connected, Held, InFlight, InLine};
 pub use hosts::{Host, Hosts};
 pub use outbox::{Letter, Ways};
@@ -162,6 +165,7 @@
     pub fn ready(&self) -> bool {
         let state = self.state.borrow();
         let known = state.config.is_some() && !state.directory.is_empty();
+        let known = known && self.knows_evacuations(&state);
         known && !self.is_stopping() && !state.reach.is_cut_off(clock::now())
     }
 
@@ -252,6 +256,11 @@
         self.state.borrow().directory.position()
     }
 
+    /// Says whether a server is known, listed and not leaving, whether new work may go to its failure domain or not.
+    pub fn is_sound(&self, key: Key) -> bool {
+        self.state.borrow().directory.sound(key).is_some()
+    }
+
     /// Gives a server that new work may go to.
     pub fn server(&self, key: Key) -> Option<Server> {
         self.state.borrow().directory.get(key).cloned()
@@ -265,6 +274,7 @@
         let mut state = self.state.borrow_mut();
         let dropped = state.directory.expire(now);
         let silent = state.book.expire(now);
+        let taken_back = state.evacuations.expire(now);
         let joined = std::mem::take(&mut state.newcomers);
         self.set_gauges(&mut state, now);
         drop(state);
@@ -274,6 +284,9 @@
         if dropped {
             self.tell_servers();
         }
+        if taken_back {
+            self.put_evacuations_in_force();
+        }
     }
 
     /// Sets the figures for operators that only show how things stand.
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -4,14 +4,17 @@
 use super::{Node, State};
 use crate::clock;
 use alderglade_core::Name;
+use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::book::Book;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Health;
+use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::Engine;
 use alderglade_core::time::Time;
 use rand::RngExt;
+use std::time::Duration;
 
 /// The most that chance adds to the cost of a plain backend server, so that hosts with equal figures
 /// don't all choose the same one. Costs are counted in loads: `1.0` is as many own calls as the server
@@ -24,6 +27,21 @@
 /// What a server costs that the request was sent to before, in loads; above doubt.
 const TRIED: f64 = 1_000.0;
 
+/// When a caller should come back whose service is evacuated everywhere. Only the operator knows when that ends; it is asked
+/// seldom enough to cost little, and soon enough to find it ended.
+const EVACUATED: Duration = Duration::from_millis(2_000);
+/// When a caller should come back whose service has no server in its homes.
+const NO_SERVER: Duration = Duration::from_millis(1_000);
+
+/// Why no server of a service can take a request now, and when its caller should come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closing {
+    /// What the caller is told.
+    pub kind: ErrorKind,
+    /// When to come back.
+    pub after: Duration,
+}
+
 /// How much the engines have had to read lately.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Pressure {
@@ -40,8 +58,46 @@
 }
 
 impl Node {
-    /// Gives the engines of a service that take something of this host now, as it sees them, in the order of their ids.
-    pub fn engines(&self, service: &str, figures: Figures) -> Vec<Engine> {
+    /// Says whether a request with these homes may run at a server.
+    pub fn is_home(&self, homes: &Homes, server: &Server) -> bool {
+        homes.are_everywhere() || homes.allow(self.settings.regions.get(&server.domain))
+    }
+
+    /// Says why no server of a service takes a request with these homes now; `None` where one does.
+    pub fn closing(&self, service: &str, homes: &Homes) -> Option<Closing> {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let directory = &state.directory;
+        let open = directory.of_service(service);
+        let open = open.filter(|server| self.is_home(homes, server));
+        let mut opens_in: Option<Duration> = None;
+        for server in open {
+            let left = state.closed_for(server.key(), now);
+            if left.is_zero() {
+                return None;
+            }
+            opens_in = Some(opens_in.map_or(left, |least| least.min(left)));
+        }
+        let (kind, after) = match opens_in {
+            Some(after) => (ErrorKind::Overloaded, after),
+            None => {
+                let mut known = directory.sound_of(service).peekable();
+                let exists = known.peek().is_some();
+                if known.any(|server| self.is_home(homes, server)) {
+                    (ErrorKind::NoCapacity, EVACUATED)
+                } else if exists {
+                    (ErrorKind::NoHome, NO_SERVER)
+                } else {
+                    (ErrorKind::NoCapacity, NO_SERVER)
+                }
+            }
+        };
+        Some(Closing { kind, after })
+    }
+
+    /// Gives the engines of a service that take something of this host now and at which a request with these homes may run, in
+    /// the order of their ids.
+    pub fn engines(&self, service: &str, figures: Figures, homes: &Homes) -> Vec<Engine> {
         let now = clock::now();
         let own_domain = &self.settings.domain;
         let mut state = self.state.borrow_mut();
@@ -57,6 +113,7 @@
         let pauses = pauses.get(service).copied().unwrap_or_default();
         directory
             .of_service(service)
+            .filter(|server| self.is_home(homes, server))
             .filter_map(|server| {
                 let key = server.key();
                 let open = closed_for(backoffs, limits, key, now).is_zero();
@@ -91,12 +148,13 @@
     }
 
     /// Picks the plain backend server with the fewest own calls that hasn't been tried, among those that take something now.
-    pub fn pick(&self, service: &str, tried: &[Key]) -> Option<Server> {
+    pub fn pick(&self, service: &str, homes: &Homes, tried: &[Key]) -> Option<Server> {
         let now = clock::now();
         let state = self.state.borrow();
         let mut rng = rand::rng();
         let cost = |server: &Server, draw: f64| self.cost(&state, server, tried, now) + DRAW * draw;
         let servers = state.directory.of_service(service);
+        let servers = servers.filter(|server| self.is_home(homes, server));
         let servers = servers.filter(|server| state.closed_for(server.key(), now).is_zero());
         let costs = servers.map(|server| (cost(server, rng.random::<f64>()), server));
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -9,7 +9,7 @@
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::placement::Plan;
-use alderglade_core::fleet::rate_limit::{self, Grant, Request};
+use alderglade_core::fleet::rate_limit::{self, Grant, Request, View};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -98,7 +98,9 @@
 
     /// Says whether a permit still holds: the server may have said something of itself since.
     pub fn honours(&self, permit: &Permit) -> bool {
-        let limited = self.state.borrow().limits.rate(permit.server).is_some();
+        let now = clock::now();
+        let limited = self.state.borrow().limits.bound(permit.server, now);
+        let limited = limited.is_some();
         (permit.granted || !limited) && self.takes_work(permit.server)
     }
 
@@ -109,20 +111,11 @@
         !rests && state.directory.get(server).is_some()
     }
 
-    /// Gives how long the servers of a service take nothing of this host, where there are such and none takes anything.
-    pub fn opens_in(&self, service: &str) -> Option<Duration> {
-        let now = clock::now();
-        let state = self.state.borrow();
-        let servers = state.directory.of_service(service);
-        servers
-            .map(|server| state.closed_for(server.key(), now))
-            .min()
-    }
-
     /// Asks the owner of a server's limit for leave to send one request; gives how long to wait, or `None` where there is no
     /// limit.
     async fn claim(&self, server: Key) -> Option<Duration> {
-        self.state.borrow().limits.rate(server)?;
+        let now = clock::now();
+        self.state.borrow().limits.bound(server, now)?;
         let own = &self.settings.host;
         let owner = self.limit_owner(server);
         let ask = |number| {
@@ -150,10 +143,22 @@
 
     /// Answers a host that wants to send a request to a server with a limit.
     pub fn grant(&self, request: &Request) -> Grant {
-        let owner = self.limit_owner(request.told.server);
-        let own = &self.settings.host;
+        let owner = self.limit_owner(request.server);
+        let view = View {
+            own: &self.settings.host,
+            owner: &owner,
+            majority: self.hears_majority(),
+        };
         let mut state = self.state.borrow_mut();
-        state.limits.grant(request, &owner, own, clock::now())
+        state.limits.grant(request, &view, clock::now())
+    }
+
+    /// Says whether this host hears of most of the hosts that there are.
+    fn hears_majority(&self) -> bool {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let heard = state.book.heard(&self.settings.domain, now).count() + 1;
+        2 * heard > state.hosts.len()
     }
 
     /// Takes the answer of a limit's owner.
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -10,6 +10,7 @@
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::directory::Directory;
+use alderglade_core::fleet::evacuation::Evacuations;
 use alderglade_core::fleet::faults::Faults;
 use alderglade_core::fleet::freshness::Freshness;
 use alderglade_core::fleet::health::Health;
@@ -32,6 +33,8 @@
     pub config: Option<Rc<Config>>,
     /// The backend servers.
     pub directory: Directory,
+    /// The failure domains that are evacuated.
+    pub evacuations: Evacuations,
     /// What every host holds at every server.
     pub book: Book,
     /// The pauses that the answers of each service of engines bear.
@@ -42,7 +45,7 @@
     pub quarantine: Quarantine,
     /// Servers that want nothing of this host for a while.
     pub(super) backoffs: Backoffs,
-    /// The limits that servers have named.
+    /// What servers take from all hosts together: those that have named a limit, and cold ones.
     pub limits: Limits,
     /// The age of the store's word.
     pub freshness: Freshness,
@@ -74,6 +77,7 @@
         State {
             config: None,
             directory: Directory::default(),
+            evacuations: Evacuations::default(),
             book: Book::default(),
             pauses: HashMap::new(),
             health: Health::default(),
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::clock;
 use crate::event::{self, Record};
-use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::directory::{Chill, Server};
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::rate_limit::Told;
 use alderglade_core::fleet::statement::{Rate, Statement};
@@ -19,6 +19,13 @@
         if let Some(span) = statement.backoff {
             self.hear_backoff(server, span);
         }
+        if let Some(span) = statement.cold.filter(|span| !span.is_zero()) {
+            self.chill(&Chill {
+                server: server.key(),
+                service: server.service.clone(),
+                span,
+            });
+        }
         self.hear_limit(server, statement.rate, sent);
     }
 
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -6,10 +6,12 @@
 use alderglade_core::Name;
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::directory::{Change, Listing, Restored};
+use alderglade_core::fleet::evacuation;
 use alderglade_core::fleet::faults::Fault;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::time::Time;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -54,6 +56,20 @@
     Released(Fingerprint),
     /// All requests that a copy of the store says are sent to no server, with how much longer.
     QuarantineRestored(Vec<(Fingerprint, Duration)>),
+    /// All failure domains that are evacuated.
+    Evacuations {
+        /// The failure domains.
+        domains: BTreeSet<Name>,
+        /// Where the store was when these were all.
+        position: Position,
+    },
+    /// How failure domains stand that have been evacuated, or no longer are.
+    EvacuationChanges {
+        /// The changes, oldest first.
+        changes: Vec<evacuation::Change>,
+        /// Up to where these are all.
+        position: Position,
+    },
     /// What the store holds of the configuration was the newest at this time.
     Confirmed {
         /// The time.
@@ -120,6 +136,10 @@
             News::QuarantineRestored(listed) => {
                 self.with_quarantine(|quarantine, now| quarantine.restore(&listed, now));
             }
+            News::Evacuations { domains, position } => self.take_evacuations(domains, position),
+            News::EvacuationChanges { changes, position } => {
+                self.change_evacuations(&changes, position);
+            }
             News::Confirmed { at, held } => self.confirm_config(at, held),
             News::Lost(problem) => self.store_lost(&problem),
             News::Answered => self.store_answered(now),
@@ -136,14 +156,18 @@
         };
         // In vain or not, what is known then counts.
         let _ = clock::timeout(patience, known).await;
-        self.state.borrow().config.clone()
+        let state = self.state.borrow();
+        state
+            .config
+            .clone()
+            .filter(|_| self.knows_evacuations(&state))
     }
 
     /// Says whether the host has learnt what it needs to serve.
     fn has_learnt(&self) -> bool {
         let state = self.state.borrow();
         let known = state.config.is_some() && state.directory.is_listed();
-        known && self.consultation.is_over()
+        known && self.knows_evacuations(&state) && self.consultation.is_over()
     }
 
     /// Takes the whole list of backend servers, unless peers have told of later changes while it was on its way.
@@ -187,6 +211,7 @@
         state.config = Some(config.clone());
         state.note_config();
         drop(state);
+        self.take_chills();
         if let Some(old) = old {
             self.tell_config(&old, &config);
         }
@@ -210,6 +235,7 @@
     /// Forgets the records of servers that are gone and writes how many there are, and which have started again.
     pub(super) fn tell_servers(&self) {
         self.tell_restarts();
+        self.take_chills();
         self.tell_server_faults();
         let mut state = self.state.borrow_mut();
         state.note_engines();
@@ -219,7 +245,7 @@
             limits,
             ..
         } = &mut *state;
-        health.retain(|server| directory.get(server).is_some());
+        health.retain(|server| directory.sound(server).is_some());
         limits.retain(|server| directory.knows(server), clock::now());
         let known = directory.len();
         let leaving = directory.leaving().len();
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -86,6 +86,8 @@
     }
     drop(state);
     node.hear_limits(&notice.limits);
+    node.hear_cold(&notice.cold);
+    node.hear_evacuations(&notice.evacuations);
     node.hear_quarantine(&notice.quarantine);
     node.take_word(&notice.word);
 }
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -132,6 +132,8 @@
             unanswered: state.health.told_unanswered(clock::now()),
             quarantine: state.quarantine.tell(whole, clock::now()),
             limits: state.limits.told(clock::now()),
+            cold: state.limits.told_cold(clock::now()),
+            evacuations: state.evacuations.tell(clock::now()),
             holdings,
         }
     }
--- a/crates/alderglade-serve/src/settings.rs
+++ b/crates/alderglade-serve/src/settings.rs
@@ -2,6 +2,8 @@
 
 use alderglade_core::Name;
 use alderglade_core::fleet::budget::Bound;
+use alderglade_core::fleet::rate_limit::cold;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +28,12 @@
     pub revocation: Option<Duration>,
     /// The bound on repeated sends to a service, over all hosts.
     pub retries: Bound,
+    /// Within which time nothing new may reach an evacuated failure domain; `None` where the deployment has no evacuations.
+    pub evacuation: Option<Duration>,
+    /// The bound on requests to cold servers, where the deployment sets one.
+    pub cold: Option<cold::Bound>,
+    /// The region of each failure domain.
+    pub regions: HashMap<Name, Name>,
     /// How long memory set aside may stay unused before the engine's operators count it as lost.
     pub memory_idle: Duration,
 }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -7,7 +7,7 @@
 use crate::event::{self, Record};
 use crate::forward;
 use crate::job::Job;
-use crate::node::{Node, Permit, Stage};
+use crate::node::{Closing, Node, Permit, Stage};
 use crate::translate::Reply;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::directory::Server;
@@ -136,7 +136,7 @@
 /// Picks a server that takes the request now, if there is one.
 async fn permitted(node: &Node, job: &Job, tried: &[Key]) -> Option<Choice> {
     while !job.left().is_zero() {
-        let server = node.pick(&job.service, tried)?;
+        let server = node.pick(&job.service, &job.homes, tried)?;
         // One that takes nothing now isn't picked the next time.
         if let Ok(permit) = node.permit(server.key()).await {
             return Some(Choice { server, permit });
@@ -147,8 +147,8 @@
 
 /// Refuses a request that no server takes now. Where that is for a while only, its caller hears for how long.
 fn no_server(node: &Node, job: &Job, life: &Life<Waiting>) -> Refusal {
-    match node.opens_in(&job.service) {
-        Some(after) => life.refuse(ErrorKind::Overloaded, after),
+    match node.closing(&job.service, &job.homes) {
+        Some(Closing { kind, after }) => life.refuse(kind, after),
         None => life.refuse(ErrorKind::NoCapacity, COME_BACK),
     }
 }
@@ -201,7 +201,7 @@
     clock::patience(job.left().mul_f64(FIRST_TRY)).await;
     attempt::note_silent(node, job, silent, sends, attempt::NO_ANSWER);
     loop {
-        let other = node.pick(&job.service, tried);
+        let other = node.pick(&job.service, &job.homes, tried);
         let other = other.filter(|server| !tried.contains(&server.key()));
         let cut_short = node.ends_in().is_some_and(|left| left < job.left());
         let room = tried.len() < MOST_CONNECTS && !cut_short;
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -4,6 +4,7 @@
 use alderglade_core::fleet::book::{Book, Demand, Hold, Holding, Load, Notice};
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::directory::Directory;
+use alderglade_core::fleet::evacuation::{self, Evacuations};
 use alderglade_core::fleet::fingerprint::Content;
 use alderglade_core::fleet::health::{Health, PassedOver};
 use alderglade_core::fleet::incarnation::Incarnation;
@@ -12,7 +13,7 @@
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::quarantine::{Fact, Quarantine, Told};
-use alderglade_core::fleet::rate_limit::{self, Limits};
+use alderglade_core::fleet::rate_limit::{self, Limits, View, cold};
 use alderglade_core::fleet::relay::Word;
 use alderglade_core::time::Time;
 use arbtest::arbitrary::{Result, Unstructured};
@@ -38,6 +39,7 @@
     questions: Questions,
     quarantine: Quarantine,
     limits: Limits,
+    evacuations: Evacuations,
 }
 
 impl Host {
@@ -52,6 +54,7 @@
             questions: Questions::new(0),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -71,7 +74,12 @@
             Message::Config(patch) => drop(Config::default().patched(&patch)),
             Message::Loan(loan) => drop(self.questions.answer(loan, now)),
             Message::Claim(request) => {
-                self.limits.grant(&request, "own", "own", now);
+                let view = View {
+                    own: "own",
+                    owner: "own",
+                    majority: true,
+                };
+                self.limits.grant(&request, &view, now);
             }
             Message::Ask(_) | Message::Borrow(_) | Message::Grant(_) => {}
         }
@@ -87,6 +95,10 @@
         for told in &notice.quarantine {
             self.quarantine.hear(told, now);
         }
+        for told in &notice.cold {
+            self.limits.hear_cold(told, now);
+        }
+        self.evacuations.hear(&notice.evacuations, now);
         for told in &notice.limits {
             self.limits.hear_told(told, now);
         }
@@ -147,6 +159,25 @@
     })
 }
 
+fn cold(u: &mut Unstructured<'_>) -> Result<cold::Told> {
+    Ok(cold::Told {
+        server: engine(3).key(),
+        per_thousand_s: u.arbitrary()?,
+        left_ms: u.arbitrary()?,
+    })
+}
+
+fn evacuation(u: &mut Unstructured<'_>) -> Result<evacuation::Told> {
+    Ok(evacuation::Told {
+        at: Some(Position::new(u.arbitrary()?, u.arbitrary()?)),
+        domains: vec![u.arbitrary::<String>()?.into()],
+        lost: vec![evacuation::Lost {
+            domain: u.arbitrary::<String>()?.into(),
+            left_ms: u.arbitrary()?,
+        }],
+    })
+}
+
 fn notice(u: &mut Unstructured<'_>, sequence: u64) -> Result<Notice> {
     let mut holdings = Vec::new();
     for _ in 0..u.int_in_range(0..=4)? {
@@ -179,6 +210,8 @@
         unanswered: vec![engine(2).key()],
         quarantine: vec![told(u)?],
         limits: vec![limit(u)?],
+        cold: vec![cold(u)?],
+        evacuations: evacuation(u)?,
         holdings,
     })
 }
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -5,6 +5,7 @@
 
 use alderglade_core::Name;
 use alderglade_core::fleet::book::{Book, Hold, Load, Notice, Pauses};
+use alderglade_core::fleet::evacuation;
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
 use alderglade_core::fleet::pass::Figures;
 use alderglade_core::fleet::placement::{self, Engine, Shared, Work};
@@ -141,6 +142,8 @@
             unanswered: Vec::new(),
             quarantine: Vec::new(),
             limits: Vec::new(),
+            cold: Vec::new(),
+            evacuations: evacuation::Told::default(),
             holdings: if whole {
                 self.book.whole(Time(0))
             } else {
