--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -32,6 +32,13 @@
 #[derive(Debug)]
 pub struct Closed;
 
+/// What was asked for one request to a server.
+struct Claim {
+    server: Key,
+    /// Where the owner's answer comes; `None` where there is no bound on what the server takes.
+    answer: Option<oneshot::Receiver<Grant>>,
+}
+
 /// Questions for grants that are not answered yet, by their numbers.
 #[derive(Debug, Default)]
 pub(super) struct Claims {
@@ -39,13 +46,12 @@
 }
 
 impl Claims {
-    /// Opens a question; gives its number, which no other lifetime of this host has used, and where the answer comes.
-    fn open(&mut self) -> (u64, oneshot::Receiver<Grant>) {
+    /// Opens a question with a number that no other one has; gives where the answer comes.
+    fn open(&mut self, number: u64) -> oneshot::Receiver<Grant> {
         self.open.retain(|_, answer| !answer.is_closed());
-        let number = rand::random();
         let (sender, receiver) = oneshot::channel();
         self.open.insert(number, sender);
-        (number, receiver)
+        receiver
     }
 
     fn answer(&mut self, grant: Grant) {
@@ -57,29 +63,19 @@
 }
 
 impl Node {
-    /// Gives leave to send one request to a server. Where the server has a limit, that takes a way to the limit's owner and
-    /// back.
+    /// Gives leave to send one request to a server. Where there is a bound on what the server takes, that takes a way to the
+    /// bound's owner and back.
     ///
     /// # Errors
     ///
     /// Where the server takes none now; it is not among those to choose from until it does.
     pub async fn permit(&self, server: Key) -> Result<Permit, Closed> {
-        if !self.takes_work(server) {
-            return Err(Closed);
-        }
-        let wait = self.claim(server).await;
-        if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
-            let mut state = self.state.borrow_mut();
-            state.limits.deny(server, wait, clock::now());
-            return Err(Closed);
-        }
-        Ok(Permit {
-            server,
-            granted: wait.is_some(),
-        })
+        let claim = self.claim(server)?;
+        self.settle(claim).await
     }
 
-    /// Gives leave to send a prompt by a plan: every engine that reads a part of it or holds memory for it takes it.
+    /// Gives leave to send a prompt by a plan: every engine that reads a part of it or holds memory for it takes it. All owners
+    /// are asked at the same time.
     ///
     /// # Errors
     ///
@@ -90,10 +86,13 @@
         let mut others: Vec<Key> = readers.chain(lenders).copied().collect();
         others.sort();
         others.dedup();
-        for other in others.into_iter().filter(|other| *other != plan.first) {
-            self.permit(other).await?;
+        let others = others.into_iter().filter(|other| *other != plan.first);
+        let others: Result<Vec<Claim>, Closed> = others.map(|other| self.claim(other)).collect();
+        let (others, first) = (others?, self.claim(plan.first)?);
+        for other in others {
+            self.settle(other).await?;
         }
-        self.permit(plan.first).await
+        self.settle(first).await
     }
 
     /// Says whether a permit still holds: the server may have said something of itself since.
@@ -111,34 +110,69 @@
         !rests && state.directory.get(server).is_some()
     }
 
-    /// Asks the owner of a server's limit for leave to send one request; gives how long to wait, or `None` where there is no
-    /// limit.
-    async fn claim(&self, server: Key) -> Option<Duration> {
-        let now = clock::now();
-        self.state.borrow().limits.bound(server, now)?;
+    /// Asks the owner of the bound on what a server takes, if there is one, for leave to send one request.
+    ///
+    /// # Errors
+    ///
+    /// Where the server takes none now.
+    fn claim(&self, server: Key) -> Result<Claim, Closed> {
+        if !self.takes_work(server) {
+            return Err(Closed);
+        }
         let own = &self.settings.host;
-        let owner = self.limit_owner(server);
-        let ask = |number| {
+        let now = clock::now();
+        let request = {
             let state = self.state.borrow();
-            state.limits.ask(server, own, number, clock::now())
+            state.limits.ask(server, own, rand::random(), now)
         };
-        if owner == *own {
-            return Some(self.grant(&ask(0)?).wait());
+        let answer = request.map(|request| {
+            let answer = self.claims.borrow_mut().open(request.number);
+            self.ask_owner(request);
+            answer
+        });
+        Ok(Claim { server, answer })
+    }
+
+    /// Asks the owner of the bound on what a server takes, which may be this host.
+    fn ask_owner(&self, request: Request) {
+        let owner = self.limit_owner(request.server);
+        if owner == self.settings.host {
+            let grant = self.grant(&request);
+            return self.take_grant(grant);
+        }
+        // An owner that can't be reached gives no answer.
+        if let Some(to) = self.state.borrow().hosts.get(&owner) {
+            let message = Message::Claim(request);
+            self.write_letter(Letter { to, message });
         }
-        let to = self.state.borrow().hosts.get(&owner);
-        let Some(to) = to else {
-            return Some(NO_ANSWER);
+    }
+
+    /// Waits for the answer to a claim.
+    ///
+    /// # Errors
+    ///
+    /// Where the owner grants none now, or gives no answer.
+    async fn settle(&self, claim: Claim) -> Result<Permit, Closed> {
+        let Claim { server, answer } = claim;
+        let Some(answer) = answer else {
+            return Ok(Permit {
+                server,
+                granted: false,
+            });
         };
-        let (number, answer) = self.claims.borrow_mut().open();
-        self.write_letter(Letter {
-            to,
-            message: Message::Claim(ask(number)?),
-        });
-        let grant = clock::timeout(ANSWER, answer).await;
-        Some(match grant {
+        let wait = match clock::timeout(ANSWER, answer).await {
             Ok(Ok(grant)) => grant.wait(),
             _ => NO_ANSWER,
-        })
+        };
+        if wait.is_zero() {
+            return Ok(Permit {
+                server,
+                granted: true,
+            });
+        }
+        let mut state = self.state.borrow_mut();
+        state.limits.deny(server, wait, clock::now());
+        Err(Closed)
     }
 
     /// Answers a host that wants to send a request to a server with a limit.
