A host without a list of hosts hears no majority

Cause, by reading: a host that has just started has no list of hosts yet, and heard more than half of none: where all hosts start at once and servers are cold, each would have granted to itself. Now such a host grants nothing for cold servers. Test of the core (red by not compiling before; the function is new).

--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -327,6 +327,12 @@
     }
 }
 
+/// Says whether a host that hears of so many, itself among them, hears of most of those that the store has listed. One that
+/// has just started, and has no list yet, can't tell.
+pub fn is_majority(heard: usize, listed: Option<usize>) -> bool {
+    listed.is_some_and(|listed| 2 * heard > listed)
+}
+
 /// Gives the host that owns a server's limit among some.
 pub fn owner<'a>(server: Key, hosts: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
     let weight = |host: &&Name| xxh3_64_with_seed(host.as_bytes(), server.number());
--- a/crates/alderglade-core/tests/testsuite/fleet/cold.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/cold.rs
@@ -251,6 +251,16 @@
     assert!(one.told_cold(now + SPELL).is_empty());
 }
 
+/// All hosts start at once, and each has heard of nobody yet.
+#[test]
+fn a_host_that_has_no_list_of_hosts_hears_no_majority() {
+    assert!(!rate_limit::is_majority(1, None));
+    assert!(rate_limit::is_majority(1, Some(1)));
+    assert!(!rate_limit::is_majority(29, Some(59)));
+    assert!(rate_limit::is_majority(30, Some(59)));
+    assert!(!rate_limit::is_majority(70, Some(140)));
+}
+
 #[test]
 fn half_of_the_bound_is_granted_by_one_owner() {
     for per_second in [1.0, 3.0, 14.0, 40.0, 400.0] {
--- a/crates/alderglade-serve/src/node/consultation.rs
+++ b/crates/alderglade-serve/src/node/consultation.rs
@@ -33,6 +33,11 @@
         self.over.get()
     }
 
+    /// Says whether the store has listed the hosts.
+    pub(super) fn knows_hosts(&self) -> bool {
+        self.hosts_listed.get()
+    }
+
     /// Notes that the store has listed the hosts.
     pub(super) fn note_hosts(&self) {
         self.hosts_listed.set(true);
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -192,7 +192,8 @@
         let now = clock::now();
         let state = self.state.borrow();
         let heard = state.book.heard(&self.settings.domain, now).count() + 1;
-        2 * heard > state.hosts.len()
+        let listed = self.consultation.knows_hosts().then(|| state.hosts.len());
+        rate_limit::is_majority(heard, listed)
     }
 
     /// Takes the answer of a limit's owner.
