--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -18,7 +18,7 @@
 mod server;
 
 pub use followed::Restored;
-pub use server::{Change, Chill, Listing, Restart, Server};
+pub use server::{Change, Cold, Listing, Restart, Server};
 
 use super::faults::{self, Fault, Faults};
 use super::incarnation::{Incarnation, Key};
@@ -105,7 +105,7 @@
     /// The failure domains to whose servers nothing new is sent.
     evacuated: BTreeSet<Name>,
     /// The servers that have said since this was last asked that they are cold.
-    chills: Vec<Chill>,
+    cold_servers: Vec<Cold>,
 }
 
 impl Directory {
@@ -271,8 +271,8 @@
     }
 
     /// Gives the servers that have said since the last call that they are cold.
-    pub fn take_chills(&mut self) -> Vec<Chill> {
-        std::mem::take(&mut self.chills)
+    pub fn take_cold(&mut self) -> Vec<Cold> {
+        std::mem::take(&mut self.cold_servers)
     }
 
     /// Gives a server that new work may go to.
@@ -355,7 +355,7 @@
             self.departed.clear(server.id());
         }
         if server.cold_ms > 0 {
-            self.chills.push(Chill {
+            self.cold_servers.push(Cold {
                 server: server.key(),
                 service: server.service.clone(),
                 span: Duration::from_millis(u64::from(server.cold_ms)),
--- a/crates/alderglade-core/src/fleet/directory/server.rs
+++ b/crates/alderglade-core/src/fleet/directory/server.rs
@@ -28,7 +28,7 @@
 
 /// A server that is cold.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Chill {
+pub struct Cold {
     /// The server.
     pub server: Key,
     /// Its service.
--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -185,7 +185,7 @@
 
     /// Takes that a server is cold for a while and bears only so much; says whether it wasn't known to be. `first_hand` says
     /// whether the server or the store has said so, in which case this host tells the others.
-    pub fn chill(
+    pub fn note_cold(
         &mut self,
         server: Key,
         rate: Rate,
@@ -204,7 +204,7 @@
         let Some(rate) = told.rate() else {
             return false;
         };
-        self.chill(told.server, rate, told.left(), false, now)
+        self.note_cold(told.server, rate, told.left(), false, now)
     }
 
     /// Lists the cold servers that this host has heard of from themselves or the store: no more than fit a notice.
--- a/crates/alderglade-core/tests/testsuite/fleet/cold.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/cold.rs
@@ -56,7 +56,7 @@
         let rate = bound().rate(per_second).expect("a bound");
         let host = |number: usize| {
             let mut limits = Limits::default();
-            limits.chill(key("e"), rate, SPELL, true, now);
+            limits.note_cold(key("e"), rate, SPELL, true, now);
             Host {
                 name: format!("h{number}").into(),
                 limits,
@@ -181,7 +181,7 @@
                     let host = &mut world.hosts[host];
                     host.up = !host.up;
                     host.limits = Limits::default();
-                    host.limits.chill(key("e"), rate, SPELL, true, now);
+                    host.limits.note_cold(key("e"), rate, SPELL, true, now);
                 }
                 _ => {}
             }
@@ -217,9 +217,9 @@
     let rate = |number| Rate::per_second(number).expect("a rate");
     let mut limits = Limits::default();
     limits.hear(key("e"), Some(rate(4.0)), now, now);
-    assert!(limits.chill(key("e"), rate(10.0), SPELL, true, now));
+    assert!(limits.note_cold(key("e"), rate(10.0), SPELL, true, now));
     assert_eq!(limits.bound(key("e"), now), Some(rate(4.0)));
-    assert!(!limits.chill(key("e"), rate(2.0), SPELL, true, now));
+    assert!(!limits.note_cold(key("e"), rate(2.0), SPELL, true, now));
     assert_eq!(limits.bound(key("e"), now), Some(rate(2.0)));
     assert_eq!(limits.bound(key("e"), now + SPELL), Some(rate(4.0)));
 }
@@ -230,7 +230,7 @@
     let now = Time::from_millis(10_000);
     let rate = Rate::per_second(3.0).expect("a rate");
     let mut one = Limits::default();
-    one.chill(key("e"), rate, SPELL, true, now);
+    one.note_cold(key("e"), rate, SPELL, true, now);
     let mut other = Limits::default();
     let request = one.ask(key("e"), &"a".into(), 1, now).expect("a bound");
     let view = View {
--- a/crates/alderglade-core/tests/testsuite/fleet/evacuation.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/evacuation.rs
@@ -177,12 +177,12 @@
     server.cold_ms = 1_500;
     let key = server.key();
     directory.apply(Change::Known(server.clone()), NOW);
-    let chills = directory.take_chills();
-    assert_eq!(chills.len(), 1);
-    assert_eq!(chills[0].server, key);
-    assert_eq!(chills[0].span, Duration::from_millis(1_500));
-    assert!(directory.take_chills().is_empty());
+    let cold_servers = directory.take_cold();
+    assert_eq!(cold_servers.len(), 1);
+    assert_eq!(cold_servers[0].server, key);
+    assert_eq!(cold_servers[0].span, Duration::from_millis(1_500));
+    assert!(directory.take_cold().is_empty());
     server.cold_ms = 0;
     directory.apply(Change::Known(server), NOW);
-    assert!(directory.take_chills().is_empty());
+    assert!(directory.take_cold().is_empty());
 }
--- a/crates/alderglade-serve/src/node/cold.rs
+++ b/crates/alderglade-serve/src/node/cold.rs
@@ -3,7 +3,7 @@
 use super::{Node, State};
 use crate::clock;
 use crate::event::{self, Record};
-use alderglade_core::fleet::directory::Chill;
+use alderglade_core::fleet::directory::{Cold, Server};
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::rate_limit::cold::Told;
 use alderglade_core::fleet::statement::Rate;
@@ -11,75 +11,63 @@
 
 impl Node {
     /// Takes what entries of servers have said of cold spells. They wait until the configuration tells what cold servers bear.
-    pub(super) fn take_chills(&self) {
-        let chills = {
+    pub(super) fn take_cold(&self) {
+        let cold_servers = {
             let mut state = self.state.borrow_mut();
             if state.config.is_none() {
                 return;
             }
-            state.directory.take_chills()
+            state.directory.take_cold()
         };
-        for chill in chills {
-            self.chill(&chill);
+        for cold in cold_servers {
+            self.note_cold(&cold);
         }
     }
 
     /// Takes that the servers of a failure domain may be cold, which was evacuated until now: their entries say so only later.
-    pub(super) fn chill_domain(&self, domain: &str) {
-        let chills: Vec<Chill> = {
+    pub(super) fn note_cold_domain(&self, domain: &str) {
+        let cold_servers: Vec<Cold> = {
             let state = self.state.borrow();
             let servers = state.directory.sound_in(domain);
             servers
-                .filter_map(|server| {
-                    Some(Chill {
-                        server: server.key(),
-                        service: server.service.clone(),
-                        span: state.cold_start(&server.service)?,
-                    })
-                })
+                .filter_map(|server| state.as_started(server))
                 .collect()
         };
-        for chill in chills {
-            self.chill_for(&chill, false);
+        for cold in cold_servers {
+            self.note_cold_from(&cold, false);
         }
     }
 
     /// Takes that a server has started again, and is cold as after any start.
-    pub(super) fn chill_restarted(&self, server: Key) {
-        let chill = {
+    pub(super) fn note_cold_restart(&self, server: Key) {
+        let cold = {
             let state = self.state.borrow();
             let known = state.directory.sound(server);
-            known.and_then(|known| {
-                Some(Chill {
-                    server,
-                    service: known.service.clone(),
-                    span: state.cold_start(&known.service)?,
-                })
-            })
+            known.and_then(|known| state.as_started(known))
         };
-        if let Some(chill) = chill {
-            self.chill(&chill);
+        if let Some(cold) = cold {
+            self.note_cold(&cold);
         }
     }
 
     /// Takes a server's own word, or that of the store, that it is cold. Hosts that watch the store tell the others.
-    pub(super) fn chill(&self, chill: &Chill) {
+    pub(super) fn note_cold(&self, cold: &Cold) {
         let first_hand = self.state.borrow().watches_store();
-        self.chill_for(chill, first_hand);
+        self.note_cold_from(cold, first_hand);
     }
 
-    fn chill_for(&self, chill: &Chill, first_hand: bool) {
+    fn note_cold_from(&self, cold: &Cold, first_hand: bool) {
         let news = {
             let mut state = self.state.borrow_mut();
-            let Some(rate) = self.cold_rate(&state, &chill.service) else {
+            let Some(rate) = self.cold_rate(&state, &cold.service) else {
                 return;
             };
             let now = clock::now();
             let limits = &mut state.limits;
-            limits.chill(chill.server, rate, chill.span, first_hand, now)
+            limits.note_cold(cold.server, rate, cold.span, first_hand, now)
         };
         if news {
-            self.tell_cold(chill.server, chill.span);
+            self.tell_cold(cold.server, cold.span);
         }
     }
 
@@ -118,9 +106,14 @@
 }
 
 impl State {
-    /// Gives how long the servers of a service are cold after a start, where they are.
-    fn cold_start(&self, service: &str) -> Option<Duration> {
-        let service = self.config.as_ref()?.service(service)?;
-        Some(service.cold_start).filter(|span| !span.is_zero())
+    /// Gives for how long a server would be cold that has just started; `None` where its service has no such time.
+    fn as_started(&self, server: &Server) -> Option<Cold> {
+        let service = self.config.as_ref()?.service(&server.service)?;
+        let cold = Cold {
+            server: server.key(),
+            service: server.service.clone(),
+            span: service.cold_start,
+        };
+        (!cold.span.is_zero()).then_some(cold)
     }
 }
--- a/crates/alderglade-serve/src/node/evacuation.rs
+++ b/crates/alderglade-serve/src/node/evacuation.rs
@@ -46,7 +46,7 @@
         state.note_engines();
         drop(state);
         for domain in before.difference(&domains) {
-            self.chill_domain(domain);
+            self.note_cold_domain(domain);
         }
         event::write(&Record::Evacuated { domains: &domains });
         self.book_changed.notify_one();
--- a/crates/alderglade-serve/src/node/restart.rs
+++ b/crates/alderglade-serve/src/node/restart.rs
@@ -51,7 +51,7 @@
         // What is kept open leads to the former lifetime, and may not show that it is dead.
         self.client.forget(restart.former.address);
         self.metrics.restarts.inc();
-        self.chill_restarted(restart.now.key());
+        self.note_cold_restart(restart.now.key());
         event::write(&Record::ServerRestarted {
             server: &restart.now.id,
             born_ms: restart.now.born,
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::clock;
 use crate::event::{self, Record};
-use alderglade_core::fleet::directory::{Chill, Server};
+use alderglade_core::fleet::directory::{Cold, Server};
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::rate_limit::Told;
 use alderglade_core::fleet::statement::{Rate, Statement};
@@ -20,7 +20,7 @@
             self.hear_backoff(server, span);
         }
         if let Some(span) = statement.cold.filter(|span| !span.is_zero()) {
-            self.chill(&Chill {
+            self.note_cold(&Cold {
                 server: server.key(),
                 service: server.service.clone(),
                 span,
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -211,7 +211,7 @@
         state.config = Some(config.clone());
         state.note_config();
         drop(state);
-        self.take_chills();
+        self.take_cold();
         if let Some(old) = old {
             self.tell_config(&old, &config);
         }
@@ -235,7 +235,7 @@
     /// Forgets the records of servers that are gone and writes how many there are, and which have started again.
     pub(super) fn tell_servers(&self) {
         self.tell_restarts();
-        self.take_chills();
+        self.take_cold();
         self.tell_server_faults();
         let mut state = self.state.borrow_mut();
         state.note_engines();
