--- a/crates/alderglade-core/src/fleet/evacuation.rs
+++ b/crates/alderglade-core/src/fleet/evacuation.rs
@@ -101,6 +101,10 @@
         let Some(position) = told.at else {
             return false;
         };
+        // Each notice tells them, and nearly none anything new.
+        if self.at >= told.at && told.lost.is_empty() {
+            return false;
+        }
         let before = self.in_force();
         self.take(told.domains.iter().cloned().collect(), position, now);
         for Lost { domain, left_ms } in &told.lost {
--- a/crates/alderglade-core/src/fleet/rate_limit/cold.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit/cold.rs
@@ -1,14 +1,12 @@
 //! Backend servers that are cold: slow for a while after their start, and lost under more requests than they bear.
 
+use super::TOLD_SECONDS;
 use crate::fleet::incarnation::Key;
 use crate::fleet::statement::Rate;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// What a rate is told in: requests in so many seconds.
-const TOLD_SECONDS: f64 = 1_000.0;
-
 /// The most requests that may reach a cold server in any second, from all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bound {
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -226,7 +226,7 @@
         {
             return Some(SPREAD);
         }
-        let due = own.is_in_doubt() && self.may_fetch(AGAIN_OLD, now);
+        let due = own.is_in_doubt() && may_fetch(&mut self.fetched, AGAIN_OLD, now);
         due.then_some(SPREAD)
     }
 
@@ -235,11 +235,7 @@
     fn evacuations_due(&mut self, own: &Own<'_>, now: Time) -> Option<Duration> {
         /// Small beside the seconds within which an evacuation must be in force.
         const SPREAD: Duration = Duration::from_millis(200);
-        let last = self.fetched_evacuations;
-        let due = own.is_in_doubt() && last.is_none_or(|at| now.since(at) >= AGAIN_OLD);
-        if due {
-            self.fetched_evacuations = Some(now);
-        }
+        let due = own.is_in_doubt() && may_fetch(&mut self.fetched_evacuations, AGAIN_OLD, now);
         due.then_some(SPREAD)
     }
 
@@ -260,7 +256,7 @@
             return None;
         }
         let since = *self.different_since.get_or_insert(now);
-        let due = now.since(since) >= DIFFERENT && self.may_fetch(AGAIN, now);
+        let due = now.since(since) >= DIFFERENT && may_fetch(&mut self.fetched, AGAIN, now);
         due.then_some(SPREAD)
     }
 
@@ -276,15 +272,6 @@
         !lately
     }
 
-    /// Takes the right to one call outside of watches, if the last one is long enough ago.
-    fn may_fetch(&mut self, pause: Duration, now: Time) -> bool {
-        let may = self.fetched.is_none_or(|at| now.since(at) >= pause);
-        if may {
-            self.fetched = Some(now);
-        }
-        may
-    }
-
     /// Says whether the host's word of the store is so old that it should ask every watcher.
     pub fn is_old(age: Option<Duration>, bound: Option<Duration>) -> bool {
         /// Below the age at which the store itself is asked.
@@ -293,6 +280,15 @@
     }
 }
 
+/// Takes the right to one call outside of watches, if the last one is long enough ago.
+fn may_fetch(last: &mut Option<Time>, pause: Duration, now: Time) -> bool {
+    let may = last.is_none_or(|at| now.since(at) >= pause);
+    if may {
+        *last = Some(now);
+    }
+    may
+}
+
 /// Says whether a word of the store is older than a part of the bound for keys, or there is none.
 fn is_older(age: Option<Duration>, bound: Option<Duration>, part: f64) -> bool {
     let bound = bound.unwrap_or(NO_BOUND);
--- /dev/null
+++ b/crates/alderglade-serve/src/body.rs
@@ -0,0 +1,19 @@
+//! Bodies of requests and answers, as their bytes come.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Waits for the next bytes of a body; gives `None` after the last ones.
+///
+/// # Errors
+///
+/// Where the body breaks off.
+pub(crate) async fn next(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -3,11 +3,12 @@
 //! Connections are kept while the other side allows it. An exchange that isn't finished when its
 //! handle is dropped closes its connection, so that nobody works on for a caller that has left.
 
+use crate::body;
 use crate::clock;
 use alderglade_core::time::Time;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -381,15 +382,10 @@
     ///
     /// Where the answer breaks off.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
-        while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|error| Error::Lost {
-                reason: error.to_string(),
-            })?;
-            if let Ok(data) = frame.into_data() {
-                return Ok(Some(data));
-            }
-        }
-        Ok(None)
+        let next = body::next(&mut self.body).await;
+        next.map_err(|error| Error::Lost {
+            reason: error.to_string(),
+        })
     }
 }
 
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -1,6 +1,7 @@
 //! Takes one request from a caller's connection: who it is for, what it may do, who serves it.
 
 use crate::answer::{self, Content as Answer};
+use crate::body;
 use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
@@ -17,7 +18,6 @@
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::rc::Rc;
@@ -251,14 +251,11 @@
     kept: &mut Portion,
 ) -> Result<Bytes, Refusal> {
     let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            log::debug!("a body broke off: {error}");
-            Refusal::new(ErrorKind::BadRequest, Duration::ZERO)
-        })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
+    let broke_off = |error| {
+        log::debug!("a body broke off: {error}");
+        Refusal::new(ErrorKind::BadRequest, Duration::ZERO)
+    };
+    while let Some(data) = body::next(&mut body).await.map_err(broke_off)? {
         if collected.len() + data.len() > most {
             return Err(Refusal::new(ErrorKind::TooLarge, Duration::ZERO));
         }
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod attempt;
+mod body;
 pub mod client;
 pub mod clock;
 pub mod daemon;
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -140,10 +140,13 @@
             let grant = self.grant(&request);
             return self.take_grant(grant);
         }
-        // An owner that can't be reached gives no answer.
-        if let Some(to) = self.state.borrow().hosts.get(&owner) {
-            let message = Message::Claim(request);
-            self.write_letter(Letter { to, message });
+        let to = self.state.borrow().hosts.get(&owner);
+        match to {
+            Some(to) => {
+                let message = Message::Claim(request);
+                self.write_letter(Letter { to, message });
+            }
+            None => log::debug!("{owner} can't be asked for a grant: no address"),
         }
     }
 
