Groups: where there are many hosts, each sends to a part of the servers and tells the hosts that share them

Cause: each host tells each other one a heartbeat a second and each change, n² datagrams: 970,000 a second for 985 hosts.

Change: hosts and servers are divided into a power of two of groups, of 64 to 127 hosts as a mean; below 128 hosts there is one, and all is as before. Beyond the group go a watcher's word (to its domain), evidence against requests under which servers end (to all) and holdings at a server of another group (to that group), each to one host of each part. Watchers stay two a failure domain.

Tests: core fleet/group.rs, at 300 to 2,000 hosts.

--- a/crates/alderglade-core/src/fleet/book/notice.rs
+++ b/crates/alderglade-core/src/fleet/book/notice.rs
@@ -5,12 +5,14 @@
 use super::{Demand, Load};
 use crate::Name;
 use crate::fleet::evacuation;
+use crate::fleet::group::Groups;
 use crate::fleet::health::PassedOver;
 use crate::fleet::incarnation::Key;
 use crate::fleet::position::Position;
 use crate::fleet::quarantine::Told;
 use crate::fleet::rate_limit;
 use crate::fleet::relay::Word;
+use crate::fleet::spread::Concern;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -81,4 +83,35 @@
     pub fn interval(&self) -> Duration {
         Duration::from_millis(u64::from(self.interval_ms))
     }
+
+    /// Says which hosts of other groups it concerns: those of the failure domain go by the word of a host that watches the
+    /// store, those whose servers it names must know what is held there, and a request under which servers end may be sent
+    /// by anybody.
+    pub fn concern(&self, groups: &Groups) -> Concern {
+        let elsewhere = self.elsewhere(groups);
+        Concern {
+            all: !self.quarantine.is_empty(),
+            domain: self.word.in_contact,
+            groups: elsewhere
+                .map(|holding| groups.of_server(holding.server))
+                .collect(),
+        }
+    }
+
+    /// Gives what hosts of other groups are told: of what the sender holds, only what concerns their servers.
+    pub fn for_other_groups(&self, groups: &Groups) -> Notice {
+        Notice {
+            whole: false,
+            giants: 0,
+            waiting: Vec::new(),
+            holdings: self.elsewhere(groups).cloned().collect(),
+            ..self.clone()
+        }
+    }
+
+    /// Lists what the sender holds at servers of other groups.
+    fn elsewhere<'a>(&'a self, groups: &'a Groups) -> impl Iterator<Item = &'a Holding> {
+        let holdings = self.holdings.iter();
+        holdings.filter(|holding| !groups.is_shared(&self.host, holding.server))
+    }
 }
--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -314,15 +314,24 @@
 
     /// Lists the servers of a service that are listed and not leaving, those of evacuated failure domains among them.
     pub fn sound_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.all_sound()
+            .filter(move |server| &*server.service == service)
+    }
+
+    /// Lists all servers that are known, in the order of their ids, whether they take new work or not.
+    pub fn all(&self) -> impl Iterator<Item = &Server> {
+        self.entries.values().map(|entry| &entry.server)
+    }
+
+    /// Lists all servers that are listed and not leaving, in the order of their ids.
+    fn all_sound(&self) -> impl Iterator<Item = &Server> {
         let open = self.entries.values().filter(|entry| entry.is_open());
         open.map(|entry| &entry.server)
-            .filter(move |server| &*server.service == service)
     }
 
     /// Lists the servers of a failure domain that are listed and not leaving.
     pub fn sound_in<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Server> {
-        let open = self.entries.values().filter(|entry| entry.is_open());
-        open.map(|entry| &entry.server)
+        self.all_sound()
             .filter(move |server| &*server.domain == domain)
     }
 
--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -18,7 +18,7 @@
 pub enum Message {
     /// What the sender holds at backend servers.
     Notice(Notice),
-    /// As a notice, to be passed on to the hosts of the receiver's failure domain.
+    /// As a notice, to be passed on to the hosts of the receiver's group and failure domain.
     Spread(Notice),
     /// A notice that a host of the receiver's failure domain passes on.
     PassedOn(PassedOn),
@@ -26,10 +26,10 @@
     Ask(Ask),
     /// The answer to that.
     Confirmation(Confirmation),
-    /// Changes of backend servers, from a host that watches the store.
-    Servers(Servers),
-    /// A newer configuration, from a host that watches the store.
-    Config(Patch),
+    /// What a host that watches the store has learnt there.
+    Learnt(Learnt),
+    /// The same, to be passed on to the hosts of the receiver's group and failure domain.
+    Relay(Learnt),
     /// The sender asks for a part of the other's budget of repeated sends.
     Borrow(loan::Request),
     /// The answer to that.
@@ -40,6 +40,15 @@
     Grant(Grant),
 }
 
+/// What the store has told.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Learnt {
+    /// Changes of backend servers.
+    Servers(Servers),
+    /// A newer configuration.
+    Config(Patch),
+}
+
 /// A notice of another host, passed on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PassedOn {
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod faults;
 pub mod fingerprint;
 pub mod freshness;
+pub mod group;
 pub mod health;
 pub mod heartbeat;
 pub mod homes;
--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -260,16 +260,21 @@
     /// Makes the question for a grant; gives `None` where there is no bound on what the server takes.
     pub fn ask(&self, server: Key, host: &Name, number: u64, now: Time) -> Option<Request> {
         self.bound(server, now)?;
+        Some(self.question(server, host, number, now))
+    }
+
+    /// Makes the question for a grant where the owner may know of a bound that this host doesn't.
+    pub fn question(&self, server: Key, host: &Name, number: u64, now: Time) -> Request {
         let known = self.known.get(&server).filter(|known| known.rate.is_some());
         let cold = self.cold.get(&server);
         let cold = cold.filter(|cold| cold.rate_at(now).is_some());
-        Some(Request {
+        Request {
             number,
             host: host.clone(),
             server,
             told: known.map(|known| Told::new(server, known, now)),
             cold: cold.map(|cold| cold.claim(server, now)),
-        })
+        }
     }
 
     /// Takes up a limit that its server has just named, as its owner. Nobody owned it before, so that grants may be given out
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -4,6 +4,7 @@
 //! Nothing rests on the watchers alone: a host that hears too few of them becomes one, and a host
 //! whose knowledge differs or grows old asks the store itself.
 
+use super::group::Division;
 use crate::Name;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -48,6 +49,8 @@
     /// How much longer entries may be missing in the store although their servers live, in
     /// milliseconds.
     pub doubt_ms: u32,
+    /// How many hosts it knows that there are.
+    pub hosts: u32,
 }
 
 /// A host that was heard of lately.
@@ -68,6 +71,10 @@
 pub struct Own<'a> {
     /// Its name.
     pub name: &'a str,
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// Into how many groups the hosts are divided.
+    pub division: Division,
     /// The version of its configuration; `0` where it has none.
     pub config: u64,
     /// The digest of the backend servers that it knows.
@@ -81,6 +88,51 @@
 }
 
 impl Own<'_> {
+    /// Gives the place of a host in the order in which the hosts of its failure domain watch the store: those of one group after
+    /// those of another, and by their names in each.
+    fn place<'a>(&self, host: &'a str) -> (u32, &'a str) {
+        (self.division.turn(self.domain, host), host)
+    }
+
+    /// Lists the hosts one of which is asked at a heartbeat how old its word of the store is: the watchers of the own failure
+    /// domain, where one of them is of the own group. Else two hosts of the group ask them, and the others ask these two, so that
+    /// a watcher isn't asked by all hosts of a large domain.
+    pub fn sources<'a>(&self, heard: &[Neighbour<'a>], beat: u64) -> Vec<&'a Name> {
+        /// Heartbeats between two questions to a watcher of the own group.
+        const WATCHER_EVERY: u64 = 3;
+        /// Heartbeats between two questions to a host that asks a watcher at each of its own.
+        const SENIOR_EVERY: u64 = 2;
+        let (turn, name) = self.place(self.name);
+        let near = heard.iter().filter(|host| host.near);
+        let (group, others): (Vec<&Neighbour<'a>>, Vec<_>) =
+            near.partition(|host| self.place(host.name).0 == turn);
+        let watches = |host: &&Neighbour<'a>| host.word.in_contact;
+        let in_turn = |every| beat.is_multiple_of(every);
+        let names = |hosts: Vec<&Neighbour<'a>>| -> Vec<&'a Name> {
+            hosts.iter().map(|host| host.name).collect()
+        };
+        let watchers: Vec<&Neighbour<'a>> = group.iter().copied().filter(watches).collect();
+        if !watchers.is_empty() || self.division == Division::default() {
+            return if in_turn(WATCHER_EVERY) {
+                names(watchers)
+            } else {
+                Vec::new()
+            };
+        }
+        let mut seniors = group;
+        seniors.retain(|host| **host.name < *name);
+        seniors.sort_unstable_by_key(|host| host.name);
+        if seniors.len() < WATCHERS {
+            return names(others.into_iter().filter(watches).collect());
+        }
+        seniors.truncate(WATCHERS);
+        if in_turn(SENIOR_EVERY) {
+            names(seniors)
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Says whether the host can't go by the watchers' word: it is old, or the store gave no answer.
     fn is_in_doubt(&self) -> bool {
         self.lost || is_older(self.age, self.bound, OLD)
@@ -159,19 +211,21 @@
         self.role
     }
 
-    /// Decides the role anew from the hosts heard of. Those of the own failure domain come before this one in the
-    /// order of their names: it watches where fewer than [`WATCHERS`] of them do, and steps in the later the more
-    /// they are.
+    /// Decides the role anew from the hosts heard of. Some of the own failure domain come before this one: it watches where fewer
+    /// than [`WATCHERS`] of them do, and steps in the later the more they are. Of another group, only hosts that watch are heard;
+    /// as many of each are taken to be there.
     pub fn settle(&mut self, own: &Own<'_>, heard: &[Neighbour<'_>], now: Time) -> Role {
         let began = *self.began.get_or_insert(now);
         if now.since(began) < SETTLE {
             return self.role;
         }
-        let senior = heard
-            .iter()
-            .filter(|host| host.near && **host.name < *own.name);
-        let watchers = senior.clone().filter(|host| host.word.in_contact).count();
-        let before = senior.count();
+        let (turn, name) = own.place(own.name);
+        let near = heard.iter().filter(|host| host.near);
+        let places = near.map(|host| (own.place(host.name), host.word.in_contact));
+        let senior = places.filter(|(place, _)| *place < (turn, name));
+        let watchers = senior.clone().filter(|(_, watches)| *watches).count();
+        let of_group = senior.filter(|((other, _), _)| *other == turn).count();
+        let before = of_group + WATCHERS * turn as usize;
         if watchers >= WATCHERS {
             self.lacking_since = None;
             self.role = Role::Follower;
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod fingerprint;
 mod freshness;
+mod group;
 mod health;
 mod heartbeat;
 mod homes;
--- a/crates/alderglade-core/tests/testsuite/fleet/relay.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/relay.rs
@@ -1,6 +1,7 @@
 //! Which hosts ask the store, and when.
 
 use alderglade_core::Name;
+use alderglade_core::fleet::group::Division;
 use alderglade_core::fleet::relay::{Errand, Neighbour, Own, Relay, Role, SETTLE, Topic, Word};
 use alderglade_core::time::Time;
 use std::time::Duration;
@@ -10,6 +11,8 @@
 fn own(name: &str) -> Own<'_> {
     Own {
         name,
+        domain: "north",
+        division: Division::default(),
         config: 7,
         servers: 70,
         age: Some(Duration::from_secs(1)),
@@ -25,6 +28,7 @@
         servers: 70,
         era: 1,
         doubt_ms: 0,
+        hosts: 0,
     }
 }
 
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -65,6 +65,8 @@
 pub(super) const SERVER_COLD: Kind = info(3112, "server_cold");
 /// Failure domains are evacuated, or no longer.
 pub(super) const EVACUATED: Kind = info(3113, "evacuated");
+/// The hosts are divided into another number of groups.
+pub(super) const GROUPED: Kind = info(3114, "grouped");
 /// The store gives no answer.
 pub(super) const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store answers again.
@@ -121,7 +123,7 @@
 pub(super) const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 46] = [
+pub const ALL: [Kind; 47] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -141,6 +143,7 @@
     SERVER_LIMIT,
     SERVER_COLD,
     EVACUATED,
+    GROUPED,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -124,6 +124,15 @@
         /// Those that are.
         domains: &'a BTreeSet<Name>,
     },
+    /// The hosts are divided into another number of groups.
+    Grouped {
+        /// How many there are.
+        groups: u32,
+        /// The hosts that are listed of the own group, itself among them.
+        hosts: usize,
+        /// The servers of the own group.
+        servers: usize,
+    },
     /// An entry of the store can't be read; it is passed over.
     EntryUnreadable {
         /// What it is of: `servers`, `hosts`, `quarantine` or `evacuations`.
@@ -449,6 +458,7 @@
             Record::ServerLimit { .. } => &kind::SERVER_LIMIT,
             Record::ServerCold { .. } => &kind::SERVER_COLD,
             Record::Evacuated { .. } => &kind::EVACUATED,
+            Record::Grouped { .. } => &kind::GROUPED,
             Record::EntryUnreadable { .. } => &kind::ENTRY_UNREADABLE,
             Record::EntryMended { .. } => &kind::ENTRY_MENDED,
             Record::StoreLost { .. } => &kind::STORE_LOST,
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -10,6 +10,7 @@
 mod era;
 mod evacuation;
 mod faults;
+mod groups;
 mod guard;
 mod hosts;
 mod outbox;
@@ -290,6 +291,7 @@
         self.look_for_store();
         self.word_changed.notify_waiters();
         tell_peers(joined, silent);
+        self.regroup();
         if dropped {
             self.tell_servers();
         }
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -7,6 +7,7 @@
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::book::Book;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::group::Groups;
 use alderglade_core::fleet::health::Health;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::incarnation::Key;
@@ -27,6 +28,12 @@
 /// What a server costs that the request was sent to before, in loads; above doubt.
 const TRIED: f64 = 1_000.0;
 
+/// Engines of the own group with fewer of which a host sends to those of all groups. It sees the load of its group's engines
+/// only, so that one of them is better than any other.
+const LEAST_ENGINES: usize = 1;
+/// The same for plain backend servers: as many as a request may be sent to, one after the other.
+const LEAST_SERVERS: usize = 4;
+
 /// When a caller should come back whose service is evacuated everywhere. Only the operator knows when that ends; it is asked
 /// seldom enough to cost little, and soon enough to find it ended.
 const EVACUATED: Duration = Duration::from_millis(2_000);
@@ -108,26 +115,44 @@
             pauses,
             backoffs,
             limits,
+            groups,
             ..
         } = &mut *state;
         let pauses = pauses.get(service).copied().unwrap_or_default();
-        directory
-            .of_service(service)
-            .filter(|server| self.is_home(homes, server))
-            .filter_map(|server| {
-                let key = server.key();
-                let open = closed_for(backoffs, limits, key, now).is_zero();
-                open.then(|| Engine {
-                    id: key,
-                    load: book.total(key),
-                    ahead: book.ahead(key, now),
-                    figures,
-                    pauses,
-                    near: server.domain == *own_domain,
-                    doubted: doubts(book, health, own_domain, server, now),
-                })
-            })
-            .collect()
+        let open = directory.of_service(service).filter(|server| {
+            let closed = closed_for(backoffs, limits, server.key(), now);
+            self.is_home(homes, server) && closed.is_zero()
+        });
+        let shared = self.shared(groups, open.collect(), LEAST_ENGINES);
+        let engines = shared.into_iter().map(|server| {
+            let key = server.key();
+            Engine {
+                id: key,
+                load: book.total(key),
+                ahead: book.ahead(key, now),
+                figures,
+                pauses,
+                near: server.domain == *own_domain,
+                doubted: doubts(book, health, own_domain, server, now),
+            }
+        });
+        engines.collect()
+    }
+
+    /// Gives those of some servers that this host shares with its group, or all of them where there are fewer than `least`.
+    fn shared<'a>(
+        &self,
+        groups: &Groups,
+        servers: Vec<&'a Server>,
+        least: usize,
+    ) -> Vec<&'a Server> {
+        let own = &self.settings.host;
+        let is_shared = |server: &&&Server| groups.is_shared(own, server.key());
+        if servers.iter().filter(is_shared).count() < least {
+            return servers;
+        }
+        let shared = servers.iter().filter(is_shared);
+        shared.copied().collect()
     }
 
     /// Smooths the pressure on the engines: takes what it is now and gives its recent mean.
@@ -156,7 +181,10 @@
         let servers = state.directory.of_service(service);
         let servers = servers.filter(|server| self.is_home(homes, server));
         let servers = servers.filter(|server| state.closed_for(server.key(), now).is_zero());
-        let costs = servers.map(|server| (cost(server, rng.random::<f64>()), server));
+        let servers = self.shared(&state.groups, servers.collect(), LEAST_SERVERS);
+        let costs = servers
+            .into_iter()
+            .map(|server| (cost(server, rng.random::<f64>()), server));
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0));
         least.map(|(_, server)| server.clone())
     }
--- /dev/null
+++ b/crates/alderglade-serve/src/node/groups.rs
@@ -0,0 +1,85 @@
+//! The groups of hosts and servers, and which of them this host shares.
+
+use super::{Node, State};
+use crate::clock;
+use crate::event::{self, Record};
+use alderglade_core::Name;
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::group::Division;
+use alderglade_core::fleet::incarnation::Key;
+use alderglade_core::fleet::relay::Neighbour;
+use alderglade_core::time::Time;
+
+impl Node {
+    /// Divides the hosts into groups anew, by how many there are as far as is known.
+    pub(super) fn regroup(&self) {
+        let changed = self.state.borrow_mut().regroup(&self.settings.domain);
+        if changed {
+            self.tell_groups();
+        }
+    }
+
+    /// Lists the servers of the own group that are leaving.
+    pub fn shared_leavers(&self, state: &State) -> Vec<Key> {
+        let own = &self.settings.host;
+        let mut leaving = state.directory.leaving();
+        leaving.retain(|server| state.groups.is_shared(own, *server));
+        leaving
+    }
+
+    /// Writes into how many groups the hosts are divided now, and how much of the fleet this one shares.
+    fn tell_groups(&self) {
+        let state = self.state.borrow();
+        let own = &self.settings.host;
+        let hosts = state.hosts.names();
+        let hosts = hosts.filter(|name| state.groups.are_together(own, name));
+        let servers = state.directory.all().map(Server::key);
+        let servers = servers.filter(|server| state.groups.is_shared(own, *server));
+        event::write(&Record::Grouped {
+            groups: state.groups.division().groups(),
+            hosts: hosts.count(),
+            servers: servers.count(),
+        });
+    }
+}
+
+impl State {
+    /// Divides the hosts into groups by the number of them that the store lists, as all see it; says whether that changes the
+    /// groups.
+    fn regroup(&mut self, domain: &Name) -> bool {
+        let told = self.told_hosts(domain, clock::now());
+        let told = told.filter(|_| !self.watches_store());
+        let hosts = told.unwrap_or(self.hosts.len());
+        let changed = self.groups.divide(Division::of_hosts(hosts));
+        if changed {
+            self.note_engines();
+        }
+        changed
+    }
+
+    /// Gives the most hosts that this one, in a failure domain, knows of: heard, listed, or told by hosts that watch the store.
+    pub(super) fn known_hosts(&self, domain: &Name, now: Time) -> usize {
+        let known = self.book.hosts().max(self.hosts.len());
+        let told = self.told_hosts(domain, now);
+        told.map_or(known, |told| known.max(told))
+    }
+
+    /// Gives the number of hosts that the store lists, by those of a failure domain that watch it; `None` where none of them is
+    /// heard.
+    fn told_hosts(&self, domain: &Name, now: Time) -> Option<usize> {
+        let heard = self.book.heard(domain, now);
+        let watchers = heard.filter(|host| host.near && host.word.in_contact);
+        watchers.map(|host| host.word.hosts as usize).max()
+    }
+
+    /// Lists the hosts of a host's group that it hears of, where `domain` is its failure domain.
+    pub(super) fn heard_in_group<'a>(
+        &'a self,
+        host: &'a Name,
+        domain: &'a Name,
+        now: Time,
+    ) -> impl Iterator<Item = Neighbour<'a>> + Clone {
+        let heard = self.book.heard(domain, now);
+        heard.filter(move |other| self.groups.are_together(host, other.name))
+    }
+}
--- a/crates/alderglade-serve/src/node/hosts.rs
+++ b/crates/alderglade-serve/src/node/hosts.rs
@@ -13,18 +13,32 @@
     pub name: Name,
     /// Where it takes messages.
     pub address: SocketAddr,
+    /// Its failure domain, if that is known.
+    pub domain: Option<Name>,
 }
 
 /// All entry hosts that are known, with this one where the store has listed it.
 #[derive(Debug, Default)]
 pub struct Hosts {
-    by_name: HashMap<Name, SocketAddr>,
+    by_name: HashMap<Name, Place>,
+}
+
+/// Where a host is.
+#[derive(Debug)]
+struct Place {
+    address: SocketAddr,
+    domain: Option<Name>,
 }
 
 impl Hosts {
     /// Takes a host, or its new address.
     pub fn insert(&mut self, host: Host) {
-        self.by_name.insert(host.name, host.address);
+        let Host {
+            name,
+            address,
+            domain,
+        } = host;
+        self.by_name.insert(name, Place { address, domain });
     }
 
     /// Drops a host.
@@ -34,13 +48,24 @@
 
     /// Gives a host's address.
     pub fn get(&self, name: &str) -> Option<SocketAddr> {
-        self.by_name.get(name).copied()
+        self.by_name.get(name).map(|place| place.address)
     }
 
     /// Gives the addresses of all hosts but some.
     pub fn addresses_but(&self, left_out: impl Fn(&Name) -> bool) -> Vec<SocketAddr> {
         let others = self.by_name.iter().filter(|(name, _)| !left_out(name));
-        others.map(|(_, address)| *address).collect()
+        others.map(|(_, place)| place.address).collect()
+    }
+
+    /// Lists the hosts whose failure domain is known, with that.
+    pub fn placed(&self) -> impl Iterator<Item = (&Name, &Name)> {
+        let hosts = self.by_name.iter();
+        hosts.filter_map(|(name, place)| Some((name, place.domain.as_ref()?)))
+    }
+
+    /// Lists the names of all.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.by_name.keys()
     }
 
     /// Gives how many are known.
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -6,18 +6,20 @@
 use super::{News, Node};
 use crate::clock;
 use alderglade_core::Name;
+use alderglade_core::fleet::book::Notice;
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
-use alderglade_core::fleet::message::{Message, Servers};
+use alderglade_core::fleet::group::Division;
+use alderglade_core::fleet::message::{Learnt, Message, Servers};
 use alderglade_core::fleet::position::Position;
-use alderglade_core::fleet::spread;
+use alderglade_core::fleet::spread::{self, Concern, Sender};
 use std::net::SocketAddr;
 
 /// The largest message that is passed on, in bytes; below the usual size of a packet. Where more has changed, hosts ask
 /// the store.
 const LARGEST: usize = 1_200;
 
-/// By which ways notices go to all other hosts.
+/// By which ways notices go to the other hosts of the own group.
 pub struct Ways {
     /// Hosts that are told directly.
     pub direct: Vec<SocketAddr>,
@@ -54,14 +56,14 @@
         let Some(patch) = Patch::between(old, new) else {
             return;
         };
-        self.pass_on(Message::Config(patch));
+        self.pass_on(Learnt::Config(patch));
     }
 
-    /// Puts a message into the outbox, if it fits a packet.
-    fn pass_on(&self, message: Message) {
-        let length = postcard::to_stdvec(&message).map(|bytes| bytes.len());
+    /// Puts what was learnt into the outbox, if it fits a packet.
+    fn pass_on(&self, learnt: Learnt) {
+        let length = postcard::to_stdvec(&learnt).map(|bytes| bytes.len());
         match length {
-            Ok(length) if length <= LARGEST => self.state.borrow_mut().outbox.push(message),
+            Ok(length) if length <= LARGEST => self.state.borrow_mut().outbox.push(learnt),
             Ok(length) => log::debug!("{length} bytes have changed; hosts ask the store"),
             Err(error) => log::warn!("a change can't be written: {error}"),
         }
@@ -76,7 +78,7 @@
             }
             state.doubt_ms(clock::now())
         };
-        self.pass_on(Message::Servers(Servers {
+        self.pass_on(Learnt::Servers(Servers {
             after,
             position,
             doubt_ms,
@@ -84,19 +86,22 @@
         }));
     }
 
-    /// Gives the messages for the hosts of the own failure domain that have not been sent yet.
-    pub fn take_outbox(&self) -> Vec<Message> {
+    /// Gives what the hosts of the own failure domain have not been told yet.
+    pub fn take_outbox(&self) -> Vec<Learnt> {
         std::mem::take(&mut self.state.borrow_mut().outbox)
     }
 
-    /// Gives the ways by which notices go to all other hosts, after so many heartbeats.
+    /// Gives the ways by which notices go to the other hosts of the own group, after so many heartbeats.
     pub fn ways(&self, beat: u64) -> Ways {
         let now = clock::now();
         let own = &self.settings.host;
         let state = self.state.borrow();
-        let heard = state.book.heard(&self.settings.domain, now);
+        let heard = state.heard_in_group(own, &self.settings.domain, now);
         let route = spread::route(own, beat, heard);
-        let left_out = |name: &Name| name == own || route.reached.contains(name);
+        let left_out = |name: &Name| {
+            let elsewhere = !state.groups.are_together(own, name);
+            name == own || elsewhere || route.reached.contains(name)
+        };
         let through = route.through.iter();
         Ways {
             direct: state.hosts.addresses_but(left_out),
@@ -104,18 +109,63 @@
         }
     }
 
-    /// Gives the addresses of the hosts of the own failure domain that were heard of lately.
+    /// Gives what hosts of other groups are told of a notice, with those of them that pass it on, after so many heartbeats; `None`
+    /// where it concerns none of them.
+    pub fn notice_for_others(
+        &self,
+        notice: &Notice,
+        beat: u64,
+    ) -> Option<(Notice, Vec<SocketAddr>)> {
+        let concern = notice.concern(&self.state.borrow().groups);
+        let bridges = self.bridges(&concern, beat);
+        let state = self.state.borrow();
+        (!bridges.is_empty()).then(|| (notice.for_other_groups(&state.groups), bridges))
+    }
+
+    /// Gives the hosts of other groups that pass on in the own failure domain what the store has told.
+    pub fn domain_bridges(&self, beat: u64) -> Vec<SocketAddr> {
+        let concern = Concern {
+            domain: true,
+            ..Concern::default()
+        };
+        self.bridges(&concern, beat)
+    }
+
+    fn bridges(&self, concern: &Concern, beat: u64) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        if state.groups.division() == Division::default() {
+            return Vec::new();
+        }
+        let sender = Sender {
+            name: &self.settings.host,
+            domain: &self.settings.domain,
+            division: state.groups.division(),
+        };
+        let bridges = concern.bridges(&sender, beat, state.hosts.placed());
+        let addresses = bridges.into_iter().filter_map(|name| state.hosts.get(name));
+        addresses.collect()
+    }
+
+    /// Gives the addresses of the hosts of the own group and failure domain that were heard of lately.
     pub fn near_hosts(&self) -> Vec<SocketAddr> {
         let now = clock::now();
         let state = self.state.borrow();
-        let heard = state.book.heard(&self.settings.domain, now);
+        let heard = state.heard_in_group(&self.settings.host, &self.settings.domain, now);
         let near = heard.filter(|host| host.near);
         near.filter_map(|host| state.hosts.get(host.name)).collect()
     }
 
+    /// Takes what a peer has learnt that watches the store.
+    pub fn take_learnt(&self, learnt: &Learnt) {
+        match learnt {
+            Learnt::Servers(servers) => self.take_servers(servers),
+            Learnt::Config(patch) => self.take_patch(patch),
+        }
+    }
+
     /// Takes changes of backend servers from a peer that watches the store, unless some before them are
     /// missing here; the store is asked for these.
-    pub fn take_servers(&self, servers: &Servers) {
+    fn take_servers(&self, servers: &Servers) {
         let mut state = self.state.borrow_mut();
         let Servers {
             after, position, ..
@@ -135,7 +185,7 @@
 
     /// Takes a newer configuration from a peer that watches the store. One that applies to another version
     /// is passed over; the store is asked for the newest.
-    pub fn take_patch(&self, patch: &Patch) {
+    fn take_patch(&self, patch: &Patch) {
         let known = self.state.borrow().config.clone();
         if let Some(config) = known.and_then(|config| config.patched(patch)) {
             self.learn(News::Config(config));
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -10,6 +10,7 @@
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::placement::Plan;
 use alderglade_core::fleet::rate_limit::{self, Grant, Request, View};
+use alderglade_core::time::Time;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -35,10 +36,33 @@
 /// What was asked for one request to a server.
 struct Claim {
     server: Key,
+    /// The owner that was asked, where it is of another group.
+    elsewhere: Option<Name>,
     /// Where the owner's answer comes; `None` where there is no bound on what the server takes.
     answer: Option<oneshot::Receiver<Grant>>,
 }
 
+/// Owners of other groups, of which nothing is heard, that gave no answer.
+#[derive(Debug, Default)]
+pub struct SilentOwners {
+    until: HashMap<Name, Time>,
+}
+
+impl SilentOwners {
+    /// Notes that a host gave no answer; forgets those of long ago.
+    fn note(&mut self, host: Name, now: Time) {
+        /// How long another host is asked in its place: a process that was killed is back by then.
+        const SPAN: Duration = Duration::from_millis(5_000);
+        self.until.retain(|_, until| *until > now);
+        self.until.insert(host, now + SPAN);
+    }
+
+    /// Says whether a host gave no answer lately.
+    fn has(&self, host: &str, now: Time) -> bool {
+        self.until.get(host).is_some_and(|until| *until > now)
+    }
+}
+
 /// Questions for grants that are not answered yet, by their numbers.
 #[derive(Debug, Default)]
 pub(super) struct Claims {
@@ -110,7 +134,8 @@
         !rests && state.directory.get(server).is_some()
     }
 
-    /// Asks the owner of the bound on what a server takes, if there is one, for leave to send one request.
+    /// Asks the owner of the bound on what a server takes, if there may be one, for leave to send one request. What is known of a
+    /// server of another group is known there, so that its owner is asked each time.
     ///
     /// # Errors
     ///
@@ -123,24 +148,38 @@
         let now = clock::now();
         let request = {
             let state = self.state.borrow();
-            state.limits.ask(server, own, rand::random(), now)
+            let (limits, number) = (&state.limits, rand::random());
+            if state.groups.is_shared(own, server) {
+                limits.ask(server, own, number, now)
+            } else {
+                Some(limits.question(server, own, number, now))
+            }
         };
-        let answer = request.map(|request| {
-            let answer = self.claims.borrow_mut().open(request.number);
-            self.ask_owner(request);
-            answer
-        });
-        Ok(Claim { server, answer })
+        let Some(request) = request else {
+            return Ok(Claim {
+                server,
+                elsewhere: None,
+                answer: None,
+            });
+        };
+        let answer = self.claims.borrow_mut().open(request.number);
+        let owner = self.limit_owner(server);
+        self.ask_owner(&owner, request);
+        let together = self.state.borrow().groups.are_together(own, &owner);
+        Ok(Claim {
+            server,
+            elsewhere: (!together).then_some(owner),
+            answer: Some(answer),
+        })
     }
 
     /// Asks the owner of the bound on what a server takes, which may be this host.
-    fn ask_owner(&self, request: Request) {
-        let owner = self.limit_owner(request.server);
-        if owner == self.settings.host {
+    fn ask_owner(&self, owner: &Name, request: Request) {
+        if *owner == self.settings.host {
             let grant = self.grant(&request);
             return self.take_grant(grant);
         }
-        let to = self.state.borrow().hosts.get(&owner);
+        let to = self.state.borrow().hosts.get(owner);
         match to {
             Some(to) => {
                 let message = Message::Claim(request);
@@ -156,25 +195,37 @@
     ///
     /// Where the owner grants none now, or gives no answer.
     async fn settle(&self, claim: Claim) -> Result<Permit, Closed> {
-        let Claim { server, answer } = claim;
+        let Claim {
+            server,
+            elsewhere,
+            answer,
+        } = claim;
         let Some(answer) = answer else {
             return Ok(Permit {
                 server,
                 granted: false,
             });
         };
-        let wait = match clock::timeout(ANSWER, answer).await {
-            Ok(Ok(grant)) => grant.wait(),
-            _ => NO_ANSWER,
-        };
+        let grant = clock::timeout(ANSWER, answer).await;
+        let grant = grant.ok().and_then(Result::ok);
+        let wait = grant.map_or(NO_ANSWER, |grant| grant.wait());
         if wait.is_zero() {
             return Ok(Permit {
                 server,
                 granted: true,
             });
         }
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
-        state.limits.deny(server, wait, clock::now());
+        match elsewhere {
+            None => state.limits.deny(server, wait, now),
+            Some(owner) => {
+                state.backoffs.note(server, wait, now);
+                if grant.is_none() {
+                    state.silent_owners.note(owner, now);
+                }
+            }
+        }
         Err(Closed)
     }
 
@@ -190,12 +241,18 @@
         state.limits.grant(request, &view, clock::now())
     }
 
-    /// Says whether this host hears of most of the hosts that there are.
+    /// Says whether this host hears of most of the hosts that there are in its group.
     fn hears_majority(&self) -> bool {
         let now = clock::now();
         let state = self.state.borrow();
-        let heard = state.book.heard(&self.settings.domain, now).count() + 1;
-        let listed = self.consultation.knows_hosts().then(|| state.hosts.len());
+        let own = &self.settings.host;
+        let heard = state.heard_in_group(own, &self.settings.domain, now);
+        let heard = heard.count() + 1;
+        let listed = self.consultation.knows_hosts().then(|| {
+            let listed = state.hosts.names();
+            let of_group = listed.filter(|name| state.groups.are_together(own, name));
+            of_group.count()
+        });
         rate_limit::is_majority(heard, listed)
     }
 
@@ -209,8 +266,16 @@
         let now = clock::now();
         let own = &self.settings.host;
         let state = self.state.borrow();
-        let heard = state.book.heard(&self.settings.domain, now);
-        let hosts = heard.map(|host| host.name).chain([own]);
-        rate_limit::owner(server, hosts).unwrap_or(own).clone()
+        let owner = if state.groups.is_shared(own, server) {
+            let heard = state.heard_in_group(own, &self.settings.domain, now);
+            rate_limit::owner(server, heard.map(|host| host.name).chain([own]))
+        } else {
+            let group = state.groups.of_server(server);
+            let listed = state.hosts.names();
+            let of_group = listed.filter(|name| state.groups.of_host(name) == group);
+            let silent = &state.silent_owners;
+            rate_limit::owner(server, of_group.filter(|name| !silent.has(name, now)))
+        };
+        owner.unwrap_or(own).clone()
     }
 }
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -15,8 +15,6 @@
 /// A host that has watched the store is in contact while it was answered within this time: a watch of
 /// the configuration waits for 1.5 s and may take one more.
 const IN_CONTACT: Duration = Duration::from_millis(2_600);
-/// Heartbeats between two questions for the age of the store's word.
-const ASK_EVERY: u64 = 3;
 
 impl Node {
     /// Waits until the store should be asked about a topic, and says how.
@@ -71,6 +69,8 @@
     fn own(&self, state: &State, now: Time) -> Own<'_> {
         Own {
             name: &self.settings.host,
+            domain: &self.settings.domain,
+            division: state.groups.division(),
             config: state.config_version(),
             servers: state.directory.digest(),
             age: state.freshness.age(now),
@@ -95,12 +95,12 @@
             servers: state.directory.digest(),
             era: self.era(),
             doubt_ms: state.doubt_ms(now),
+            hosts: u32::try_from(state.hosts.len()).unwrap_or(u32::MAX),
         }
     }
 
-    /// Names the hosts to ask for the age of their word at a heartbeat, with the question: a watcher of
-    /// the own failure domain now and then, every watcher where the own word is old or the store doesn't
-    /// answer this host.
+    /// Names the hosts to ask for the age of their word at a heartbeat: one now and then, every watcher where the own word is
+    /// old or the store doesn't answer this host.
     pub fn questions(&self, beat: u64) -> Vec<SocketAddr> {
         let now = clock::now();
         let state = self.state.borrow();
@@ -110,17 +110,17 @@
         }
         let age = state.freshness.age(now);
         let old = lost || Relay::is_old(age, self.settings.revocation);
-        let heard = state.book.heard(&self.settings.domain, now);
-        let watchers = heard.filter(|host| host.word.in_contact && (old || host.near));
-        let address = |host: Neighbour<'_>| state.hosts.get(host.name);
+        let heard: Vec<Neighbour<'_>> = state.book.heard(&self.settings.domain, now).collect();
         if old {
-            return watchers.filter_map(address).collect();
-        }
-        if !beat.is_multiple_of(ASK_EVERY) {
-            return Vec::new();
+            let watchers = heard.iter().filter(|host| host.word.in_contact);
+            let addresses = watchers.filter_map(|host| state.hosts.get(host.name));
+            return addresses.collect();
         }
-        let one = watchers.choose(&mut rand::rng());
-        one.and_then(address).into_iter().collect()
+        let sources = self.own(&state, now).sources(&heard, beat);
+        let one = sources.into_iter().choose(&mut rand::rng());
+        one.and_then(|name| state.hosts.get(name))
+            .into_iter()
+            .collect()
     }
 
     /// Answers a peer's question; a host without a configuration has no answer.
--- a/crates/alderglade-serve/src/node/repeats.rs
+++ b/crates/alderglade-serve/src/node/repeats.rs
@@ -132,7 +132,7 @@
 
     /// Gives what is left of this host's own parts, in repeats, where it is least.
     pub(super) fn repeats_left(&self, state: &mut State, now: Time) -> f64 {
-        let hosts = state.book.hosts().max(state.hosts.len());
+        let hosts = state.known_hosts(&self.settings.domain, now);
         let budgets = state.budgets.values_mut();
         let left = budgets.map(|budget| budget.own_left(now, hosts));
         left.min()
@@ -140,14 +140,15 @@
     }
 
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget, Time, usize) -> T) -> T {
+        let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let hosts = state.book.hosts().max(state.hosts.len());
+        let hosts = state.known_hosts(&self.settings.domain, now);
         let bound = self.settings.retries;
         let began = self.began;
         let budget = state
             .budgets
             .entry(service.clone())
             .or_insert_with(|| Budget::new(bound, began));
-        act(budget, clock::now(), hosts)
+        act(budget, now, hosts)
     }
 }
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -3,6 +3,7 @@
 //! All of it changes together on the host's one thread, so that decisions never see half of a change.
 
 use super::Hosts;
+use super::permit::SilentOwners;
 use crate::clock;
 use alderglade_core::Name;
 use alderglade_core::fleet::backoff::Backoffs;
@@ -13,10 +14,11 @@
 use alderglade_core::fleet::evacuation::Evacuations;
 use alderglade_core::fleet::faults::Faults;
 use alderglade_core::fleet::freshness::Freshness;
+use alderglade_core::fleet::group::Groups;
 use alderglade_core::fleet::health::Health;
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::loan::Questions;
-use alderglade_core::fleet::message::Message;
+use alderglade_core::fleet::message::Learnt;
 use alderglade_core::fleet::quarantine::Quarantine;
 use alderglade_core::fleet::rate_limit::Limits;
 use alderglade_core::fleet::reach::Reach;
@@ -59,12 +61,16 @@
     pub newcomers: Vec<Name>,
     /// The entry hosts' addresses.
     pub hosts: Hosts,
+    /// The groups of hosts and servers.
+    pub groups: Groups,
     /// Who asks the store.
     pub(super) relay: Relay,
-    /// Messages to the hosts of the own failure domain that have not been sent yet.
-    pub(super) outbox: Vec<Message>,
+    /// What the hosts of the own failure domain have not been told yet.
+    pub(super) outbox: Vec<Learnt>,
     /// What each service may still be sent again.
     pub(super) budgets: HashMap<Name, Budget>,
+    /// Hosts of other groups that gave no answer lately.
+    pub(super) silent_owners: SilentOwners,
     /// What this host asks of others' budgets.
     pub(super) questions: Questions,
     /// Own calls that run at plain backend servers.
@@ -90,9 +96,11 @@
             host_faults: Faults::default(),
             newcomers: Vec::new(),
             hosts: Hosts::default(),
+            groups: Groups::default(),
             relay: Relay::default(),
             outbox: Vec::new(),
             budgets: HashMap::new(),
+            silent_owners: SilentOwners::default(),
             questions: Questions::new(rand::rng().random()),
             calls: HashMap::new(),
         }
@@ -126,8 +134,10 @@
         self.note_engines();
     }
 
-    /// Has the book know the engines, after the servers or the configuration have changed.
+    /// Deals the servers to the groups, and has the book know the engines, after the servers, the groups or the configuration
+    /// have changed.
     pub(super) fn note_engines(&mut self) {
+        self.groups.deal(self.directory.all());
         let Some(config) = &self.config else {
             return;
         };
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -122,7 +122,10 @@
                 self.host_faults(|faults| faults.clear(&host.name));
                 self.state.borrow_mut().hosts.insert(host);
             }
-            News::HostsListed => self.consultation.note_hosts(),
+            News::HostsListed => {
+                self.consultation.note_hosts();
+                self.regroup();
+            }
             News::HostGone(name) => {
                 self.host_faults(|faults| faults.clear(&name));
                 self.state.borrow_mut().hosts.remove(&name);
--- a/crates/alderglade-serve/src/peer/hear.rs
+++ b/crates/alderglade-serve/src/peer/hear.rs
@@ -5,7 +5,7 @@
 use crate::node::{Host, Node};
 use alderglade_core::fleet::book::Notice;
 use alderglade_core::fleet::loan::Request;
-use alderglade_core::fleet::message::{Ask, Message, PassedOn};
+use alderglade_core::fleet::message::{Ask, Learnt, Message, PassedOn};
 use alderglade_core::fleet::rate_limit;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,8 +41,8 @@
         Message::PassedOn(passed) => take_notice(node, &passed.notice, passed.origin),
         Message::Ask(ask) => answer(node, socket, ask, sender).await,
         Message::Confirmation(confirmation) => node.take_confirmation(&confirmation, sender),
-        Message::Servers(servers) => node.take_servers(&servers),
-        Message::Config(patch) => node.take_patch(&patch),
+        Message::Learnt(learnt) => node.take_learnt(&learnt),
+        Message::Relay(learnt) => relay(node, socket, learnt).await,
         Message::Borrow(request) => lend(node, socket, &request, sender).await,
         Message::Loan(loan) => node.take_loan(loan),
         Message::Claim(request) => grant(node, socket, &request, sender).await,
@@ -50,7 +50,14 @@
     }
 }
 
-/// Takes a notice and passes it on to the hosts of the own failure domain.
+/// Takes what the store has told, and passes it on to the hosts of the own group and failure domain.
+async fn relay(node: &Node, socket: &UdpSocket, learnt: Learnt) {
+    node.take_learnt(&learnt);
+    node.metrics.passed_on.inc();
+    tell::send(socket, &Message::Learnt(learnt), &node.near_hosts()).await;
+}
+
+/// Takes a notice and passes it on to the hosts of the own group and failure domain.
 async fn pass_on(node: &Node, socket: &UdpSocket, notice: Notice, origin: SocketAddr) {
     take_notice(node, &notice, origin);
     node.metrics.passed_on.inc();
@@ -82,6 +89,7 @@
         state.hosts.insert(Host {
             name: notice.host.clone(),
             address: sender,
+            domain: Some(notice.domain.clone()),
         });
     }
     drop(state);
--- a/crates/alderglade-serve/src/peer/tell.rs
+++ b/crates/alderglade-serve/src/peer/tell.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Tells all hosts what a heartbeat should, if one is due.
+    /// Tells other hosts what a heartbeat should, if one is due.
     pub(super) async fn heartbeat(&self) {
         let interval = self.node.heartbeat();
         let due = self.schedule.borrow().due(interval, clock::now());
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Tells all hosts all that this one holds.
+    /// Tells other hosts all that this one holds.
     async fn whole(&self) {
         let now = clock::now();
         self.schedule.borrow_mut().note(Due::Whole, now);
@@ -59,7 +59,7 @@
         self.notices(holdings, true).await;
     }
 
-    /// Tells all hosts what has changed.
+    /// Tells other hosts what has changed.
     pub(super) async fn changes(&self) {
         self.schedule.borrow_mut().note(Due::Changes, clock::now());
         let holdings = self.node.state.borrow_mut().book.take_changes();
@@ -85,17 +85,20 @@
 
     /// Passes on to the hosts of the own failure domain what the store has told.
     pub(super) async fn outbox(&self) {
-        let messages = self.node.take_outbox();
-        if messages.is_empty() {
+        let outbox = self.node.take_outbox();
+        if outbox.is_empty() {
             return;
         }
         let near = self.node.near_hosts();
-        for message in &messages {
-            self.send(message, &near).await;
+        let bridges = self.node.domain_bridges(self.beat.get());
+        for learnt in outbox {
+            self.send(&Message::Learnt(learnt.clone()), &near).await;
+            self.send(&Message::Relay(learnt), &bridges).await;
         }
     }
 
-    /// Tells all hosts some holdings, in as many notices as they take; in one where there are none.
+    /// Tells the hosts of the group some holdings, in as many notices as they take, or in one where there are none; and those of
+    /// other groups what concerns them.
     async fn notices(&self, holdings: Vec<Holding>, whole: bool) {
         let mut chunks: Vec<Vec<Holding>> =
             holdings.chunks(HOLDINGS).map(<[Holding]>::to_vec).collect();
@@ -105,6 +108,10 @@
         let Ways { direct, through } = self.node.ways(self.beat.get());
         for (number, holdings) in chunks.into_iter().enumerate() {
             let notice = self.notice(holdings, whole && number == 0);
+            let others = self.node.notice_for_others(&notice, self.beat.get());
+            if let Some((notice, bridges)) = others {
+                self.send(&Message::Spread(notice), &bridges).await;
+            }
             let spread = Message::Spread(notice.clone());
             self.send(&Message::Notice(notice), &direct).await;
             self.send(&spread, &through).await;
@@ -127,7 +134,7 @@
             giants: state.book.own_giants(),
             waiting: state.book.waiting(clock::now()),
             word,
-            leaving: state.directory.leaving(),
+            leaving: self.node.shared_leavers(state),
             passed_over: state.health.told_passed_over(clock::now()),
             unanswered: state.health.told_unanswered(clock::now()),
             quarantine: state.quarantine.tell(whole, clock::now()),
