Fewer calls where all hosts start: changes of servers are passed on in pieces, and roles wait for the list of hosts

Change: what a watch brings is cut into pieces of a packet, which count when all are there; a role is decided 0.7 s after the list of hosts, or after two seconds without one; a host tells its group at once when it has the list, and where the groups change.

Tests: core fleet/pieces.rs, and the election in fleet/group.rs.

--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -98,6 +98,22 @@
     /// How much longer entries may be missing in the store although their servers live, in
     /// milliseconds.
     pub doubt_ms: u32,
+    /// Which part of the changes it is.
+    pub piece: Piece,
     /// The changes, oldest first.
     pub changes: Vec<Change>,
 }
+
+/// A part of something that no packet holds as a whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Its number, from `0`.
+    pub number: u16,
+    /// How many there are.
+    pub of: u16,
+}
+
+impl Piece {
+    /// The only one.
+    pub const WHOLE: Piece = Piece { number: 0, of: 1 };
+}
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 pub mod loan;
 pub mod message;
 pub mod pass;
+pub mod pieces;
 pub mod placement;
 pub mod position;
 pub mod progress;
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -15,6 +15,8 @@
 /// How long a new host listens for others before it takes a role: two heartbeats of watchers, which come every
 /// 250 ms, and time for the store to list the hosts.
 pub const SETTLE: Duration = Duration::from_millis(700);
+/// How long a host that the store gives no list of hosts waits for it before it listens without.
+const UNLISTED: Duration = Duration::from_millis(2_000);
 /// How much later the next host steps in while there are too few watchers; a heartbeat.
 const STEP_IN: Duration = Duration::from_millis(250);
 /// Hosts that step in so soon. Where they get no answer either, the store is probably away for all, and
@@ -85,6 +87,8 @@
     pub bound: Option<Duration>,
     /// Whether its last call to the store failed.
     pub lost: bool,
+    /// Whether the store has listed the hosts, which hear of this one then.
+    pub listed: bool,
 }
 
 impl Own<'_> {
@@ -189,7 +193,9 @@
 /// The role of one host, and what it has asked.
 #[derive(Debug, Default)]
 pub struct Relay {
-    /// When it began to listen for others.
+    /// When it first looked for others.
+    first: Option<Time>,
+    /// When it began to listen for them.
     began: Option<Time>,
     /// Whether the host watches the store.
     role: Role,
@@ -215,6 +221,10 @@
     /// than [`WATCHERS`] of them do, and steps in the later the more they are. Of another group, only hosts that watch are heard;
     /// as many of each are taken to be there.
     pub fn settle(&mut self, own: &Own<'_>, heard: &[Neighbour<'_>], now: Time) -> Role {
+        let first = *self.first.get_or_insert(now);
+        if !own.listed && now.since(first) < UNLISTED {
+            return self.role;
+        }
         let began = *self.began.get_or_insert(now);
         if now.since(began) < SETTLE {
             return self.role;
--- a/crates/alderglade-core/tests/testsuite/fleet/group.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/group.rs
@@ -321,6 +321,7 @@
                 age: Some(Duration::from_secs(1)),
                 bound: Some(Duration::from_secs(5)),
                 lost: false,
+                listed: true,
             };
             let role = self.relays[*own].settle(&own_word, &heard, self.now);
             if role == Role::Watcher {
@@ -409,6 +410,7 @@
                 age: Some(Duration::from_secs(1)),
                 bound: Some(Duration::from_secs(5)),
                 lost: false,
+                listed: true,
             };
             let mut any = false;
             for beat in 0..BEATS {
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod loan;
 mod message;
 mod pass;
+mod pieces;
 mod placement;
 mod progress;
 mod quarantine;
--- a/crates/alderglade-core/tests/testsuite/fleet/relay.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/relay.rs
@@ -18,6 +18,7 @@
         age: Some(Duration::from_secs(1)),
         bound: Some(BOUND),
         lost: false,
+        listed: true,
     }
 }
 
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -10,7 +10,8 @@
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::group::Division;
-use alderglade_core::fleet::message::{Learnt, Message, Servers};
+use alderglade_core::fleet::message::{Learnt, Message, Piece, Servers};
+use alderglade_core::fleet::pieces;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::spread::{self, Concern, Sender};
 use std::net::SocketAddr;
@@ -19,6 +20,9 @@
 /// the store.
 const LARGEST: usize = 1_200;
 
+/// What a piece of changes takes beside them, in bytes.
+const AROUND: usize = 100;
+
 /// By which ways notices go to the other hosts of the own group.
 pub struct Ways {
     /// Hosts that are told directly.
@@ -78,12 +82,17 @@
             }
             state.doubt_ms(clock::now())
         };
-        self.pass_on(Learnt::Servers(Servers {
+        let whole = Servers {
             after,
             position,
             doubt_ms,
+            piece: Piece::WHOLE,
             changes: changes.to_vec(),
-        }));
+        };
+        let size = |change: &Change| postcard::to_stdvec(change).map_or(usize::MAX, |b| b.len());
+        for piece in pieces::cut(&whole, LARGEST - AROUND, size) {
+            self.pass_on(Learnt::Servers(piece));
+        }
     }
 
     /// Gives what the hosts of the own failure domain have not been told yet.
@@ -174,10 +183,11 @@
             return;
         }
         state.take_doubt(servers.doubt_ms);
-        let changes = &servers.changes;
-        state
-            .directory
-            .take_changes(after, changes, position, clock::now());
+        let Some(changes) = state.pieces.take(servers) else {
+            return;
+        };
+        let now = clock::now();
+        state.directory.take_changes(after, &changes, position, now);
         drop(state);
         self.tell_servers();
         self.book_changed.notify_one();
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -76,6 +76,7 @@
             age: state.freshness.age(now),
             bound: self.settings.revocation,
             lost: self.store.get().is_lost(),
+            listed: self.consultation.knows_hosts(),
         }
     }
 
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -19,6 +19,7 @@
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::loan::Questions;
 use alderglade_core::fleet::message::Learnt;
+use alderglade_core::fleet::pieces::Pieces;
 use alderglade_core::fleet::quarantine::Quarantine;
 use alderglade_core::fleet::rate_limit::Limits;
 use alderglade_core::fleet::reach::Reach;
@@ -67,6 +68,8 @@
     pub(super) relay: Relay,
     /// What the hosts of the own failure domain have not been told yet.
     pub(super) outbox: Vec<Learnt>,
+    /// Pieces of what watchers of the store tell of the servers.
+    pub(super) pieces: Pieces,
     /// What each service may still be sent again.
     pub(super) budgets: HashMap<Name, Budget>,
     /// Hosts of other groups that gave no answer lately.
@@ -99,6 +102,7 @@
             groups: Groups::default(),
             relay: Relay::default(),
             outbox: Vec::new(),
+            pieces: Pieces::default(),
             budgets: HashMap::new(),
             silent_owners: SilentOwners::default(),
             questions: Questions::new(rand::rng().random()),
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -125,6 +125,8 @@
             News::HostsListed => {
                 self.consultation.note_hosts();
                 self.regroup();
+                // The others hear of this host at once, and it of them.
+                self.book_changed.notify_one();
             }
             News::HostGone(name) => {
                 self.host_faults(|faults| faults.clear(&name));
