All hosts know all parts of the fleet soon after a start; an owner of another group that is silent is passed over at once

Cause, found by reading: of many hosts that start together, the first find few others in the store's list and never list again. With groups they would not reach the other parts with evidence against a request, would count too few hosts for their part of the budget of repeats and, whenever no watcher is in contact, for the number of groups. A server of another group whose first owner is dead would be closed for 300 ms at each try, and a host that is asked although it isn't of the server's group would grant, because it knows no bound.

Change: a watcher passes on the hosts that it knows when it begins, and each that is entered later; the number of hosts that watchers told last counts while none of them is heard; up to three owners of another group are asked; a host that isn't of the server's group grants nothing.

--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -8,6 +8,7 @@
 use super::loan::{self, Loan};
 use super::position::Position;
 use super::rate_limit::{self, Grant};
+use crate::Name;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -47,6 +48,19 @@
     Servers(Servers),
     /// A newer configuration.
     Config(Patch),
+    /// Some of the entry hosts.
+    Hosts(Vec<Host>),
+}
+
+/// An entry host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Its name.
+    pub name: Name,
+    /// Where it takes messages.
+    pub address: SocketAddr,
+    /// Its failure domain, if that is known.
+    pub domain: Option<Name>,
 }
 
 /// A notice of another host, passed on.
--- a/crates/alderglade-core/src/fleet/rate_limit.rs
+++ b/crates/alderglade-core/src/fleet/rate_limit.rs
@@ -98,6 +98,14 @@
 }
 
 impl Grant {
+    /// Answers a host that takes another one for the owner.
+    pub fn not_owner(request: &Request) -> Grant {
+        Grant {
+            number: request.number,
+            wait_ms: NOT_OWNER.as_millis() as u32,
+        }
+    }
+
     /// Gives how long the host should wait; nothing if it may send.
     pub fn wait(&self) -> Duration {
         Duration::from_millis(u64::from(self.wait_ms))
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -26,9 +26,10 @@
 mod stop;
 mod store;
 
+pub use alderglade_core::fleet::message::Host;
 pub use choice::Closing;
 pub use guard::{Call, Connected, Held, InFlight, InLine};
-pub use hosts::{Host, Hosts};
+pub use hosts::Hosts;
 pub use outbox::{Letter, Ways};
 pub use permit::{Closed, Permit};
 pub use progress::{Progress, Stage};
--- a/crates/alderglade-serve/src/node/groups.rs
+++ b/crates/alderglade-serve/src/node/groups.rs
@@ -13,7 +13,10 @@
 impl Node {
     /// Divides the hosts into groups anew, by how many there are as far as is known.
     pub(super) fn regroup(&self) {
-        let changed = self.state.borrow_mut().regroup(&self.settings.domain);
+        let mut state = self.state.borrow_mut();
+        state.hear_listed(&self.settings.domain, clock::now());
+        let changed = state.regroup();
+        drop(state);
         if changed {
             self.tell_groups();
         }
@@ -46,9 +49,8 @@
 impl State {
     /// Divides the hosts into groups by the number of them that the store lists, as all see it; says whether that changes the
     /// groups.
-    fn regroup(&mut self, domain: &Name) -> bool {
-        let told = self.told_hosts(domain, clock::now());
-        let told = told.filter(|_| !self.watches_store());
+    fn regroup(&mut self) -> bool {
+        let told = self.told_hosts.filter(|_| !self.watches_store());
         let hosts = told.unwrap_or(self.hosts.len());
         let changed = self.groups.divide(Division::of_hosts(hosts));
         if changed {
@@ -57,19 +59,19 @@
         changed
     }
 
-    /// Gives the most hosts that this one, in a failure domain, knows of: heard, listed, or told by hosts that watch the store.
-    pub(super) fn known_hosts(&self, domain: &Name, now: Time) -> usize {
+    /// Gives the most hosts that this one knows of: heard, listed, or told by hosts that watch the store.
+    pub(super) fn known_hosts(&self) -> usize {
         let known = self.book.hosts().max(self.hosts.len());
-        let told = self.told_hosts(domain, now);
-        told.map_or(known, |told| known.max(told))
+        self.told_hosts.map_or(known, |told| known.max(told))
     }
 
-    /// Gives the number of hosts that the store lists, by those of a failure domain that watch it; `None` where none of them is
-    /// heard.
-    fn told_hosts(&self, domain: &Name, now: Time) -> Option<usize> {
+    /// Takes the number of hosts that the store lists, by those of a failure domain that watch it. What they said last counts
+    /// while none of them is heard.
+    fn hear_listed(&mut self, domain: &Name, now: Time) {
         let heard = self.book.heard(domain, now);
         let watchers = heard.filter(|host| host.near && host.word.in_contact);
-        watchers.map(|host| host.word.hosts as usize).max()
+        let told = watchers.map(|host| host.word.hosts as usize).max();
+        self.told_hosts = told.or(self.told_hosts);
     }
 
     /// Lists the hosts of a host's group that it hears of, where `domain` is its failure domain.
--- a/crates/alderglade-serve/src/node/hosts.rs
+++ b/crates/alderglade-serve/src/node/hosts.rs
@@ -3,20 +3,10 @@
 //! The store lists this host too, so its own address may be among them.
 
 use alderglade_core::Name;
+use alderglade_core::fleet::message::Host;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// An entry host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Host {
-    /// Its name.
-    pub name: Name,
-    /// Where it takes messages.
-    pub address: SocketAddr,
-    /// Its failure domain, if that is known.
-    pub domain: Option<Name>,
-}
-
 /// All entry hosts that are known, with this one where the store has listed it.
 #[derive(Debug, Default)]
 pub struct Hosts {
@@ -41,6 +31,13 @@
         self.by_name.insert(name, Place { address, domain });
     }
 
+    /// Takes a host, unless it is known: what it has sent itself is newer.
+    pub fn insert_new(&mut self, host: Host) {
+        if !self.by_name.contains_key(&host.name) {
+            self.insert(host);
+        }
+    }
+
     /// Drops a host.
     pub fn remove(&mut self, name: &str) {
         self.by_name.remove(name);
@@ -63,6 +60,16 @@
         hosts.filter_map(|(name, place)| Some((name, place.domain.as_ref()?)))
     }
 
+    /// Gives all.
+    pub fn all(&self) -> Vec<Host> {
+        let host = |(name, place): (&Name, &Place)| Host {
+            name: name.clone(),
+            address: place.address,
+            domain: place.domain.clone(),
+        };
+        self.by_name.iter().map(host).collect()
+    }
+
     /// Lists the names of all.
     pub fn names(&self) -> impl Iterator<Item = &Name> {
         self.by_name.keys()
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -10,7 +10,7 @@
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::group::Division;
-use alderglade_core::fleet::message::{Learnt, Message, Piece, Servers};
+use alderglade_core::fleet::message::{Host, Learnt, Message, Piece, Servers};
 use alderglade_core::fleet::pieces;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::spread::{self, Concern, Sender};
@@ -95,6 +95,20 @@
         }
     }
 
+    /// Has hosts passed on to the hosts of the own domain, if this one watches: of many that start together, the first find
+    /// few others in the store's list.
+    pub(super) fn tell_hosts(&self, hosts: &[Host]) {
+        /// Hosts in one message, some 40 bytes each.
+        const EACH: usize = 24;
+        if !self.state.borrow().watches_store() {
+            return;
+        }
+        for some in hosts.chunks(EACH) {
+            self.pass_on(Learnt::Hosts(some.to_vec()));
+        }
+        self.book_changed.notify_one();
+    }
+
     /// Gives what the hosts of the own failure domain have not been told yet.
     pub fn take_outbox(&self) -> Vec<Learnt> {
         std::mem::take(&mut self.state.borrow_mut().outbox)
@@ -169,6 +183,13 @@
         match learnt {
             Learnt::Servers(servers) => self.take_servers(servers),
             Learnt::Config(patch) => self.take_patch(patch),
+            Learnt::Hosts(hosts) => {
+                let known = &mut self.state.borrow_mut().hosts;
+                hosts
+                    .iter()
+                    .cloned()
+                    .for_each(|host| known.insert_new(host));
+            }
         }
     }
 
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -33,6 +33,14 @@
 #[derive(Debug)]
 pub struct Closed;
 
+/// Why the owner of a bound has given no leave.
+enum Refusal {
+    /// It grants nothing now.
+    Denied,
+    /// It gave no answer.
+    Silent,
+}
+
 /// What was asked for one request to a server.
 struct Claim {
     server: Key,
@@ -98,6 +106,26 @@
         self.settle(claim).await
     }
 
+    /// Waits for the answer to a claim; asks others where an owner of another group, of whose hosts nothing is heard, gives none.
+    ///
+    /// # Errors
+    ///
+    /// Where none grants it now.
+    async fn settle(&self, mut claim: Claim) -> Result<Permit, Closed> {
+        /// Owners that are asked, one after the other.
+        const OWNERS: usize = 3;
+        let server = claim.server;
+        for _ in 1..OWNERS {
+            let elsewhere = claim.elsewhere.is_some();
+            match self.answer(claim).await {
+                Ok(permit) => return Ok(permit),
+                Err(Refusal::Silent) if elsewhere => claim = self.claim(server)?,
+                Err(_) => return Err(Closed),
+            }
+        }
+        self.answer(claim).await.map_err(|_| Closed)
+    }
+
     /// Gives leave to send a prompt by a plan: every engine that reads a part of it or holds memory for it takes it. All owners
     /// are asked at the same time.
     ///
@@ -194,7 +222,7 @@
     /// # Errors
     ///
     /// Where the owner grants none now, or gives no answer.
-    async fn settle(&self, claim: Claim) -> Result<Permit, Closed> {
+    async fn answer(&self, claim: Claim) -> Result<Permit, Refusal> {
         let Claim {
             server,
             elsewhere,
@@ -219,18 +247,20 @@
         let mut state = self.state.borrow_mut();
         match elsewhere {
             None => state.limits.deny(server, wait, now),
-            Some(owner) => {
+            Some(owner) if grant.is_none() => state.silent_owners.note(owner, now),
+            Some(_) => {
                 state.backoffs.note(server, wait, now);
-                if grant.is_none() {
-                    state.silent_owners.note(owner, now);
-                }
             }
         }
-        Err(Closed)
+        Err(grant.map_or(Refusal::Silent, |_| Refusal::Denied))
     }
 
     /// Answers a host that wants to send a request to a server with a limit.
     pub fn grant(&self, request: &Request) -> Grant {
+        let own = &self.settings.host;
+        if !self.state.borrow().groups.is_shared(own, request.server) {
+            return Grant::not_owner(request);
+        }
         let owner = self.limit_owner(request.server);
         let view = View {
             own: &self.settings.host,
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -52,7 +52,8 @@
     fn due(&self, topic: Topic) -> Option<Errand> {
         let now = clock::now();
         let chance = rand::rng().random::<f64>();
-        let state = &mut *self.state.borrow_mut();
+        let mut borrowed = self.state.borrow_mut();
+        let state = &mut *borrowed;
         let own = self.own(state, now);
         let heard: Vec<Neighbour<'_>> = state.book.heard(&self.settings.domain, now).collect();
         let before = state.relay.role();
@@ -62,6 +63,10 @@
             // Peers judge its silence by what its last notice says, and watchers are heard more often.
             self.book_changed.notify_one();
         }
+        let begins = before != Role::Watcher && state.watches_store();
+        let known = begins.then(|| state.hosts.all());
+        drop(borrowed);
+        self.tell_hosts(&known.unwrap_or_default());
         errand
     }
 
--- a/crates/alderglade-serve/src/node/repeats.rs
+++ b/crates/alderglade-serve/src/node/repeats.rs
@@ -132,7 +132,7 @@
 
     /// Gives what is left of this host's own parts, in repeats, where it is least.
     pub(super) fn repeats_left(&self, state: &mut State, now: Time) -> f64 {
-        let hosts = state.known_hosts(&self.settings.domain, now);
+        let hosts = state.known_hosts();
         let budgets = state.budgets.values_mut();
         let left = budgets.map(|budget| budget.own_left(now, hosts));
         left.min()
@@ -142,7 +142,7 @@
     fn with_budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget, Time, usize) -> T) -> T {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let hosts = state.known_hosts(&self.settings.domain, now);
+        let hosts = state.known_hosts();
         let bound = self.settings.retries;
         let began = self.began;
         let budget = state
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -62,6 +62,8 @@
     pub newcomers: Vec<Name>,
     /// The entry hosts' addresses.
     pub hosts: Hosts,
+    /// How many hosts the store listed when hosts that watch it last told so.
+    pub(super) told_hosts: Option<usize>,
     /// The groups of hosts and servers.
     pub groups: Groups,
     /// Who asks the store.
@@ -99,6 +101,7 @@
             host_faults: Faults::default(),
             newcomers: Vec::new(),
             hosts: Hosts::default(),
+            told_hosts: None,
             groups: Groups::default(),
             relay: Relay::default(),
             outbox: Vec::new(),
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -88,6 +88,7 @@
                 }
             }
             Learnt::Config(patch) => drop(Config::default().patched(&patch)),
+            Learnt::Hosts(_) => {}
         }
     }
 
