A server of another group that nobody gives leave for is closed for a while, as any other

Cause, found by reading: a refusal was noted with the server's bound, and a host knows no bound of a server of another group. Where no owner answered, nothing was noted, and a host that took itself for the owner was refused by itself without a wait: the request picked the same server again and again until its time was over, and kept the host's one thread busy with it.

Change: one place notes that nothing goes to a server for a while, for all ways of being refused. Owners that gave no answer are kept in the type that servers' rests are kept in, which was written again for them; the claim has one question in place of two fields that go together, and a fourth owner is no longer asked for an answer that nobody waits for.

Test: platform testsuite, groups, red before: the caller got no_capacity after its ten seconds; now overloaded, with when to come back.

--- a/crates/alderglade-core/src/fleet/backoff.rs
+++ b/crates/alderglade-core/src/fleet/backoff.rs
@@ -1,31 +1,39 @@
-//! Backend servers that want nothing more from this host for a while.
+//! Whom this host asks nothing for a while: backend servers that want nothing more from it, hosts that gave no answer.
 //!
 //! What a server says so concerns the host that it answers, and no other; another answer in between doesn't take it back.
 
-use super::incarnation::Key;
 use crate::time::Time;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::Duration;
 
-/// Until when servers want nothing.
-#[derive(Debug, Default)]
-pub struct Backoffs {
-    until: HashMap<Key, Time>,
+/// Until when nothing is asked of some.
+#[derive(Debug)]
+pub struct Backoffs<K> {
+    until: HashMap<K, Time>,
 }
 
-impl Backoffs {
-    /// Notes that a server wants nothing for a span; says whether it was open before.
-    pub fn note(&mut self, server: Key, span: Duration, now: Time) -> bool {
+impl<K> Default for Backoffs<K> {
+    fn default() -> Backoffs<K> {
+        Backoffs {
+            until: HashMap::new(),
+        }
+    }
+}
+
+impl<K: Hash + Eq> Backoffs<K> {
+    /// Notes that one is asked nothing for a span; says whether it was open before.
+    pub fn note(&mut self, who: K, span: Duration, now: Time) -> bool {
         self.until.retain(|_, until| *until > now);
-        let until = self.until.entry(server).or_insert(now);
+        let until = self.until.entry(who).or_insert(now);
         let was_open = *until <= now;
         *until = (*until).max(now + span);
         was_open
     }
 
-    /// Gives how long a server still wants nothing.
-    pub fn left(&self, server: Key, now: Time) -> Duration {
-        let until = self.until.get(&server);
+    /// Gives how long one is still asked nothing.
+    pub fn left(&self, who: &K, now: Time) -> Duration {
+        let until = self.until.get(who);
         until.map_or(Duration::ZERO, |until| until.left(now))
     }
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/backoff.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/backoff.rs
@@ -13,10 +13,10 @@
     let mut backoffs = Backoffs::default();
     assert!(backoffs.note(key("a"), SPAN, at(1_000)));
     assert!(!backoffs.note(key("a"), SPAN / 3, at(1_500)), "it goes on");
-    assert_eq!(backoffs.left(key("a"), at(2_000)).as_millis(), 2_000);
+    assert_eq!(backoffs.left(&key("a"), at(2_000)).as_millis(), 2_000);
     assert!(!backoffs.note(key("a"), SPAN, at(3_000)));
-    assert_eq!(backoffs.left(key("a"), at(5_000)).as_millis(), 1_000);
-    assert!(backoffs.left(key("a"), at(6_000)).is_zero());
-    assert!(backoffs.left(key("b"), at(2_000)).is_zero());
+    assert_eq!(backoffs.left(&key("a"), at(5_000)).as_millis(), 1_000);
+    assert!(backoffs.left(&key("a"), at(6_000)).is_zero());
+    assert!(backoffs.left(&key("b"), at(2_000)).is_zero());
     assert!(backoffs.note(key("a"), SPAN, at(7_000)), "it begins anew");
 }
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -10,7 +10,6 @@
 use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::placement::Plan;
 use alderglade_core::fleet::rate_limit::{self, Grant, Request, View};
-use alderglade_core::time::Time;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -33,42 +32,18 @@
 #[derive(Debug)]
 pub struct Closed;
 
-/// Why the owner of a bound has given no leave.
-enum Refusal {
-    /// It grants nothing now.
-    Denied,
-    /// It gave no answer.
-    Silent,
-}
-
 /// What was asked for one request to a server.
 struct Claim {
     server: Key,
-    /// The owner that was asked, where it is of another group.
-    elsewhere: Option<Name>,
-    /// Where the owner's answer comes; `None` where there is no bound on what the server takes.
-    answer: Option<oneshot::Receiver<Grant>>,
+    /// The question to an owner; `None` where there is no bound on what the server takes.
+    question: Option<Question>,
 }
 
-/// Owners of limits in other groups, of whose hosts nothing is heard, that gave no answer.
-#[derive(Debug, Default)]
-pub struct SilentOwners {
-    until: HashMap<Name, Time>,
-}
-
-impl SilentOwners {
-    /// Notes that a host gave no answer; forgets those of long ago.
-    fn note(&mut self, host: Name, now: Time) {
-        /// How long another host is asked in its place: a process that was killed is back by then.
-        const SPAN: Duration = Duration::from_millis(5_000);
-        self.until.retain(|_, until| *until > now);
-        self.until.insert(host, now + SPAN);
-    }
-
-    /// Says whether a host gave no answer lately.
-    fn has(&self, host: &str, now: Time) -> bool {
-        self.until.get(host).is_some_and(|until| *until > now)
-    }
+/// A question to the owner of the bound on what a server takes.
+struct Question {
+    owner: Name,
+    /// Where its answer comes.
+    answer: oneshot::Receiver<Grant>,
 }
 
 /// Questions for grants that are not answered yet, by their numbers.
@@ -115,15 +90,54 @@
         /// Owners that are asked, one after the other.
         const OWNERS: usize = 3;
         let server = claim.server;
-        for _ in 1..OWNERS {
-            let elsewhere = claim.elsewhere.is_some();
-            match self.answer(claim).await {
-                Ok(permit) => return Ok(permit),
-                Err(Refusal::Silent) if elsewhere => claim = self.claim(server)?,
-                Err(_) => return Err(Closed),
+        let mut wait = NO_ANSWER;
+        for others in (0..OWNERS).rev() {
+            let Some(Question { owner, answer }) = claim.question else {
+                return Ok(Permit {
+                    server,
+                    granted: false,
+                });
+            };
+            if let Ok(Ok(grant)) = clock::timeout(ANSWER, answer).await {
+                wait = grant.wait();
+                break;
             }
+            if !self.pass_over(owner) || others == 0 {
+                break;
+            }
+            claim = self.claim(server)?;
+        }
+        if wait.is_zero() {
+            return Ok(Permit {
+                server,
+                granted: true,
+            });
+        }
+        self.deny(server, wait);
+        Err(Closed)
+    }
+
+    /// Takes that an owner gave no answer; says whether another one can be asked in its place.
+    fn pass_over(&self, owner: Name) -> bool {
+        /// A process that was killed is back by then.
+        const SPAN: Duration = Duration::from_millis(5_000);
+        let mut state = self.state.borrow_mut();
+        let together = state.groups.are_together(&self.settings.host, &owner);
+        if !together {
+            state.silent.note(owner, SPAN, clock::now());
+        }
+        !together
+    }
+
+    /// Notes that nothing goes to a server for a while. Where it is of another group, this host doesn't know of a bound.
+    fn deny(&self, server: Key, wait: Duration) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        if state.groups.is_shared(&self.settings.host, server) {
+            state.limits.deny(server, wait, now);
+        } else {
+            state.backoffs.note(server, wait, now);
         }
-        self.answer(claim).await.map_err(|_| Closed)
     }
 
     /// Gives leave to send a prompt by a plan: every engine that reads a part of it or holds memory for it takes it. All owners
@@ -158,7 +172,7 @@
     /// Says whether new work may go to a server as far as is known.
     fn takes_work(&self, server: Key) -> bool {
         let state = self.state.borrow();
-        let rests = !state.backoffs.left(server, clock::now()).is_zero();
+        let rests = !state.backoffs.left(&server, clock::now()).is_zero();
         !rests && state.directory.get(server).is_some()
     }
 
@@ -183,76 +197,25 @@
                 Some(limits.question(server, own, number, now))
             }
         };
-        let Some(request) = request else {
-            return Ok(Claim {
-                server,
-                elsewhere: None,
-                answer: None,
-            });
-        };
-        let answer = self.claims.borrow_mut().open(request.number);
-        let owner = self.limit_owner(server);
-        self.ask_owner(&owner, request);
-        let together = self.state.borrow().groups.are_together(own, &owner);
-        Ok(Claim {
-            server,
-            elsewhere: (!together).then_some(owner),
-            answer: Some(answer),
-        })
+        let question = request.map(|request| self.ask_owner(request));
+        Ok(Claim { server, question })
     }
 
     /// Asks the owner of the bound on what a server takes, which may be this host.
-    fn ask_owner(&self, owner: &Name, request: Request) {
-        if *owner == self.settings.host {
+    fn ask_owner(&self, request: Request) -> Question {
+        let answer = self.claims.borrow_mut().open(request.number);
+        let owner = self.limit_owner(request.server);
+        let to = self.state.borrow().hosts.get(&owner);
+        if owner == self.settings.host {
             let grant = self.grant(&request);
-            return self.take_grant(grant);
-        }
-        let to = self.state.borrow().hosts.get(owner);
-        match to {
-            Some(to) => {
-                let message = Message::Claim(request);
-                self.write_letter(Letter { to, message });
-            }
-            None => log::debug!("{owner} can't be asked for a grant: no address"),
-        }
-    }
-
-    /// Waits for the answer to a claim.
-    ///
-    /// # Errors
-    ///
-    /// Where the owner grants none now, or gives no answer.
-    async fn answer(&self, claim: Claim) -> Result<Permit, Refusal> {
-        let Claim {
-            server,
-            elsewhere,
-            answer,
-        } = claim;
-        let Some(answer) = answer else {
-            return Ok(Permit {
-                server,
-                granted: false,
-            });
-        };
-        let grant = clock::timeout(ANSWER, answer).await;
-        let grant = grant.ok().and_then(Result::ok);
-        let wait = grant.map_or(NO_ANSWER, |grant| grant.wait());
-        if wait.is_zero() {
-            return Ok(Permit {
-                server,
-                granted: true,
-            });
-        }
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        match elsewhere {
-            None => state.limits.deny(server, wait, now),
-            Some(owner) if grant.is_none() => state.silent_owners.note(owner, now),
-            Some(_) => {
-                state.backoffs.note(server, wait, now);
-            }
+            self.take_grant(grant);
+        } else if let Some(to) = to {
+            let message = Message::Claim(request);
+            self.write_letter(Letter { to, message });
+        } else {
+            log::debug!("{owner} can't be asked for a grant: no address");
         }
-        Err(grant.map_or(Refusal::Silent, |_| Refusal::Denied))
+        Question { owner, answer }
     }
 
     /// Answers a host that wants to send a request to a server with a limit.
@@ -263,7 +226,7 @@
         }
         let owner = self.limit_owner(request.server);
         let view = View {
-            own: &self.settings.host,
+            own,
             owner: &owner,
             majority: self.hears_majority(),
         };
@@ -303,8 +266,8 @@
             let group = state.groups.of_server(server);
             let listed = state.hosts.names();
             let of_group = listed.filter(|name| state.groups.of_host(name) == group);
-            let silent = &state.silent_owners;
-            rate_limit::owner(server, of_group.filter(|name| !silent.has(name, now)))
+            let answers = |name: &&Name| state.silent.left(name, now).is_zero();
+            rate_limit::owner(server, of_group.filter(answers))
         };
         owner.unwrap_or(own).clone()
     }
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -3,7 +3,6 @@
 //! All of it changes together on the host's one thread, so that decisions never see half of a change.
 
 use super::Hosts;
-use super::permit::SilentOwners;
 use crate::clock;
 use alderglade_core::Name;
 use alderglade_core::fleet::backoff::Backoffs;
@@ -47,7 +46,7 @@
     /// What is known of requests under which servers end.
     pub quarantine: Quarantine,
     /// Servers that want nothing of this host for a while.
-    pub(super) backoffs: Backoffs,
+    pub(super) backoffs: Backoffs<Key>,
     /// What servers take from all hosts together: those that have named a limit, and cold ones.
     pub limits: Limits,
     /// The age of the store's word.
@@ -74,8 +73,8 @@
     pub(super) pieces: Pieces,
     /// What each service may still be sent again.
     pub(super) budgets: HashMap<Name, Budget>,
-    /// Hosts of other groups that gave no answer lately.
-    pub(super) silent_owners: SilentOwners,
+    /// Hosts of other groups, of which nothing is heard, that gave no answer.
+    pub(super) silent: Backoffs<Name>,
     /// What this host asks of others' budgets.
     pub(super) questions: Questions,
     /// Own calls that run at plain backend servers.
@@ -107,7 +106,7 @@
             outbox: Vec::new(),
             pieces: Pieces::default(),
             budgets: HashMap::new(),
-            silent_owners: SilentOwners::default(),
+            silent: Backoffs::default(),
             questions: Questions::new(rand::rng().random()),
             calls: HashMap::new(),
         }
@@ -179,7 +178,12 @@
 }
 
 /// Gives how long a server takes nothing of this host, by the rest that it wants and by its limit.
-pub(super) fn closed_for(backoffs: &Backoffs, limits: &Limits, server: Key, now: Time) -> Duration {
+pub(super) fn closed_for(
+    backoffs: &Backoffs<Key>,
+    limits: &Limits,
+    server: Key,
+    now: Time,
+) -> Duration {
     let denied = limits.denied_for(server, now);
-    denied.max(backoffs.left(server, now))
+    denied.max(backoffs.left(&server, now))
 }
