Groups read once more: hosts are passed on in whole packets, servers are shared in one pass, one predicate for a single group

Cause, found by reading the change: each host that a watch told of went out as a message of its own, though 24 fit one; a placement walked its servers twice and hashed the own name for each, also where there is one group; five places compared a division with its default; a host that begins to watch let go of its state in the middle to tell what it knows.

Change: hosts wait in a list that the outbox cuts into packets; Groups::share keeps the servers of a group in one pass, and none where there is one; Division::is_single; Own::sources picks hosts and beats together. The core tests have one function for what a host hears and one for what it knows. Behaviour is as it was but for the number of messages about hosts.

--- a/crates/alderglade-core/src/fleet/group.rs
+++ b/crates/alderglade-core/src/fleet/group.rs
@@ -44,6 +44,11 @@
         1 << self.bits
     }
 
+    /// Says whether all hosts are of one group.
+    pub fn is_single(self) -> bool {
+        self.bits == 0
+    }
+
     /// Gives the group of a host.
     pub fn of_host(self, host: &str) -> Group {
         let hash = xxh3_64(host.as_bytes());
@@ -98,7 +103,7 @@
     /// Deals servers to the groups.
     pub fn deal<'a>(&mut self, servers: impl Iterator<Item = &'a Server>) {
         self.servers.clear();
-        if self.division == Division::default() {
+        if self.division.is_single() {
             return;
         }
         let mut services: BTreeMap<&Name, Vec<&Server>> = BTreeMap::new();
@@ -122,11 +127,29 @@
 
     /// Says whether two hosts are of the same group.
     pub fn are_together(&self, host: &str, other: &str) -> bool {
-        self.division == Division::default() || self.of_host(host) == self.of_host(other)
+        self.division.is_single() || self.of_host(host) == self.of_host(other)
     }
 
     /// Says whether a server is of a host's group.
     pub fn is_shared(&self, host: &str, server: Key) -> bool {
-        self.division == Division::default() || self.of_host(host) == self.of_server(server)
+        self.division.is_single() || self.of_host(host) == self.of_server(server)
+    }
+
+    /// Gives those of some servers that are of a host's group, or all of them where there are fewer than `least`.
+    pub fn share<'a>(
+        &self,
+        host: &str,
+        mut servers: Vec<&'a Server>,
+        least: usize,
+    ) -> Vec<&'a Server> {
+        if self.division.is_single() {
+            return servers;
+        }
+        let own = self.of_host(host);
+        let is_shared = |server: &&Server| self.of_server(server.key()) == own;
+        if servers.iter().filter(|server| is_shared(server)).count() >= least {
+            servers.retain(is_shared);
+        }
+        servers
     }
 }
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -110,31 +110,26 @@
         let near = heard.iter().filter(|host| host.near);
         let (group, others): (Vec<&Neighbour<'a>>, Vec<_>) =
             near.partition(|host| self.place(host.name).0 == turn);
-        let watches = |host: &&Neighbour<'a>| host.word.in_contact;
-        let in_turn = |every| beat.is_multiple_of(every);
-        let names = |hosts: Vec<&Neighbour<'a>>| -> Vec<&'a Name> {
-            hosts.iter().map(|host| host.name).collect()
+        let watchers = |hosts: &[&Neighbour<'a>]| -> Vec<&'a Name> {
+            let watchers = hosts.iter().filter(|host| host.word.in_contact);
+            watchers.map(|host| host.name).collect()
         };
-        let watchers: Vec<&Neighbour<'a>> = group.iter().copied().filter(watches).collect();
-        if !watchers.is_empty() || self.division == Division::default() {
-            return if in_turn(WATCHER_EVERY) {
-                names(watchers)
-            } else {
-                Vec::new()
-            };
-        }
-        let mut seniors = group;
-        seniors.retain(|host| **host.name < *name);
-        seniors.sort_unstable_by_key(|host| host.name);
-        if seniors.len() < WATCHERS {
-            return names(others.into_iter().filter(watches).collect());
-        }
-        seniors.truncate(WATCHERS);
-        if in_turn(SENIOR_EVERY) {
-            names(seniors)
+        let of_group = watchers(&group);
+        let seniors = group.iter().map(|host| host.name);
+        let mut seniors: Vec<&'a Name> = seniors.filter(|host| ***host < *name).collect();
+        seniors.sort_unstable();
+        let (mut sources, every) = if !of_group.is_empty() || self.division.is_single() {
+            (of_group, WATCHER_EVERY)
+        } else if seniors.len() < WATCHERS {
+            (watchers(&others), 1)
         } else {
-            Vec::new()
+            seniors.truncate(WATCHERS);
+            (seniors, SENIOR_EVERY)
+        };
+        if !beat.is_multiple_of(every) {
+            sources.clear();
         }
+        sources
     }
 
     /// Says whether the host can't go by the watchers' word: it is old, or the store gave no answer.
--- a/crates/alderglade-core/tests/testsuite/fleet/group.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/group.rs
@@ -111,6 +111,45 @@
     assert!(moved.count() < division.groups() as usize);
 }
 
+/// The hosts that each host hears, where those given watch the store.
+fn heard<'a>(
+    all: &'a [Host],
+    own: &Host,
+    division: Division,
+    watch: &BTreeSet<Name>,
+) -> Vec<Neighbour<'a>> {
+    let others = all.iter().filter(|(name, _)| *name != own.0);
+    let heard = others.filter(|(name, domain)| {
+        let together = division.of_host(name) == division.of_host(&own.0);
+        together || (*domain == own.1 && watch.contains(name))
+    });
+    let neighbour = |(name, domain): &'a Host| Neighbour {
+        name,
+        domain,
+        near: *domain == own.1,
+        word: Word {
+            in_contact: watch.contains(name),
+            ..Word::default()
+        },
+    };
+    heard.map(neighbour).collect()
+}
+
+/// What a host knows itself.
+fn own_word(host: &Host, division: Division) -> Own<'_> {
+    Own {
+        name: &host.0,
+        domain: &host.1,
+        division,
+        config: 1,
+        servers: 1,
+        age: Some(Duration::from_secs(1)),
+        bound: Some(Duration::from_secs(5)),
+        lost: false,
+        listed: true,
+    }
+}
+
 /// The datagrams that the hosts of a fleet send in a second while nothing happens, as a mean, and those of the busiest.
 fn datagrams(count: usize) -> (f64, f64) {
     let all = hosts(count);
@@ -292,37 +331,14 @@
     fn step(&mut self) {
         self.now = self.now + Self::STEP;
         let live: Vec<usize> = self.live().collect();
-        let roles: Vec<Role> = self.relays.iter().map(Relay::role).collect();
+        let hosts: Vec<Host> = live.iter().map(|host| self.hosts[*host].clone()).collect();
+        let watch = live
+            .iter()
+            .filter(|host| self.relays[**host].role() == Role::Watcher);
+        let watch: BTreeSet<Name> = watch.map(|host| self.hosts[*host].0.clone()).collect();
         for own in &live {
-            let (name, domain) = &self.hosts[*own];
-            let heard = live.iter().filter(|other| *other != own);
-            let heard = heard.filter_map(|other| {
-                let (other_name, other_domain) = &self.hosts[*other];
-                let near = other_domain == domain;
-                let watches = roles[*other] == Role::Watcher;
-                let together = self.division.of_host(name) == self.division.of_host(other_name);
-                (together || (near && watches)).then_some(Neighbour {
-                    name: other_name,
-                    domain: other_domain,
-                    near,
-                    word: Word {
-                        in_contact: watches,
-                        ..Word::default()
-                    },
-                })
-            });
-            let heard: Vec<Neighbour<'_>> = heard.collect();
-            let own_word = Own {
-                name,
-                domain,
-                division: self.division,
-                config: 1,
-                servers: 1,
-                age: Some(Duration::from_secs(1)),
-                bound: Some(Duration::from_secs(5)),
-                lost: false,
-                listed: true,
-            };
+            let heard = heard(&hosts, &self.hosts[*own], self.division, &watch);
+            let own_word = own_word(&self.hosts[*own], self.division);
             let role = self.relays[*own].settle(&own_word, &heard, self.now);
             if role == Role::Watcher {
                 self.ever.insert(*own);
@@ -361,30 +377,6 @@
     assert!(watchers.iter().all(|host| !election.dead.contains(host)));
 }
 
-/// The hosts that each host hears, where those given watch the store.
-fn heard<'a>(
-    all: &'a [Host],
-    own: &Host,
-    division: Division,
-    watch: &BTreeSet<Name>,
-) -> Vec<Neighbour<'a>> {
-    let others = all.iter().filter(|(name, _)| *name != own.0);
-    let heard = others.filter(|(name, domain)| {
-        let together = division.of_host(name) == division.of_host(&own.0);
-        together || (*domain == own.1 && watch.contains(name))
-    });
-    let neighbour = |(name, domain): &'a Host| Neighbour {
-        name,
-        domain,
-        near: *domain == own.1,
-        word: Word {
-            in_contact: watch.contains(name),
-            ..Word::default()
-        },
-    };
-    heard.map(neighbour).collect()
-}
-
 /// The pattern: each host asks one of the two watchers of its failure domain how old the store's word is, so that a watcher
 /// answers the more the larger the domain is. Questions and answers must leave room in a host's 13 KB a second.
 #[test]
@@ -401,17 +393,7 @@
         let mut asked: BTreeMap<&Name, f64> = BTreeMap::new();
         for host in &all {
             let heard = heard(&all, host, division, &watch);
-            let own = Own {
-                name: &host.0,
-                domain: &host.1,
-                division,
-                config: 1,
-                servers: 1,
-                age: Some(Duration::from_secs(1)),
-                bound: Some(Duration::from_secs(5)),
-                lost: false,
-                listed: true,
-            };
+            let own = own_word(host, division);
             let mut any = false;
             for beat in 0..BEATS {
                 let sources = own.sources(&heard, beat);
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -7,7 +7,6 @@
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::book::Book;
 use alderglade_core::fleet::directory::Server;
-use alderglade_core::fleet::group::Groups;
 use alderglade_core::fleet::health::Health;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::incarnation::Key;
@@ -123,7 +122,7 @@
             let closed = closed_for(backoffs, limits, server.key(), now);
             self.is_home(homes, server) && closed.is_zero()
         });
-        let shared = self.shared(groups, open.collect(), LEAST_ENGINES);
+        let shared = groups.share(&self.settings.host, open.collect(), LEAST_ENGINES);
         let engines = shared.into_iter().map(|server| {
             let key = server.key();
             Engine {
@@ -139,22 +138,6 @@
         engines.collect()
     }
 
-    /// Gives those of some servers that this host shares with its group, or all of them where there are fewer than `least`.
-    fn shared<'a>(
-        &self,
-        groups: &Groups,
-        servers: Vec<&'a Server>,
-        least: usize,
-    ) -> Vec<&'a Server> {
-        let own = &self.settings.host;
-        let is_shared = |server: &&&Server| groups.is_shared(own, server.key());
-        if servers.iter().filter(is_shared).count() < least {
-            return servers;
-        }
-        let shared = servers.iter().filter(is_shared);
-        shared.copied().collect()
-    }
-
     /// Smooths the pressure on the engines: takes what it is now and gives its recent mean.
     pub fn pressure(&self, now_is: f64) -> f64 {
         /// The time over which the mean is taken, in seconds; about as long as a long prompt is read.
@@ -181,7 +164,8 @@
         let servers = state.directory.of_service(service);
         let servers = servers.filter(|server| self.is_home(homes, server));
         let servers = servers.filter(|server| state.closed_for(server.key(), now).is_zero());
-        let servers = self.shared(&state.groups, servers.collect(), LEAST_SERVERS);
+        let own = &self.settings.host;
+        let servers = state.groups.share(own, servers.collect(), LEAST_SERVERS);
         let costs = servers
             .into_iter()
             .map(|server| (cost(server, rng.random::<f64>()), server));
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -9,7 +9,6 @@
 use alderglade_core::fleet::book::Notice;
 use alderglade_core::fleet::config::{Config, Patch};
 use alderglade_core::fleet::directory::Change;
-use alderglade_core::fleet::group::Division;
 use alderglade_core::fleet::message::{Host, Learnt, Message, Piece, Servers};
 use alderglade_core::fleet::pieces;
 use alderglade_core::fleet::position::Position;
@@ -95,22 +94,24 @@
         }
     }
 
-    /// Has hosts passed on to the hosts of the own domain, if this one watches: of many that start together, the first find
+    /// Has a host passed on to the hosts of the own domain, if this one watches: of many that start together, the first find
     /// few others in the store's list.
-    pub(super) fn tell_hosts(&self, hosts: &[Host]) {
-        /// Hosts in one message, some 40 bytes each.
-        const EACH: usize = 24;
-        if !self.state.borrow().watches_store() {
-            return;
-        }
-        for some in hosts.chunks(EACH) {
-            self.pass_on(Learnt::Hosts(some.to_vec()));
+    pub(super) fn tell_host(&self, host: &Host) {
+        let mut state = self.state.borrow_mut();
+        if state.watches_store() {
+            state.new_hosts.push(host.clone());
+            self.book_changed.notify_one();
         }
-        self.book_changed.notify_one();
     }
 
     /// Gives what the hosts of the own failure domain have not been told yet.
     pub fn take_outbox(&self) -> Vec<Learnt> {
+        /// Hosts in one message, some 40 bytes each.
+        const EACH: usize = 24;
+        let new_hosts = std::mem::take(&mut self.state.borrow_mut().new_hosts);
+        for some in new_hosts.chunks(EACH) {
+            self.pass_on(Learnt::Hosts(some.to_vec()));
+        }
         std::mem::take(&mut self.state.borrow_mut().outbox)
     }
 
@@ -156,7 +157,7 @@
 
     fn bridges(&self, concern: &Concern, beat: u64) -> Vec<SocketAddr> {
         let state = self.state.borrow();
-        if state.groups.division() == Division::default() {
+        if state.groups.division().is_single() {
             return Vec::new();
         }
         let sender = Sender {
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -52,23 +52,19 @@
     fn due(&self, topic: Topic) -> Option<Errand> {
         let now = clock::now();
         let chance = rand::rng().random::<f64>();
-        let mut borrowed = self.state.borrow_mut();
-        let state = &mut *borrowed;
+        let state = &mut *self.state.borrow_mut();
         let own = self.own(state, now);
         let heard: Vec<Neighbour<'_>> = state.book.heard(&self.settings.domain, now).collect();
         let before = state.relay.role();
         let errand = state.relay.errand(topic, &own, &heard, chance, now);
         if state.relay.role() != before {
             tell_role(state.relay.role(), &own, &heard);
+            if state.relay.role() == Role::Watcher {
+                state.new_hosts = state.hosts.all();
+            }
             // Peers judge its silence by what its last notice says, and watchers are heard more often.
             self.book_changed.notify_one();
         }
-        let begins = before != Role::Watcher && state.watches_store();
-        let known = begins.then(|| state.hosts.all());
-        drop(borrowed);
-        if let Some(known) = known {
-            self.tell_hosts(&known);
-        }
         errand
     }
 
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -2,7 +2,7 @@
 //!
 //! All of it changes together on the host's one thread, so that decisions never see half of a change.
 
-use super::Hosts;
+use super::{Host, Hosts};
 use crate::clock;
 use alderglade_core::Name;
 use alderglade_core::fleet::backoff::Backoffs;
@@ -69,6 +69,8 @@
     pub(super) relay: Relay,
     /// What the hosts of the own failure domain have not been told yet.
     pub(super) outbox: Vec<Learnt>,
+    /// Hosts of which they have not been told yet.
+    pub(super) new_hosts: Vec<Host>,
     /// Pieces of what watchers of the store tell of the servers.
     pub(super) pieces: Pieces,
     /// What each service may still be sent again.
@@ -104,6 +106,7 @@
             groups: Groups::default(),
             relay: Relay::default(),
             outbox: Vec::new(),
+            new_hosts: Vec::new(),
             pieces: Pieces::default(),
             budgets: HashMap::new(),
             silent: Backoffs::default(),
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -120,7 +120,7 @@
             News::HostUnreadable(fault) => self.host_faults(|faults| faults.note(&fault)),
             News::Host(host) => {
                 self.host_faults(|faults| faults.clear(&host.name));
-                self.tell_hosts(std::slice::from_ref(&host));
+                self.tell_host(&host);
                 self.state.borrow_mut().hosts.insert(host);
             }
             News::HostsListed => {
