Interfaces of the parts against overload: order delay, resumed streams, ranks, shares, urgency

Cause: slots, the wait queue of short prompts, shares of workspaces, ranks and resumed streams meet in placement::Work, Job and Dispatch; agreed first, the parts can be written side by side.

--- a/crates/alderglade-core/src/fleet/placement/demand.rs
+++ b/crates/alderglade-core/src/fleet/placement/demand.rs
@@ -27,7 +27,7 @@
         hold_policy::first_event_time_left(work) - 2.0 * fastest
     };
     Some(Demand {
-        due_ms: due as i32,
+        due_ms: (due + timing::to_millis(work.order_delay)) as i32,
         reading_ms: reading as u32,
     })
 }
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -54,6 +54,11 @@
     pub time_left: Duration,
     /// Whether the caller was refused before and has retried.
     pub is_retry: bool,
+    /// Whether the prompt continues a stream that another server began.
+    pub resumed: bool,
+    /// How much later than its due time the prompt ranks in the wait queue, because others have a higher rank or because
+    /// its workspace is over its share.
+    pub order_delay: Duration,
     /// The value of the answer, on a scale where an ordinary short reply has a value of about one.
     pub value: f64,
     /// Servers that have failed the prompt.
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -47,6 +47,8 @@
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
         is_retry: false,
+        resumed: false,
+        order_delay: Duration::ZERO,
         value: value(5_000),
         avoid: Vec::new(),
         stalled: Vec::new(),
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -64,6 +64,7 @@
         workspace: job.workspace.clone(),
         helpers,
         last_event,
+        urgency: None,
     };
     let needs_new_connection = !job.route.kind.is_repeatable();
     let request = build_request(node, job, &dispatch);
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -13,6 +13,7 @@
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::config::{Access, Config, Kind, Route};
 use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
+use alderglade_core::fleet::rank::Rank;
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::{Bytes, BytesMut};
@@ -166,6 +167,7 @@
         route,
         service,
         workspace,
+        rank: Rank::default(),
         homes,
         config: config.version,
         progress,
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -121,7 +121,7 @@
     let Some(profile) = profile(node, job) else {
         return decide_without_profile(node, job, state);
     };
-    let work = work(job, state, profile.stride);
+    let work = work(node, job, state, profile.stride);
     let engines = node.engines(&job.service, profile, &job.homes);
     let demand = placement::demand(&work, &profile, engines.len());
     let queued_before = demand.map_or(0, |demand| {
@@ -153,7 +153,7 @@
 }
 
 /// Returns the properties of a prompt that placement needs.
-fn work(job: &Job, state: &SendState, stride: u32) -> Work {
+fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
     let expected_output = prompt.expected_output_tokens();
     let output = expected_output
@@ -167,6 +167,8 @@
         waited: job.waited(),
         time_left: job.time_left(),
         is_retry: job.is_retry(),
+        resumed: false,
+        order_delay: node.share_delay(job),
         value: placement::value(prompt.tokens),
         avoid: state.avoid.clone(),
         stalled: state.stalled.clone(),
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -11,6 +11,7 @@
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::load_table::PauseClass;
+use alderglade_core::fleet::rank::Rank;
 use alderglade_core::fleet::request_state::{RequestState, Waiting};
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
@@ -48,6 +49,8 @@
     pub service: Name,
     /// The workspace that the request is served for, if any.
     pub workspace: Option<Name>,
+    /// The rank of the request among those of its service.
+    pub rank: Rank,
     /// The regions that the request may run in.
     pub homes: Homes,
     /// The version of the configuration that admitted the request.
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod restart;
 mod retry_budget;
+mod share;
 mod startup_sync;
 mod state;
 mod statement;
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -23,6 +23,7 @@
 use alderglade_core::fleet::rate_limit::Limits;
 use alderglade_core::fleet::reassembly::Reassembly;
 use alderglade_core::fleet::relay::{Relay, Role};
+use alderglade_core::fleet::share::Shares;
 use alderglade_core::time::Time;
 use rand::RngExt;
 use std::collections::HashMap;
@@ -81,6 +82,8 @@
     pub(super) loan_requests: LoanRequests,
     /// This host's running calls to plain backend servers.
     pub(super) calls: HashMap<Key, u32>,
+    /// The engine time that workspaces have used lately.
+    pub(super) shares: Shares,
 }
 
 impl Default for State {
@@ -112,6 +115,7 @@
             silent_owners: Backoffs::default(),
             loan_requests: LoanRequests::new(rand::rng().random()),
             calls: HashMap::new(),
+            shares: Shares::default(),
         }
     }
 }
--- a/crates/alderglade-serve/src/translate.rs
+++ b/crates/alderglade-serve/src/translate.rs
@@ -75,6 +75,9 @@
     pub helpers: Vec<Helper>,
     /// The id of the last event that the caller already has.
     pub last_event: Option<String>,
+    /// How early an engine admits the request, from `0`, which is first, to `9`; `None` for ordinary work, which the
+    /// engine treats like `5`.
+    pub urgency: Option<u8>,
 }
 
 /// The contents of the head of a backend server's response.
