Timely failover of streams: a resumed stream counts from its last event

Cause: a stream that a server broke was placed with the time since its arrival and the objective of its first event. Both had usually passed, so every engine counted as equally late and the stream was packed like a new one; a long one was held or given up. The time for which the new server may be silent counted from the arrival too, so it was zero for a stream older than the caller's timeout, and the new server was replaced before it could begin.

Change: caller::Expectation states which event the caller waits for, since when and how long. Placement and the silence limit use it. A resumed short prompt goes to the engine with the earliest next event, without packing; a resumed long one is sent as soon as a plan has memory. The phases of a change of servers are written to a debug line.

--- a/crates/alderglade-core/src/fleet/caller.rs
+++ b/crates/alderglade-core/src/fleet/caller.rs
@@ -3,6 +3,7 @@
 //! A caller that disconnects gets nothing, however good the answer would have been. So a silent server is abandoned
 //! while another one can still begin.
 
+use crate::time::Time;
 use std::time::Duration;
 
 /// The minimum time for which a caller waits for the first or the next event. This and the two factors below are
@@ -16,6 +17,45 @@
 /// to begin.
 const SILENCE_FRACTION: f64 = 0.6;
 
+/// The event that the caller of a stream waits for, and how soon it must come to be in time.
+///
+/// For a stream that another server began, this is the next event after the last one that was relayed. The objective of
+/// the first event has usually passed by then; measured by it, every engine would be equally late, and none preferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Expectation {
+    /// When the caller began to wait for the event.
+    pub since: Time,
+    /// The maximum time from then to the event for the answer to earn its full value.
+    pub objective: Duration,
+    /// Whether events of another server precede the event.
+    pub resumed: bool,
+}
+
+impl Expectation {
+    /// Returns the expectation of a stream's first event.
+    pub fn first(arrived: Time, objective: Duration) -> Expectation {
+        Expectation {
+            since: arrived,
+            objective,
+            resumed: false,
+        }
+    }
+
+    /// Returns the expectation of the event after one that was relayed at `last_event`.
+    pub fn next(last_event: Time, longest_pause: Duration) -> Expectation {
+        Expectation {
+            since: last_event,
+            objective: longest_pause,
+            resumed: true,
+        }
+    }
+
+    /// Returns how long the caller has waited for the event.
+    pub fn waited(&self, now: Time) -> Duration {
+        now.since(self.since)
+    }
+}
+
 /// Returns how long a caller waits for the first or the next event.
 pub fn response_timeout(objective: Duration, longest_pause: Duration) -> Duration {
     MIN_TIMEOUT
--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -28,15 +28,20 @@
     let Some(costed) = cheapest(work, &pool, full_read, max_parts, state.pressure) else {
         return wait_or_refuse(work, fastest);
     };
+    // The caller already waits for the next event, and a hold would only lengthen the pause.
+    if work.resumed {
+        return Decision::Send(costed.plan);
+    }
     match hold_policy::reason_to_wait(work, &costed, fastest, full_read, state) {
         Some(reason) => hold(work, reason),
         None => Decision::Send(costed.plan),
     }
 }
 
-/// Holds a prompt, or gives it up if it has been held for long enough.
+/// Holds a prompt, or gives it up if it has been held for long enough. A resumed stream is not given up while its
+/// caller stays, because that caller would lose what it has.
 fn hold(work: &Work, reason: Reason) -> Decision {
-    if hold_policy::should_give_up(work) {
+    if !work.resumed && hold_policy::should_give_up(work) {
         return Decision::Refuse(GIVE_UP_RETRY_DELAY);
     }
     Decision::Wait(Wait {
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -44,11 +44,12 @@
     pub prompt: u64,
     /// The memory that the prompt and its answer need, in tokens.
     pub memory: u64,
-    /// The latency objective: the maximum time from arrival to the first event for the answer to earn its full value.
+    /// The latency objective: the maximum time from arrival to the first event for the answer to earn its full value. For
+    /// a resumed stream, the longest pause between events.
     pub objective: Duration,
-    /// The time from arrival after which the caller leaves if no first event has come.
+    /// The time after which the caller leaves if no event has come, counted like `waited`.
     pub caller_timeout: Duration,
-    /// How long the prompt has waited.
+    /// How long the prompt has waited: since its arrival, or for a resumed stream since its last event.
     pub waited: Duration,
     /// How long the caller will still wait for the whole answer.
     pub time_left: Duration,
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -84,6 +84,9 @@
 /// Returns the cost of choosing an engine, in milliseconds of [`PACKING_MS`].
 fn cost(work: &Work, candidate: &Candidate<'_>) -> f64 {
     let engine = candidate.engine;
+    if work.resumed {
+        return resumption_cost(work, engine);
+    }
     let packing = PACKING_MS * candidate.distance_from_end;
     // An engine without answers would be faster, but answering there makes it less suitable for long prompts: it counts
     // as if it were in the middle of a pass.
@@ -100,6 +103,19 @@
         + penalty(work, engine)
 }
 
+/// Returns the cost of continuing a stream at an engine, in milliseconds. Its caller notices every millisecond of the
+/// pause, so the time to the next event counts in full, and no engine is kept free for long prompts.
+///
+/// When a server breaks a dozen streams, several hosts look for the earliest engine at the same moment. An engine that
+/// is earlier by less than the time to read one such prompt gains nothing if two of them meet there; the jitter has
+/// that size.
+fn resumption_cost(work: &Work, engine: &Engine) -> f64 {
+    let part = engine.profile.read_ms(work.prompt);
+    let lateness = LATENESS_COST_MS * value_made_late(work, engine, part);
+    let jitter = part * jitter::jitter(work, engine);
+    timing::first_event(engine, part) + lateness + jitter + penalty(work, engine)
+}
+
 /// Returns the value that a prompt makes late at an engine that reads it in `part` milliseconds: of its own answer and
 /// of the answers that run there.
 fn value_made_late(work: &Work, engine: &Engine, part: f64) -> f64 {
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -23,6 +23,7 @@
 use alderglade_core::fleet::placement::{Plan, Reason};
 use alderglade_core::fleet::request_state::{RequestState, Sent, Waiting};
 use alderglade_core::request::Refusal;
+use alderglade_core::time::Time;
 use http::Response;
 use std::rc::Rc;
 use std::time::Duration;
@@ -115,6 +116,10 @@
     pub stalled: Vec<Key>,
     /// Reasons for which the prompt was held back so far; each one is logged once.
     pub held_for: Vec<Reason>,
+    /// When the last event of the stream was relayed; `None` until a server has sent one.
+    pub last_event_at: Option<Time>,
+    /// When the latest plan was made.
+    pub placed_at: Option<Time>,
 }
 
 impl SendState {
@@ -166,13 +171,14 @@
         job.check_quarantine(node, &request_state).await?;
         state.total += 1;
         state.readers.clone_from(&plan.helpers);
+        state.placed_at = Some(clock::now());
         log_placed(node, job, &placed.server, &plan, state.total);
         job.progress
             .set_stage(Stage::Sent(placed.server.id().clone()));
         state.sends += 1;
         state.arrivals += 1;
         let sent = request_state.send();
-        let silence = silence(job, &plan);
+        let silence = silence(job, &plan, state.last_event_at);
         let options = SendOptions {
             permit,
             last_event: last_event.clone(),
@@ -256,10 +262,11 @@
 }
 
 /// Returns how long a server may stay silent before its first event: until the event is too late, or until its caller
-/// might leave before another server begins.
-fn silence(job: &Job, plan: &Plan) -> Duration {
+/// might leave before another server begins. `last_event` is when the last event of another server was relayed.
+fn silence(job: &Job, plan: &Plan, last_event: Option<Time>) -> Duration {
     let late = plan.time_to_first_event * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK;
-    let caller_timeout = job.caller_timeout().saturating_sub(job.waited());
+    let waited = job.expectation(last_event).waited(clock::now());
+    let caller_timeout = job.caller_timeout().saturating_sub(waited);
     caller::silence_timeout(caller_timeout).min(late)
 }
 
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -155,6 +155,7 @@
 /// Returns the properties of a prompt that placement needs.
 fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
+    let expectation = job.expectation(state.last_event_at);
     let expected_output = prompt.expected_output_tokens();
     let output = expected_output
         .max(u64::from(stride))
@@ -162,12 +163,12 @@
     Work {
         prompt: prompt.tokens,
         memory: prompt.tokens + output,
-        objective: job.route.objective,
+        objective: expectation.objective,
         caller_timeout: job.caller_timeout(),
-        waited: job.waited(),
+        waited: expectation.waited(clock::now()),
         time_left: job.time_left(),
         is_retry: job.is_retry(),
-        resumed: false,
+        resumed: expectation.resumed,
         order_delay: node.share_delay(job),
         value: placement::value(prompt.tokens),
         avoid: state.avoid.clone(),
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -6,7 +6,7 @@
 use crate::translate::{Prompt, RequestInfo};
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
-use alderglade_core::fleet::caller;
+use alderglade_core::fleet::caller::{self, Expectation};
 use alderglade_core::fleet::config::Route;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::homes::Homes;
@@ -94,6 +94,14 @@
         clock::now().since(self.arrived())
     }
 
+    /// Returns the event that the caller waits for, if the last one was relayed at `last_event`.
+    pub fn expectation(&self, last_event: Option<Time>) -> Expectation {
+        match last_event.zip(self.route.kind.longest_pause()) {
+            Some((last_event, longest_pause)) => Expectation::next(last_event, longest_pause),
+            None => Expectation::first(self.arrived(), self.route.objective),
+        }
+    }
+
     /// Returns how long the caller waits for the first or the next event.
     pub fn caller_timeout(&self) -> Duration {
         let longest_pause = self.route.kind.longest_pause();
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a stream to its caller event by event, and continues it on another server when its server fails.
 
 mod end;
+mod failover;
 mod part;
 mod take_over;
 
@@ -19,6 +20,7 @@
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use end::End;
+use failover::Failover;
 use http::Response;
 use part::{Frame, ServerPart};
 use std::rc::Rc;
@@ -40,9 +42,9 @@
     last_event: Option<String>,
     /// When the first event was relayed.
     first_event_at: Option<Time>,
-    /// When the last event was relayed.
-    last_event_at: Option<Time>,
     longest_pause: Duration,
+    /// The change of servers since whose begin no event was relayed.
+    failover: Option<Failover>,
     _in_flight: RequestGuard,
 }
 
@@ -76,8 +78,8 @@
         state,
         body_sender,
         first_event_at: None,
-        last_event_at: None,
         longest_pause: Duration::ZERO,
+        failover: None,
         _in_flight: in_flight,
     };
     tokio::task::spawn_local(relay.run(open));
@@ -116,10 +118,11 @@
                 }
                 Err(Interruption::Silent) => match self.find_replacement(&mut part).await {
                     Ok(None) => {
+                        self.failover = None;
                         part.reservation.resume();
                         self.record_stage(&part);
                     }
-                    Ok(Some(open)) => part = self.begin(open),
+                    Ok(Some(open)) => part = self.continue_with(open),
                     Err(end) => return end,
                 },
                 Err(Interruption::Failed(problem)) => {
@@ -137,7 +140,7 @@
                         return End::Failed(problem);
                     }
                     part = match self.reopen().await {
-                        Ok(open) => self.begin(open),
+                        Ok(open) => self.continue_with(open),
                         Err(end) => return end,
                     };
                 }
@@ -153,6 +156,15 @@
         part
     }
 
+    /// Begins with the part of a server that continues the stream.
+    fn continue_with(&mut self, open: OpenStream) -> ServerPart {
+        let now = clock::now();
+        if let Some(failover) = &mut self.failover {
+            failover.begin(self.state.placed_at.unwrap_or(now), now);
+        }
+        self.begin(open)
+    }
+
     /// Records in the request's progress that this server's part is being relayed.
     fn record_stage(&self, part: &ServerPart) {
         let stage = Stage::Forwarding(part.server.id().clone());
@@ -161,6 +173,10 @@
 
     /// Records and logs that a server failed the stream.
     fn record_failure(&mut self, part: &ServerPart, problem: &str) {
+        let now = clock::now();
+        let waiting_since = self.job.expectation(self.state.last_event_at).since;
+        self.failover
+            .get_or_insert_with(|| Failover::detected(waiting_since, now));
         attempt::log_failure(&self.job, &part.server, self.state.total, problem);
         self.node.record_outcome(part.server.key(), Outcome::Failed);
         self.state.avoid.push(part.server.key());
@@ -277,6 +293,9 @@
         if let Some(pause) = self.record_pause() {
             self.check_slowness(part, pause);
         }
+        if let Some(failover) = self.failover.take() {
+            self.log_failover(part, &failover);
+        }
         if part.first_event_at.is_none() {
             part.first_event_at = Some(clock::now());
             part.silence = MAX_SILENCE.min(caller::silence_timeout(self.job.caller_timeout()));
@@ -290,12 +309,26 @@
     fn record_pause(&mut self) -> Option<Duration> {
         let now = clock::now();
         self.first_event_at.get_or_insert(now);
-        let last = self.last_event_at.replace(now)?;
+        let last = self.state.last_event_at.replace(now)?;
         let pause = now.since(last);
         self.longest_pause = self.longest_pause.max(pause);
         Some(pause)
     }
 
+    /// Logs where the time of a change of servers went.
+    fn log_failover(&self, part: &ServerPart, failover: &Failover) {
+        let phases = failover.phases(clock::now());
+        log::debug!(
+            "{} continues {}: break detected after {} ms, server chosen after {} ms, head after {} ms, event after {} ms",
+            part.server.id(),
+            self.job.info.id,
+            phases.detection.as_millis(),
+            phases.choice.as_millis(),
+            phases.head.as_millis(),
+            phases.first_event.as_millis(),
+        );
+    }
+
     /// Starts a check of the engine if its pauses are those of a slow one.
     fn check_slowness(&self, part: &mut ServerPart, pause: Duration) {
         let server = part.server.key();
