Slots in the forecast, and short prompts spread over free slots

Cause: the forecast of the first event left out the wait for a slot, so engines without a free one ranked before engines that read a long prompt, and hosts that chose within the delay of a notice filled the same engine.

Change: the load table averages for how long answers hold their slot (first event to end, per service) and how many requests all hosts place per second. `timing::first_event` includes the slot wait; reading a part for another engine's answer needs no slot. A short prompt goes to an engine without a free slot only if no trusted engine has one. If the best engine has no more free slots than there are placements in transit (rate times 10 ms), the choice is random among engines with enough free slots together. The engine that answers a long prompt has a free slot if possible. Plans state the slot wait. Fixtures of the placement tests got the new fields; their assertions are unchanged.

--- a/crates/alderglade-core/src/fleet/load_table.rs
+++ b/crates/alderglade-core/src/fleet/load_table.rs
@@ -4,9 +4,11 @@
 //! one. The holdings of a silent host expire. Prompt reading is sent as the total ever placed: an increase of that
 //! total is new work for the engine, and [`Progress`] computes when the engine finishes it.
 
+mod answer_time;
 mod load;
 mod notice;
 mod peer;
+mod placement_rate;
 mod queue;
 mod reservation;
 
@@ -22,7 +24,9 @@
 use super::relay::Neighbour;
 use crate::Name;
 use crate::time::Time;
+use answer_time::AnswerTimes;
 use peer::Peer;
+use placement_rate::PlacementRate;
 use queue::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -77,6 +81,10 @@
     engines: HashMap<Key, Engine>,
     /// When the last notice from a host of each failure domain arrived.
     domain_last_heard: HashMap<Name, Time>,
+    /// How long this host's answers hold their slots.
+    answer_times: AnswerTimes,
+    /// The placements of all hosts at engines.
+    placement_rate: PlacementRate,
 }
 
 impl LoadTable {
@@ -96,10 +104,29 @@
             .retain(|server, own| !is_obsolete(server, own));
     }
 
+    /// Replaces the services that engines belong to, over which answer times are averaged.
+    pub fn set_services(&mut self, services: HashMap<Key, Name>) {
+        self.answer_times.set_services(services);
+    }
+
+    /// Returns for how long an answer of a server's service holds its slot, on average over the answers of this host;
+    /// `None` until one has ended.
+    pub fn answer_time(&self, server: Key) -> Option<Duration> {
+        self.answer_times.of(server)
+    }
+
+    /// Returns the number of requests that all hosts place at engines per second.
+    pub fn placements_per_second(&self, now: Time) -> f64 {
+        self.placement_rate.per_second(now)
+    }
+
     /// Records a placement, with its load at all servers that take part.
     pub fn reserve(&mut self, reservation: Reservation, now: Time) -> ReservationId {
         self.last_id += 1;
         let id = ReservationId(self.last_id);
+        if self.engines.contains_key(&reservation.primary) {
+            self.placement_rate.record(1, now);
+        }
         self.add_own_load(reservation.primary, &reservation.load, now);
         for helper in &reservation.helpers {
             self.add_own_load(helper.server, &helper.load, now);
@@ -119,6 +146,7 @@
         let was_multi_engine = std::mem::take(&mut reservation.multi_engine);
         self.own_multi_engine_prompts -= u32::from(was_multi_engine);
         let server = reservation.primary;
+        self.answer_times.begin(id, now);
         let pace = self.pace(server);
         if let (Some(pace), Some(engine)) = (pace, self.engines.get_mut(&server)) {
             engine.progress.end_pass(pace, now);
@@ -131,6 +159,7 @@
     /// Returns it without its reading, so that reserving it again doesn't count the same reading twice.
     pub fn release(&mut self, id: ReservationId, now: Time) -> Option<Reservation> {
         let reservation = self.reservations.remove(&id)?;
+        self.answer_times.end(id, reservation.primary, now);
         self.own_multi_engine_prompts -= u32::from(reservation.multi_engine);
         self.edit_load(reservation.primary, now, |load| {
             load.subtract(&reservation.load)
@@ -268,18 +297,27 @@
         let peer = peer.or_insert_with(|| Peer::new(notice, now));
         peer.update(notice, now);
         let mut arrivals: Vec<Arrival> = Vec::new();
+        let mut placements = 0;
         for holding in &notice.holdings {
             let server = holding.server;
             let total = self.totals.entry(server).or_default();
-            if let Some(old) = peer.set_load(holding) {
-                total.subtract(&old);
+            let old = peer.set_load(holding);
+            if let Some(old) = &old {
+                total.subtract(old);
             }
             total.add(&holding.load);
             let placed = peer.update_placed(holding);
             if placed > 0 {
                 arrivals.push(Arrival { server, placed });
+                if self.engines.contains_key(&server) {
+                    placements += placements_of(holding, old.as_ref());
+                }
             }
         }
+        // A full notice repeats what was reported before.
+        if placements > 0 && !notice.full {
+            self.placement_rate.record(placements, now);
+        }
         // The pace of an engine depends on the totals, so all of them must be updated first.
         for Arrival { server, placed } in arrivals {
             self.add_reading(server, placed, now);
@@ -394,6 +432,16 @@
     }
 }
 
+/// Returns how many requests a peer has placed at a server to be answered there, given what it held there before. An
+/// answer that ended in the meantime hides one, which is rare since changes are reported within a millisecond.
+fn placements_of(holding: &Holding, before: Option<&Load>) -> u64 {
+    /// The most placements that one notice adds for a server. It covers some milliseconds, so more are a mistake.
+    const MAX_PLACEMENTS: u64 = 16;
+    let before = before.map_or(0, |load| load.running);
+    let added = holding.load.running.saturating_sub(before);
+    u64::try_from(added).unwrap_or(0).min(MAX_PLACEMENTS)
+}
+
 /// Reading that a peer has placed since its last notice, in microseconds.
 struct Arrival {
     server: Key,
--- a/crates/alderglade-core/src/fleet/placement/cost.rs
+++ b/crates/alderglade-core/src/fleet/placement/cost.rs
@@ -1,11 +1,11 @@
 //! The cost of a placement, as lost value of the running answers and of the prompt's own answer.
 
-use super::timing::{first_event, pause, to_millis};
+use super::timing::{pause, reading, to_millis};
 use super::{Engine, Work};
 use crate::fleet::load_table::PauseClass;
 
-/// The share of an engine's slots above which short prompts go to the next engine. The remaining slots keep prompts
-/// from waiting while notices of other hosts' placements are in transit.
+/// The share of an engine's slots above which short prompts go to the next engine while that one is below it. Where
+/// engines are fuller than that, `spread` decides by the number of placements in transit.
 const PACKED_SLOT_SHARE: f64 = 0.75;
 /// The share of its value that a late answer still earns, as the users' sheets state it.
 pub const LATE_VALUE: f64 = 0.25;
@@ -66,7 +66,7 @@
     } else {
         OTHER_DOMAIN_COST_MS
     };
-    VALUE_PER_MS * (first_event(engine, part) + distance)
+    VALUE_PER_MS * (reading(engine, part) + distance)
 }
 
 /// Estimates the probability that an expected time turns out to exceed a limit. It rises from 0 at 0.75 of the limit to
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! `short` and `long` choose for the two kinds of prompts, and `parts` plans a long prompt over a number of engines.
 //! `hold_policy` decides whether a long prompt should wait, `demand` computes what its rank in the wait queue depends
-//! on, and `wait` describes the wait to operators. All of them use `cost` and `timing`. `jitter` keeps hosts that
-//! choose at the same moment from making the same choice.
+//! on, and `wait` describes the wait to operators. All of them use `cost`, `timing` and `slots`. `jitter` keeps hosts
+//! that choose at the same moment from making the same choice, and `spread` does where engines have few free slots.
 
 mod cost;
 mod demand;
@@ -17,11 +17,14 @@
 mod long;
 mod parts;
 mod short;
+mod slots;
+mod spread;
 mod timing;
 mod wait;
 
 pub use cost::LATE_VALUE;
 pub use demand::demand;
+pub use slots::{Slots, expected_answer_time};
 pub use wait::{Reason, Wait};
 
 use super::incarnation::Key;
@@ -81,6 +84,8 @@
     pub backlog: Backlog,
     /// The engine's timing.
     pub profile: EngineProfile,
+    /// How long an answer holds its slot there.
+    pub answer_time: Duration,
     /// The pauses that its answers tolerate.
     pub pauses: Pauses,
     /// Whether the engine is in the host's own failure domain.
@@ -111,6 +116,8 @@
     pub part_ms: f64,
     /// The expected time from now to the first event.
     pub time_to_first_event: Duration,
+    /// The part of this time for which the prompt waits for a slot of the engine that answers.
+    pub slot_wait: Duration,
     /// Whether the prompt occupies many engines at once.
     pub multi_engine: bool,
 }
@@ -137,6 +144,8 @@
     pub pressure: f64,
     /// The number of engines.
     pub engines: usize,
+    /// The number of requests that all hosts place per second.
+    pub placements_per_second: f64,
 }
 
 /// Returns how busy engines are with reading now, on the scale of [`ServiceState::pressure`].
@@ -168,7 +177,7 @@
     }
     let usable = usable(work, engines);
     if work.prompt < SHORT_PROMPT_TOKENS {
-        return short::choose(work, engines, &usable);
+        return short::choose(work, engines, &usable, state);
     }
     long::choose(work, &usable, state)
 }
--- a/crates/alderglade-core/src/fleet/placement/parts.rs
+++ b/crates/alderglade-core/src/fleet/placement/parts.rs
@@ -2,7 +2,7 @@
 //! reserve memory. Computes the cost of the plan.
 
 use super::cost::{self, LATE_VALUE};
-use super::{Engine, MAX_PARTS, Plan, Share, Work, hold_policy, timing};
+use super::{Engine, MAX_PARTS, Plan, Share, Work, hold_policy, slots, timing};
 use crate::fleet::incarnation::Key;
 
 /// A prompt with parts longer than this counts as one that occupies many engines, of which few may be read at a time.
@@ -41,13 +41,13 @@
     part: f64,
     pressure: f64,
 ) -> Option<CostedPlan> {
-    let ranked = rank(pool, part);
+    let ranked = rank(pool, part, count == 1);
     let chosen = &ranked[..count];
     let (primary, shares) = match writing_engine(work, pool, chosen, part) {
         Some(engine) => (engine, Vec::new()),
         None => engine_with_memory(work, &ranked, chosen)?,
     };
-    let first_event = first_event(chosen, part, pressure);
+    let first_event = first_event(chosen, primary, part, pressure);
     let harm: f64 = chosen.iter().map(|engine| cost::harm(engine, part)).sum();
     let plan = Plan {
         primary: primary.id,
@@ -55,6 +55,7 @@
         shares,
         part_ms: part,
         time_to_first_event: timing::from_millis(first_event),
+        slot_wait: timing::from_millis(slots::wait_ms(primary)),
         multi_engine: part > MULTI_ENGINE_PART_MS,
     };
     Some(CostedPlan {
@@ -64,17 +65,19 @@
     })
 }
 
-/// Orders engines by the harm that reading a part does there; among equals the faster ones come first.
-fn rank<'a>(pool: &[&'a Engine], part: f64) -> Vec<&'a Engine> {
-    let mut ranked: Vec<(f64, &Engine)> = pool
+/// Orders engines by the harm that reading a part does there; among equals the faster ones come first. If the engine
+/// that reads also `answers`, those with a free slot precede the others.
+fn rank<'a>(pool: &[&'a Engine], part: f64, answers: bool) -> Vec<&'a Engine> {
+    let mut ranked: Vec<(bool, f64, &Engine)> = pool
         .iter()
         .map(|engine| {
+            let lacks_slot = answers && slots::free(engine) == 0;
             let cost = cost::harm(engine, part) + cost::slowness(engine, part);
-            (cost, *engine)
+            (lacks_slot, cost, *engine)
         })
         .collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    ranked.into_iter().map(|(_, engine)| engine).collect()
+    ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    ranked.into_iter().map(|(_, _, engine)| engine).collect()
 }
 
 /// Returns the engine that answers a prompt read by several engines: the one with the most running answers, of those
@@ -95,7 +98,7 @@
     if chosen.len() < 2 {
         return None;
     }
-    let latest = slowest_first_event(chosen, part) + MAX_EXTRA_DELAY_MS;
+    let latest = slowest_reading(chosen, part) + MAX_EXTRA_DELAY_MS;
     let writing = pool.iter().copied().filter(|engine| {
         let running = engine.load.running;
         running > 0 && running < cost::long_answer_limit(engine)
@@ -107,8 +110,8 @@
         .max_by_key(|engine| engine.load.running)
 }
 
-/// Returns an engine with enough free memory to answer: the chosen one with the most, else the best-ranked one of the
-/// pool. If there is none, the chosen engines share the memory.
+/// Returns an engine with enough free memory to answer, if possible with a free slot: the chosen one with the most
+/// memory, else the best-ranked one of the pool. If there is none, the chosen engines share the memory.
 fn engine_with_memory<'a>(
     work: &Work,
     ranked: &[&'a Engine],
@@ -116,12 +119,19 @@
 ) -> Option<(&'a Engine, Vec<Share>)> {
     let roomiest = chosen
         .iter()
-        .max_by_key(|engine| timing::free_memory(engine))
+        .max_by_key(|engine| (slots::free(engine) > 0, timing::free_memory(engine)))
         .copied()?;
-    if has_memory(roomiest, work) {
+    let can_answer = |engine: &Engine| slots::free(engine) > 0 && has_memory(engine, work);
+    if can_answer(roomiest) {
         return Some((roomiest, Vec::new()));
     }
-    match ranked.iter().find(|engine| has_memory(engine, work)) {
+    let answering = ranked.iter().find(|engine| can_answer(engine));
+    let with_memory = || {
+        let engines = chosen.iter().chain(ranked);
+        let engines = engines.filter(|engine| has_memory(engine, work));
+        engines.min_by(|a, b| slots::wait_ms(a).total_cmp(&slots::wait_ms(b)))
+    };
+    match answering.or_else(with_memory) {
         Some(engine) => Some((engine, Vec::new())),
         None => Some((roomiest, split_memory(work, chosen)?)),
     }
@@ -132,17 +142,23 @@
     timing::free_memory(engine) >= work.memory as i64
 }
 
-/// Returns the expected time to the first event in milliseconds. The slowest of the chosen engines determines it.
-fn first_event(chosen: &[&Engine], part: f64, pressure: f64) -> f64 {
+/// Returns the expected time to the first event in milliseconds. The slowest of the chosen engines determines it, or
+/// the answering one if it has no free slot.
+fn first_event(chosen: &[&Engine], primary: &Engine, part: f64, pressure: f64) -> f64 {
     // Parts of later prompts may be read first; the higher the pressure, the more of them.
-    slowest_first_event(chosen, part * (1.0 + pressure))
+    let part = part * (1.0 + pressure);
+    let slowest = slowest_reading(chosen, part);
+    if slots::free(primary) > 0 {
+        return slowest;
+    }
+    slowest.max(timing::first_event(primary, part))
 }
 
-/// Returns the time to the first event on the slowest of the chosen engines, in milliseconds.
-fn slowest_first_event(chosen: &[&Engine], part: f64) -> f64 {
+/// Returns the time until the slowest of the chosen engines has read its part, in milliseconds.
+fn slowest_reading(chosen: &[&Engine], part: f64) -> f64 {
     chosen
         .iter()
-        .map(|engine| timing::first_event(engine, part))
+        .map(|engine| timing::reading(engine, part))
         .fold(0.0, f64::max)
 }
 
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -4,7 +4,7 @@
 //! early ones stay free of short answers and can read long prompts.
 
 use super::cost::{self, OTHER_DOMAIN_COST_MS};
-use super::{Decision, Engine, Plan, Work, jitter, timing};
+use super::{Decision, Engine, Plan, ServiceState, Work, jitter, slots, spread, timing};
 use std::time::Duration;
 
 /// How much longer a short prompt may wait for the last engine of the order than for the first, in milliseconds. This
@@ -28,27 +28,43 @@
 const NO_USABLE_ENGINE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Chooses the engine of a short prompt, or refuses the prompt if its caller would leave before the first event.
-pub(super) fn choose(work: &Work, engines: &[Engine], usable: &[&Engine]) -> Decision {
-    let costs =
-        candidates(engines, usable).map(|candidate| (cost(work, &candidate), candidate.engine));
-    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
-    let best = best.map(|(_, engine)| engine);
-    let Some(best) = best else {
+///
+/// An engine without a free slot is chosen only if no trusted engine has one.
+pub(super) fn choose(
+    work: &Work,
+    engines: &[Engine],
+    usable: &[&Engine],
+    state: &ServiceState,
+) -> Decision {
+    let pool = slots::with_free_slot(usable);
+    let pool = if pool.is_empty() { usable } else { &pool };
+    let mut ranked: Vec<(f64, &Engine)> = candidates(engines, pool)
+        .map(|candidate| (cost(work, &candidate), candidate.engine))
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let ranked: Vec<&Engine> = ranked.into_iter().map(|(_, engine)| engine).collect();
+    let Some(chosen) = spread::choose(work, &ranked, state.placements_per_second) else {
         return Decision::Refuse(NO_USABLE_ENGINE_RETRY_DELAY);
     };
-    let part = best.profile.read_ms(work.prompt);
-    let first_event = timing::first_event(best, part);
-    if first_event > timing::to_millis(work.time_left) {
-        return Decision::Refuse(timing::from_millis(first_event / 2.0));
+    let plan = plan(work, chosen);
+    if plan.time_to_first_event > work.time_left {
+        return Decision::Refuse(plan.time_to_first_event / 2);
     }
-    Decision::Send(Plan {
-        primary: best.id,
+    Decision::Send(plan)
+}
+
+/// Returns the plan to send a short prompt to an engine.
+pub(super) fn plan(work: &Work, engine: &Engine) -> Plan {
+    let part = engine.profile.read_ms(work.prompt);
+    Plan {
+        primary: engine.id,
         helpers: Vec::new(),
         shares: Vec::new(),
         part_ms: part,
-        time_to_first_event: timing::from_millis(first_event),
+        time_to_first_event: timing::from_millis(timing::first_event(engine, part)),
+        slot_wait: timing::from_millis(slots::wait_ms(engine)),
         multi_engine: false,
-    })
+    }
 }
 
 /// An engine with its position in the order of the service.
@@ -110,8 +126,6 @@
 
 /// Returns the cost of an engine apart from its time to the first event, in milliseconds.
 fn penalty(work: &Work, engine: &Engine) -> f64 {
-    /// The cost of each request that waits for a slot: about the time of one answer divided by the number of slots.
-    const NO_SLOT_COST_MS: f64 = 150.0;
     /// The cost of an engine without enough memory, where an answer may be preempted and read again.
     const NO_MEMORY_COST_MS: f64 = 1_000.0;
     /// The cost of each running answer above the packed limit, in milliseconds. Two of them exceed the cost of the
@@ -119,8 +133,7 @@
     const CROWDING_COST_MS: f64 = 80.0;
     let excess = engine.load.running as f64 - cost::packed_limit(engine);
     let mut penalty = CROWDING_COST_MS * excess.max(0.0);
-    let without_slot = engine.load.running + 1 - i64::from(engine.profile.slots);
-    penalty += NO_SLOT_COST_MS * without_slot.max(0) as f64;
+    penalty += slots::wait_ms(engine);
     if timing::free_memory(engine) < work.memory as i64 {
         penalty += NO_MEMORY_COST_MS;
     }
--- a/crates/alderglade-core/src/fleet/placement/timing.rs
+++ b/crates/alderglade-core/src/fleet/placement/timing.rs
@@ -1,7 +1,7 @@
 //! Estimates for an engine from the load that all hosts hold there: times in milliseconds, memory in
 //! tokens.
 
-use super::Engine;
+use super::{Engine, slots};
 use std::time::Duration;
 
 /// The share of an engine's memory that placements may fill. The rest is for answers longer than expected.
@@ -19,9 +19,15 @@
     engine.profile.idle_pass(running, context)
 }
 
-/// Returns the time to the first event of a prompt whose part takes `part`: the rest of the current pass, then the pass
-/// that reads the queued prompts and the part itself.
+/// Returns the time to the first event of a prompt whose part takes `part` and that is answered at the engine: the time
+/// until it has a slot, and the time to read it.
 pub(super) fn first_event(engine: &Engine, part: f64) -> f64 {
+    slots::wait_ms(engine) + reading(engine, part)
+}
+
+/// Returns the time until an engine has read a part that takes `part`: the rest of the current pass, then the pass that
+/// reads the queued prompts and the part itself. Reading a part for another engine's answer needs no slot.
+pub(super) fn reading(engine: &Engine, part: f64) -> f64 {
     let idle_passes = if engine.load.running > 0 { 1.0 } else { 0.5 };
     engine.backlog.pass_remaining + idle_passes * idle_pass(engine) + engine.backlog.queued + part
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -15,6 +15,7 @@
     queued_before: 0,
     pressure: 0.0,
     engines: 18,
+    placements_per_second: 0.0,
 };
 
 fn engines(count: usize) -> Vec<Engine> {
@@ -23,6 +24,7 @@
         load: Load::default(),
         backlog: Backlog::default(),
         profile: profile(),
+        answer_time: Duration::from_secs(2),
         pauses: Pauses::default(),
         same_domain: true,
         suspect: false,
@@ -393,6 +395,7 @@
             queued_before: u.int_in_range(0..=3)?,
             pressure: f64::from(u.int_in_range(0..=100u8)?) / 100.0,
             engines: engines.len(),
+            placements_per_second: 0.0,
         };
         if let Decision::Send(plan) = choose(&work, &engines, &state) {
             check(&work, &engines, &plan);
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -122,7 +122,7 @@
         return decide_without_profile(node, job, state);
     };
     let work = work(node, job, state, profile.stride);
-    let engines = node.engines(&job.service, profile, &job.homes);
+    let engines = node.engines(&job.service, profile, &job.homes, work.memory - work.prompt);
     let demand = placement::demand(&work, &profile, engines.len());
     let queued_before = demand.map_or(0, |demand| {
         let queued = queue.get_or_insert_with(|| node.enqueue(demand));
@@ -133,6 +133,11 @@
         multi_engine_prompts: node.state.borrow().loads.multi_engine_prompts(),
         pressure: node.update_pressure(placement::pressure(&engines)),
         engines: engines.len(),
+        placements_per_second: node
+            .state
+            .borrow()
+            .loads
+            .placements_per_second(clock::now()),
     };
     placement::choose(&work, &engines, &service)
 }
@@ -147,6 +152,7 @@
             shares: Vec::new(),
             part_ms: 0.0,
             time_to_first_event: job.route.objective,
+            slot_wait: Duration::ZERO,
             multi_engine: false,
         }),
     }
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -11,7 +11,7 @@
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::load_table::LoadTable;
 use alderglade_core::fleet::pass::EngineProfile;
-use alderglade_core::fleet::placement::Engine;
+use alderglade_core::fleet::placement::{self, Engine};
 use alderglade_core::time::Time;
 use rand::RngExt;
 use std::time::Duration;
@@ -69,6 +69,14 @@
     domain_silent || health.is_suspect(server.key(), own_domain, now)
 }
 
+/// Returns how long an answer of `output` tokens holds its slot at an engine: as observed, or as its profile states.
+fn answer_time(loads: &LoadTable, server: Key, profile: &EngineProfile, output: u64) -> Duration {
+    loads.answer_time(server).unwrap_or_else(|| {
+        let pass = loads.idle_pass(server).unwrap_or_default();
+        placement::expected_answer_time(profile, output, pass)
+    })
+}
+
 impl Node {
     /// Returns whether a request that is restricted to `homes` may run at a server.
     pub fn may_run_at(&self, homes: &Homes, server: &Server) -> bool {
@@ -108,8 +116,15 @@
     }
 
     /// Returns the engines of a service that accept work from this host now and may run a request that is restricted
-    /// to `homes`, ordered by id.
-    pub fn engines(&self, service: &str, profile: EngineProfile, homes: &Homes) -> Vec<Engine> {
+    /// to `homes`, ordered by id. `output` is the number of tokens that determines how long an answer holds its slot as
+    /// long as none has been observed.
+    pub fn engines(
+        &self,
+        service: &str,
+        profile: EngineProfile,
+        homes: &Homes,
+        output: u64,
+    ) -> Vec<Engine> {
         let now = clock::now();
         let own_domain = &self.settings.domain;
         let mut state = self.state.borrow_mut();
@@ -136,6 +151,7 @@
                 load: loads.total(key),
                 backlog: loads.backlog(key, now),
                 profile,
+                answer_time: answer_time(loads, key, &profile, output),
                 pauses,
                 same_domain: server.domain == *own_domain,
                 suspect: is_suspect(loads, health, own_domain, server, now),
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -161,6 +161,12 @@
             servers.map(move |server| (server.key(), profile))
         });
         self.loads.set_engines(engines.collect());
+        let services = config.services().filter(|service| service.engine.is_some());
+        let services = services.flat_map(|service| {
+            let servers = self.directory.of_service(&service.name);
+            servers.map(|server| (server.key(), service.name.clone()))
+        });
+        self.loads.set_services(services.collect());
     }
 
     /// Returns for how long a server accepts nothing from this host.
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -179,6 +179,7 @@
             backlog: loads.backlog(id, Time(0)),
             id,
             profile: FIGURES,
+            answer_time: Duration::from_secs(2),
             pauses: Pauses::default(),
             same_domain: number.is_multiple_of(3),
             suspect: false,
@@ -190,6 +191,7 @@
         queued_before: 0,
         pressure: placement::pressure(&engines),
         engines: engines.len(),
+        placements_per_second: loads.placements_per_second(Time(0)),
     };
     black_box(placement::choose(&work(prompt), &engines, &shared));
 }
