Log events state workspace, rank, slot wait, resumption and reason

Cause: no log line stated for which workspace or with which priority a request was served, so an operator could not tell whether one customer was favoured over another, nor why short prompts were refused under overload.

Change: `placed`, `held`, `refused` and `answered` have `workspace` and `rank`; `placed` has `slot_wait_ms` (0 until the placement provides it), `resumed` and `since_event_ms`; `refused` has `reason`, which `Refusal::with_reason` sets and which no message contains. Empty fields are omitted, so that lines without them keep their bytes.

--- a/crates/alderglade-core/src/request.rs
+++ b/crates/alderglade-core/src/request.rs
@@ -106,6 +106,9 @@
     pub ran: Ran,
     /// Time after which the caller should retry, if a retry can succeed.
     pub retry_after: Option<Duration>,
+    /// Why capacity was short, for the log. It is not part of any message.
+    #[serde(skip)]
+    pub reason: Option<&'static str>,
 }
 
 impl Refusal {
@@ -118,6 +121,15 @@
             kind,
             ran: row.ran,
             retry_after: row.retry_after.then_some(retry_after),
+            reason: None,
+        }
+    }
+
+    /// Adds why capacity was short.
+    pub fn with_reason(self, reason: &'static str) -> Refusal {
+        Refusal {
+            reason: Some(reason),
+            ..self
         }
     }
 }
--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -7,10 +7,12 @@
 mod kind;
 mod queue;
 mod record;
+mod requester;
 
 pub use kind::{ALL, Kind};
 pub use queue::{Pending, Queue};
 pub use record::Record;
+pub use requester::Requester;
 
 use log4rs::config::{Appender, Config, Root};
 use serde::Serialize;
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -1,6 +1,6 @@
 //! The fields of each log line apart from its number, level and name.
 
-use super::kind::{self, Kind};
+use super::Requester;
 use crate::daemon::Addresses;
 use alderglade_core::Name;
 use alderglade_core::fleet::fingerprint::Fingerprint;
@@ -255,6 +255,18 @@
         /// The time since the host was asked to stop, in milliseconds, if it was.
         #[serde(skip_serializing_if = "Option::is_none")]
         stopping_ms: Option<u64>,
+        /// The workspace and rank of the request.
+        #[serde(flatten)]
+        requester: &'a Requester,
+        /// The part of the expected time for which it waits for a slot of the engine, in milliseconds.
+        #[serde(skip_serializing_if = "is_zero")]
+        slot_wait_ms: u64,
+        /// Whether it continues a stream that another server began.
+        #[serde(skip_serializing_if = "std::ops::Not::not")]
+        resumed: bool,
+        /// The time since this host relayed the last event of the stream, in milliseconds, if it relayed any.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        since_event_ms: Option<u64>,
     },
     /// An attempt failed.
     AttemptFailed {
@@ -283,6 +295,9 @@
         aim_ms: u64,
         /// The objective for the longest pause, in milliseconds, if there is one.
         pause_aim_ms: Option<u64>,
+        /// The workspace and rank of the request.
+        #[serde(flatten)]
+        requester: &'a Requester,
     },
     /// A request was answered with one of the product's error kinds.
     Refused {
@@ -301,6 +316,12 @@
         /// The time since the host was asked to stop, in milliseconds, if it was.
         #[serde(skip_serializing_if = "Option::is_none")]
         stopping_ms: Option<u64>,
+        /// The workspace and rank of the request.
+        #[serde(flatten)]
+        requester: &'a Requester,
+        /// Why capacity was short, if that is the cause: `slots`, `share` or one of the reasons of [`Record::Held`].
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reason: Option<&'a str>,
     },
     /// A stream was broken off before its end.
     BrokenOff {
@@ -323,7 +344,7 @@
     Held {
         /// The id of the request.
         id: &'a str,
-        /// The reason: `memory`, `giants`, `busy` or `harm`.
+        /// The reason: `memory`, `giants`, `busy`, `harm` or `slots`.
         reason: &'a str,
         /// The length of its prompt in tokens.
         prompt: u64,
@@ -333,6 +354,9 @@
         giants: u32,
         /// How busy the engines have recently been with reading, from `0.0` to `1.0`.
         pressure: f64,
+        /// The workspace and rank of the request.
+        #[serde(flatten)]
+        requester: &'a Requester,
     },
     /// A request is cut off because the host stops.
     CutOff {
@@ -437,57 +461,6 @@
     serializer.collect_str(fingerprint)
 }
 
-impl Record<'_> {
-    /// Returns the kind of the line.
-    pub fn kind(&self) -> &'static Kind {
-        match self {
-            Record::Started { .. } => &kind::STARTED,
-            Record::Stopping { .. } => &kind::STOPPING,
-            Record::Stopped { .. } => &kind::STOPPED,
-            Record::Reloaded { .. } => &kind::RELOADED,
-            Record::Suspended { .. } => &kind::SUSPENDED,
-            Record::LinesDropped { .. } => &kind::LINES_DROPPED,
-            Record::ConfigInForce { .. } => &kind::CONFIG_IN_FORCE,
-            Record::ConfigUnreadable { .. } => &kind::CONFIG_UNREADABLE,
-            Record::ServersChanged { .. } => &kind::SERVERS_CHANGED,
-            Record::ServerRefusing { .. } => &kind::SERVER_REFUSING,
-            Record::ServerSlow { .. } => &kind::SERVER_SLOW,
-            Record::ServerRestarted { .. } => &kind::SERVER_RESTARTED,
-            Record::ServerLeaves { .. } => &kind::SERVER_LEAVES,
-            Record::ServerBackoff { .. } => &kind::SERVER_BACKOFF,
-            Record::ServerLimit { .. } => &kind::SERVER_LIMIT,
-            Record::ServerCold { .. } => &kind::SERVER_COLD,
-            Record::Evacuated { .. } => &kind::EVACUATED,
-            Record::Grouped { .. } => &kind::GROUPED,
-            Record::EntryUnreadable { .. } => &kind::ENTRY_UNREADABLE,
-            Record::EntryMended { .. } => &kind::ENTRY_MENDED,
-            Record::StoreLost { .. } => &kind::STORE_LOST,
-            Record::StoreBack { .. } => &kind::STORE_BACK,
-            Record::StoreRole { .. } => &kind::STORE_ROLE,
-            Record::StoreReach { .. } => &kind::STORE_REACH,
-            Record::StoreRestored { .. } => &kind::STORE_RESTORED,
-            Record::ServersRestored { .. } => &kind::SERVERS_RESTORED,
-            Record::WrittenAgain { .. } => &kind::WRITTEN_AGAIN,
-            Record::ConfigCopied { .. } => &kind::CONFIG_COPIED,
-            Record::PeerJoined { .. } => &kind::PEER_JOINED,
-            Record::PeerLost { .. } => &kind::PEER_LOST,
-            Record::PeerFault { .. } => &kind::PEER_FAULT,
-            Record::ListenFault { .. } => &kind::LISTEN_FAULT,
-            Record::Placed { .. } => &kind::PLACED,
-            Record::AttemptFailed { .. } => &kind::ATTEMPT_FAILED,
-            Record::Answered { .. } => &kind::ANSWERED,
-            Record::Refused { .. } => &kind::REFUSED,
-            Record::BrokenOff { .. } => &kind::BROKEN_OFF,
-            Record::CallerLeft { .. } => &kind::CALLER_LEFT,
-            Record::Held { .. } => &kind::HELD,
-            Record::CutOff { .. } => &kind::CUT_OFF,
-            Record::RepeatRefused { .. } => &kind::REPEAT_REFUSED,
-            Record::ServerBrokeOff { .. } => &kind::SERVER_BROKE_OFF,
-            Record::Quarantined { .. } => &kind::QUARANTINED,
-            Record::QuarantineReleased { .. } => &kind::QUARANTINE_RELEASED,
-            Record::QuarantineNotKept { .. } => &kind::QUARANTINE_NOT_KEPT,
-            Record::MemoryRefused { .. } => &kind::MEMORY_REFUSED,
-            Record::MemoryNotReleased { .. } => &kind::MEMORY_NOT_RELEASED,
-        }
-    }
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::answer::{self, Content as Answer};
 use crate::body;
 use crate::clock;
-use crate::event::{self, Record};
+use crate::event::{self, Record, Requester};
 use crate::job::Job;
 use crate::memory::Portion;
 use crate::node::{Node, Progress, RequestGuard};
@@ -39,7 +39,7 @@
     let arrived = in_flight.progress.arrived;
     let info = match read_head(&node, &head) {
         Ok(info) => info,
-        Err(refusal) => return refuse(&node, "", &refusal, arrived),
+        Err(refusal) => return refuse(&node, "", &Requester::default(), &refusal, arrived),
     };
     let id = info.id.clone();
     in_flight.progress.set_id(&id);
@@ -56,7 +56,7 @@
         }
     };
     let mut response = match result {
-        Err(refusal) => refuse(&node, &id, &refusal, arrived),
+        Err(refusal) => refuse(&node, &id, &Requester::default(), &refusal, arrived),
         Ok(job) => answer(&node, job, in_flight).await,
     };
     guard.done = true;
@@ -70,6 +70,7 @@
 /// it is unknown whether the request ran.
 async fn answer(node: &Rc<Node>, job: Job, in_flight: RequestGuard) -> Response<Answer> {
     let (id, arrived) = (job.info.id.clone(), job.arrived());
+    let requester = Requester::from(&job);
     let served = async {
         match job.route.kind {
             Kind::Stream { .. } => generate::serve(node, job, in_flight).await,
@@ -81,7 +82,7 @@
         response = served => response,
         () = node.wait_for_request_end() => {
             let refusal = Refusal::new(ErrorKind::ContactLost, Duration::ZERO);
-            refuse(node, &id, &refusal, arrived)
+            refuse(node, &id, &requester, &refusal, arrived)
         }
     }
 }
@@ -110,7 +111,13 @@
 }
 
 /// Logs a refusal and builds its response.
-pub fn refuse(node: &Node, id: &str, refusal: &Refusal, arrived: Time) -> Response<Answer> {
+pub fn refuse(
+    node: &Node,
+    id: &str,
+    requester: &Requester,
+    refusal: &Refusal,
+    arrived: Time,
+) -> Response<Answer> {
     let row = refusal.kind.row();
     let now = clock::now();
     let store_age = node.state.borrow().freshness.age(now);
@@ -123,10 +130,17 @@
         took_ms: now.since(arrived).as_millis() as u64,
         store_age_ms: store_age.map(|age| age.as_millis() as u64),
         stopping_ms: node.stopping_ms(),
+        requester,
+        reason: refusal.reason,
     });
     answer::refusal(refusal)
 }
 
+/// Logs the refusal of an admitted request and builds its response.
+pub fn refuse_job(node: &Node, job: &Job, refusal: &Refusal) -> Response<Answer> {
+    refuse(node, &job.info.id, &job.into(), refusal, job.arrived())
+}
+
 /// Admits a request: checks that it may be served, reads its body and determines its service.
 async fn admit_request(
     node: &Rc<Node>,
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -23,6 +23,7 @@
 use alderglade_core::fleet::placement::{Plan, Reason};
 use alderglade_core::fleet::request_state::{RequestState, Sent, Waiting};
 use alderglade_core::request::Refusal;
+use alderglade_core::time::Time;
 use http::Response;
 use std::rc::Rc;
 use std::time::Duration;
@@ -113,6 +114,8 @@
     readers: Vec<Key>,
     /// Servers that read the prompt together without any result.
     pub stalled: Vec<Key>,
+    /// When the last event was relayed, if any was.
+    pub last_event_at: Option<Time>,
     /// Reasons for which the prompt was held back so far; each one is logged once.
     pub held_for: Vec<Reason>,
 }
@@ -133,7 +136,7 @@
     let mut state = SendState::default();
     let last_event = job.info.last_event.clone();
     match open(node, &job, &mut state, last_event).await {
-        Err(refusal) => forward::refuse(node, &job.info.id, &refusal, job.arrived()),
+        Err(refusal) => forward::refuse_job(node, &job, &refusal),
         Ok(opened) => relay::start(node, job, state, opened, in_flight),
     }
 }
@@ -166,7 +169,8 @@
         job.check_quarantine(node, &request_state).await?;
         state.total += 1;
         state.readers.clone_from(&plan.helpers);
-        log_placed(node, job, &placed.server, &plan, state.total);
+        let resumed = last_event.is_some() || state.last_event_at.is_some();
+        log_placed(node, job, &placed.server, &plan, state, resumed);
         job.progress
             .set_stage(Stage::Sent(placed.server.id().clone()));
         state.sends += 1;
@@ -459,14 +463,22 @@
     Err(request_state.refuse(kind, RETRY_DELAY))
 }
 
-fn log_placed(node: &Node, job: &Job, server: &Server, plan: &Plan, attempt: u32) {
+fn log_placed(
+    node: &Node,
+    job: &Job,
+    server: &Server,
+    plan: &Plan,
+    state: &SendState,
+    resumed: bool,
+) {
     let waited = job.waited();
+    let since_event = state.last_event_at.map(|at| clock::now().since(at));
     node.metrics.wait_time.observe(waited.as_secs_f64());
     event::write(&Record::Placed {
         id: &job.info.id,
         asked: job.fingerprint,
         server: server.id(),
-        attempt,
+        attempt: state.total,
         prompt: job.prompt().tokens,
         helpers: plan.helpers.len(),
         shares: plan.shares.len(),
@@ -474,5 +486,9 @@
         expected_ms: plan.time_to_first_event.as_millis() as u64,
         config: job.config,
         stopping_ms: node.stopping_ms(),
+        requester: &job.into(),
+        slot_wait_ms: 0,
+        resumed,
+        since_event_ms: since_event.map(|time| time.as_millis() as u64),
     });
 }
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -84,6 +84,7 @@
         waited_ms: job.waited().as_millis() as u64,
         giants: multi_engine_prompts,
         pressure: node.recent_pressure(),
+        requester: &job.into(),
     });
 }
 
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -290,6 +290,7 @@
     fn record_pause(&mut self) -> Option<Duration> {
         let now = clock::now();
         self.first_event_at.get_or_insert(now);
+        self.state.last_event_at = Some(now);
         let last = self.last_event_at.replace(now)?;
         let pause = now.since(last);
         self.longest_pause = self.longest_pause.max(pause);
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -63,6 +63,7 @@
             longest_pause_ms: self.longest_pause.as_millis() as u64,
             aim_ms: self.job.route.objective.as_millis() as u64,
             pause_aim_ms: max_pause.map(|max_pause| max_pause.as_millis() as u64),
+            requester: &(&self.job).into(),
         });
     }
 }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -130,7 +130,7 @@
     let result = run(node, &job).await;
     match result {
         Ok(response) => finish(node, &job, response),
-        Err(refusal) => forward::refuse(node, &job.info.id, &refusal, job.arrived()),
+        Err(refusal) => forward::refuse_job(node, &job, &refusal),
     }
 }
 
@@ -313,6 +313,10 @@
         expected_ms: job.route.objective.as_millis() as u64,
         config: job.config,
         stopping_ms: node.stopping_ms(),
+        requester: &job.into(),
+        slot_wait_ms: 0,
+        resumed: false,
+        since_event_ms: None,
     });
 }
 
@@ -397,5 +401,6 @@
         longest_pause_ms: 0,
         aim_ms: job.route.objective.as_millis() as u64,
         pause_aim_ms: None,
+        requester: &job.into(),
     });
 }
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -4,7 +4,7 @@
 use alderglade_core::Name;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_serve::daemon::Addresses;
-use alderglade_serve::event::{self, ALL, Record};
+use alderglade_serve::event::{self, ALL, Record, Requester};
 use log::{LevelFilter, Log, Metadata};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -50,7 +50,8 @@
         .expect("a digest")
 }
 
-/// The lines of [`records`] with all optional fields, followed by those lines that differ without them.
+/// The lines of [`records`] with all optional fields, followed by those lines that differ without them and by those of
+/// [`attributed_records`].
 const LINES: &str = r#"
 "n":3001,"level":"INFO","event":"started","host":"host-1","domain":"domain-1","callers":"10.0.0.7:8002","ready":"10.0.0.7:8003","peers":"10.0.0.7:8004","metrics":"10.0.0.7:8005"}
 "n":3002,"level":"INFO","event":"stopping","in_flight":21}
@@ -113,6 +114,11 @@
 "n":3408,"level":"WARN","event":"cut_off","id":"id-37","doing":"doing-37","took_ms":374}
 "n":3410,"level":"INFO","event":"server_broke_off","id":"id-39","asked":"27112233445566778899aabb","server":"server-39","ran_ms":null,"ended":false}
 "n":3411,"level":"WARN","event":"quarantined","asked":"28112233445566778899aabb","servers":402,"first_hand":false}
+"n":3401,"level":"INFO","event":"placed","id":"id-50","asked":"32112233445566778899aabb","server":"server-50","attempt":504,"prompt":505,"helpers":506,"shares":507,"waited_ms":508,"expected_ms":509,"config":5010,"workspace":"workspace-50","rank":50,"slot_wait_ms":5011,"resumed":true,"since_event_ms":5012}
+"n":3403,"level":"INFO","event":"answered","id":"id-51","status":512,"took_ms":513,"first_ms":514,"longest_pause_ms":515,"aim_ms":516,"pause_aim_ms":517,"workspace":"workspace-51","rank":51}
+"n":3404,"level":"INFO","event":"refused","id":"id-52","kind":"kind-52","number":523,"ran":"ran-52","took_ms":525,"store_age_ms":526,"workspace":"workspace-52","rank":52,"reason":"reason-52"}
+"n":3407,"level":"INFO","event":"held","id":"id-53","reason":"reason-53","prompt":533,"waited_ms":534,"giants":535,"pressure":6.5,"workspace":"workspace-53","rank":53}
+"n":3404,"level":"INFO","event":"refused","id":"id-54","kind":"kind-54","number":543,"ran":"ran-54","took_ms":545,"store_age_ms":546,"workspace":"workspace-54"}
 "#;
 
 #[test]
@@ -121,11 +127,14 @@
     log::set_max_level(LevelFilter::Info);
     let peers: Vec<Name> = vec!["h2".into(), "h3".into()];
     let domains: BTreeSet<Name> = ["north".into(), "south".into()].into();
-    let records = |full| records(&peers, &domains, full);
+    let unknown = Requester::default();
+    let records = |full| records(&peers, &domains, &unknown, full);
     let mut written: Vec<String> = records(true).iter().map(line).collect();
     let mut reduced: Vec<String> = records(false).iter().map(line).collect();
     reduced.retain(|line| !written.contains(line));
     written.append(&mut reduced);
+    let requesters: Vec<Requester> = (50..55).map(requester).collect();
+    written.extend(attributed_records(&requesters).iter().map(line));
     let expected: Vec<&str> = LINES.trim().lines().collect();
     for (written, expected) in written.iter().zip(&expected) {
         assert_eq!(written, expected);
@@ -142,7 +151,12 @@
 /// Returns a record of each kind, with or without optional fields. No two fields of a record have the same value;
 /// flags differ in one of the two cases.
 #[rustfmt::skip] // One record a line.
-fn records<'a>(peers: &'a [Name], domains: &'a BTreeSet<Name>, full: bool) -> Vec<Record<'a>> {
+fn records<'a>(
+    peers: &'a [Name],
+    domains: &'a BTreeSet<Name>,
+    unknown: &'a Requester,
+    full: bool,
+) -> Vec<Record<'a>> {
     let addresses = Addresses {
         callers: address(8_002),
         ready: address(8_003),
@@ -186,17 +200,17 @@
         Record::PeerLost { peers, count: 292 },
         Record::Placed { id: "id-30", asked: fingerprint(30), server: "server-30", attempt: 304, prompt: 305,
             helpers: 306, shares: 307, waited_ms: 308, expected_ms: 309, config: 3010, stopping_ms:
-            full.then_some(3011) },
+            full.then_some(3011), requester: unknown, slot_wait_ms: 0, resumed: false, since_event_ms: None },
         Record::AttemptFailed { id: "id-31", server: "server-31", attempt: 313, problem: "problem-31" },
         Record::Answered { id: "id-32", status: 322, took_ms: 323, first_ms: 324, longest_pause_ms: 325,
-            aim_ms: 326, pause_aim_ms: full.then_some(327) },
+            aim_ms: 326, pause_aim_ms: full.then_some(327), requester: unknown },
         Record::Refused { id: "id-33", kind: "kind-33", number: 333, ran: "ran-33", took_ms: 335,
-            store_age_ms: full.then_some(336), stopping_ms: full.then_some(337) },
+            store_age_ms: full.then_some(336), stopping_ms: full.then_some(337), requester: unknown, reason: None },
         Record::BrokenOff { id: "id-34", problem: "problem-34", took_ms: 343, stopping_ms:
             full.then_some(344) },
         Record::CallerLeft { id: "id-35" },
         Record::Held { id: "id-36", reason: "reason-36", prompt: 363, waited_ms: 364, giants: 365, pressure:
-            6.25 },
+            6.25, requester: unknown },
         Record::CutOff { id: "id-37", doing: "doing-37", server: full.then_some("server-37"), took_ms: 374,
             came_stopping_ms: full.then_some(375), stopping_ms: full.then_some(376) },
         Record::RepeatRefused { id: "id-38", service: "service-38", asked: 383 },
@@ -212,3 +226,31 @@
         Record::LinesDropped { count: 471 },
     ]
 }
+
+fn requester(number: u8) -> Requester {
+    Requester {
+        workspace: Some(format!("workspace-{number}").into()),
+        rank: if number == 54 { 0 } else { number },
+    }
+}
+
+/// Returns a record of each kind that states who its request is for. The last one is of the highest rank.
+#[rustfmt::skip] // One record a line.
+fn attributed_records(requesters: &[Requester]) -> Vec<Record<'_>> {
+    let [placed, answered, refused, held, highest] = requesters else {
+        panic!("five requesters");
+    };
+    vec![
+        Record::Placed { id: "id-50", asked: fingerprint(50), server: "server-50", attempt: 504, prompt: 505,
+            helpers: 506, shares: 507, waited_ms: 508, expected_ms: 509, config: 5010, stopping_ms: None,
+            requester: placed, slot_wait_ms: 5011, resumed: true, since_event_ms: Some(5012) },
+        Record::Answered { id: "id-51", status: 512, took_ms: 513, first_ms: 514, longest_pause_ms: 515,
+            aim_ms: 516, pause_aim_ms: Some(517), requester: answered },
+        Record::Refused { id: "id-52", kind: "kind-52", number: 523, ran: "ran-52", took_ms: 525,
+            store_age_ms: Some(526), stopping_ms: None, requester: refused, reason: Some("reason-52") },
+        Record::Held { id: "id-53", reason: "reason-53", prompt: 533, waited_ms: 534, giants: 535, pressure:
+            6.5, requester: held },
+        Record::Refused { id: "id-54", kind: "kind-54", number: 543, ran: "ran-54", took_ms: 545,
+            store_age_ms: Some(546), stopping_ms: None, requester: highest, reason: None },
+    ]
+}
