Metrics by workspace and rank, queue length and free slots

Cause: metrics told how many requests were refused or late, but not whose, and nothing told whether slots were the reason.

--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -71,6 +71,8 @@
 async fn answer(node: &Rc<Node>, job: Job, in_flight: RequestGuard) -> Response<Answer> {
     let (id, arrived) = (job.info.id.clone(), job.arrived());
     let requester = Requester::from(&job);
+    let tokens = job.info.prompt.map_or(0, |prompt| prompt.tokens);
+    node.metrics.by_requester.observe(&requester, tokens);
     let served = async {
         match job.route.kind {
             Kind::Stream { .. } => generate::serve(node, job, in_flight).await,
@@ -122,6 +124,7 @@
     let now = clock::now();
     let store_age = node.state.borrow().freshness.age(now);
     node.metrics.answers.with_label_values(&[row.label]).inc();
+    node.metrics.by_requester.count_refused(requester);
     event::write(&Record::Refused {
         id,
         kind: row.label,
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -75,6 +75,10 @@
     if state.held_for.contains(&reason) {
         return;
     }
+    let requester = &job.into();
+    if state.held_for.is_empty() {
+        node.metrics.by_requester.count_held(requester);
+    }
     state.held_for.push(reason);
     let multi_engine_prompts = node.state.borrow().loads.multi_engine_prompts();
     event::write(&Record::Held {
@@ -84,7 +88,7 @@
         waited_ms: job.waited().as_millis() as u64,
         giants: multi_engine_prompts,
         pressure: node.recent_pressure(),
-        requester: &job.into(),
+        requester,
     });
 }
 
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -1,8 +1,13 @@
 //! Counters, gauges and latency histograms of an entry host.
 
+mod by_requester;
+pub mod labels;
+
+pub use by_requester::ByRequester;
+
 use prometheus::{
-    Counter, Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Counter, Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds, around the usual objectives of 0.15 to 2.5 s.
@@ -17,6 +22,12 @@
     pub answers: IntCounterVec,
     /// Requests by whether their response met the latency objective of their route.
     pub objectives: IntCounterVec,
+    /// Held, refused and late requests by workspace and rank.
+    pub by_requester: ByRequester,
+    /// Prompts of this host in the wait queue by kind: `short` or `long`.
+    pub queue_length: IntGaugeVec,
+    /// Free slots of the engines that this host would use, from its view of what all hosts have placed.
+    pub free_slots: IntGauge,
     /// Time to the first event or the whole response.
     pub first_event: Histogram,
     /// Time that prompts wait at the host before they are sent.
@@ -84,6 +95,12 @@
                 "Answers by whether they met the latency objective.",
                 "met",
             )?,
+            by_requester: ByRequester::new()?,
+            queue_length: IntGaugeVec::new(
+                Opts::new("alderglade_queue_length", "Prompts that wait at the host."),
+                &["kind"],
+            )?,
+            free_slots: IntGauge::new("alderglade_free_slots", "Free slots of the engines.")?,
             first_event: histogram(
                 "alderglade_first_event_seconds",
                 "Time to the first event or whole answer.",
@@ -170,9 +187,14 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 27] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 32] = [
             Box::new(self.answers.clone()),
             Box::new(self.objectives.clone()),
+            Box::new(self.by_requester.held.clone()),
+            Box::new(self.by_requester.refused.clone()),
+            Box::new(self.by_requester.late.clone()),
+            Box::new(self.queue_length.clone()),
+            Box::new(self.free_slots.clone()),
             Box::new(self.first_event.clone()),
             Box::new(self.wait_time.clone()),
             Box::new(self.repeats.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -3,6 +3,7 @@
 //! The decisions are made in `alderglade_core::fleet`. The host keeps their inputs, and its tasks record here what
 //! they learn and use.
 
+mod capacity;
 mod catch_up;
 mod choice;
 mod cold;
@@ -296,6 +297,7 @@
         self.set_gauges(&mut state, now);
         drop(state);
         self.observe_store();
+        self.observe_capacity();
         self.store_status_changed.notify_waiters();
         log_peers(joined, lost);
         self.regroup();
--- /dev/null
+++ b/crates/alderglade-serve/src/node/capacity.rs
@@ -0,0 +1,50 @@
+//! Gauges of the capacity that this host sees and of its wait queue.
+
+use super::Node;
+use crate::clock;
+use alderglade_core::fleet::homes::Homes;
+use alderglade_core::fleet::pass::EngineProfile;
+use alderglade_core::fleet::placement::{Engine, SHORT_PROMPT_TOKENS};
+
+impl Node {
+    /// Updates the gauges of free slots and of the wait queue. Must not be called while the state is borrowed.
+    pub(super) fn observe_capacity(&self) {
+        let Some(config) = self.state.borrow().config.clone() else {
+            return;
+        };
+        let mut free = 0;
+        let mut short_reading_ms = f64::INFINITY;
+        for service in config.services() {
+            let Some(profile) = service.engine else {
+                continue;
+            };
+            let engines = self.engines(&service.name, profile, &Homes::default());
+            free += engines.iter().map(free_slots).sum::<i64>();
+            short_reading_ms = short_reading_ms.min(profile.read_ms(SHORT_PROMPT_TOKENS));
+        }
+        self.metrics.free_slots.set(free);
+        self.observe_queue(short_reading_ms);
+    }
+
+    /// Updates the gauges of the wait queue. A prompt is short if it is read within `short_reading_ms`: entries of the
+    /// queue don't state their service, so the fastest engines decide if there are several kinds.
+    fn observe_queue(&self, short_reading_ms: f64) {
+        let queued = self.state.borrow().loads.queued_demands(clock::now());
+        let is_short = |reading_ms: u32| f64::from(reading_ms) < short_reading_ms.floor();
+        let short = queued.iter().filter(|demand| is_short(demand.reading_ms));
+        let short = short.count();
+        let lengths = &self.metrics.queue_length;
+        for (kind, length) in [("short", short), ("long", queued.len() - short)] {
+            lengths.with_label_values(&[kind]).set(length as i64);
+        }
+    }
+}
+
+/// Returns the free slots of an engine; none if it seems to be unreachable.
+fn free_slots(engine: &Engine) -> i64 {
+    let EngineProfile { slots, .. } = engine.profile;
+    if engine.suspect {
+        return 0;
+    }
+    (i64::from(slots) - engine.load.running).max(0)
+}
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -2,7 +2,7 @@
 
 use super::Relay;
 use crate::clock;
-use crate::event::{self, Record};
+use crate::event::{self, Record, Requester};
 
 /// How a stream ended.
 pub(super) enum End {
@@ -55,6 +55,10 @@
         metrics.objectives.with_label_values(&[met]).inc();
         metrics.first_event.observe(first.as_secs_f64());
         metrics.answers.with_label_values(&["served"]).inc();
+        let requester = &Requester::from(&self.job);
+        if !in_time {
+            metrics.by_requester.count_late(requester);
+        }
         event::write(&Record::Answered {
             id: &self.job.info.id,
             status: 200,
@@ -63,7 +67,7 @@
             longest_pause_ms: self.longest_pause.as_millis() as u64,
             aim_ms: self.job.route.objective.as_millis() as u64,
             pause_aim_ms: max_pause.map(|max_pause| max_pause.as_millis() as u64),
-            requester: &(&self.job).into(),
+            requester,
         });
     }
 }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -393,6 +393,10 @@
         "server_failed"
     };
     node.metrics.answers.with_label_values(&[outcome]).inc();
+    let requester = &job.into();
+    if status.is_success() && !in_time {
+        node.metrics.by_requester.count_late(requester);
+    }
     event::write(&Record::Answered {
         id: &job.info.id,
         status: status.as_u16(),
@@ -401,6 +405,6 @@
         longest_pause_ms: 0,
         aim_ms: job.route.objective.as_millis() as u64,
         pause_aim_ms: None,
-        requester: &job.into(),
+        requester,
     });
 }
--- a/crates/alderglade-serve/tests/testsuite/main.rs
+++ b/crates/alderglade-serve/tests/testsuite/main.rs
@@ -8,4 +8,5 @@
 mod hashes;
 mod memory;
 mod message;
+mod metrics;
 mod wire_bytes;
