--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -4,9 +4,10 @@
 
 use super::{Arguments, Error, usage};
 use crate::shell::Shell;
-use serde::Serialize;
+use serde::ser::{Serialize, SerializeSeq, Serializer};
 use serde_json::{Map, Value};
 use std::io::BufRead;
+use summary::group;
 
 pub(super) const HELP: &str = "\
 Tell the story of one request from the logs of entry hosts.
@@ -20,7 +21,9 @@
 and when it was asked to stop meanwhile.
 
 With --summary: how many requests ended in which way, by the length of their prompts, and what worth was lost
-by it (an ordinary short reply is worth about one), the greatest loss first.
+by it (an ordinary short reply is worth about one), the greatest loss first. After that the same by workspace,
+failure domain and rank (0 is the highest), as far as the logs state them; the failure domain is that of the host,
+from its `started` line. With --json, rows by cause have `cause`, those that follow have `workspace`.
 
 Exit codes: 0 told, 1 nothing found or a file can't be read, 2 wrong usage
 ";
@@ -44,7 +47,7 @@
 const STOPPING: &str = "stopping";
 
 /// One line of a log, understood.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, serde::Serialize)]
 pub struct Line {
     /// Where it comes from: what stood before it, or its file.
     pub source: String,
@@ -148,11 +151,32 @@
     Ok(())
 }
 
+/// The summary for programs: one array, so that programs that read the rows by cause still find them at its beginning.
+struct Summary {
+    rows: Vec<summary::Row>,
+    groups: Vec<group::Group>,
+}
+
+impl Serialize for Summary {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut array = serializer.serialize_seq(Some(self.rows.len() + self.groups.len()))?;
+        self.rows
+            .iter()
+            .try_for_each(|row| array.serialize_element(row))?;
+        self.groups
+            .iter()
+            .try_for_each(|group| array.serialize_element(group))?;
+        array.end()
+    }
+}
+
 fn sum_up(files: &[String], shell: &Shell) -> Result<(), Error> {
     let mut lines = Vec::new();
     each_log(files, |log| lines.extend(log))?;
     let rows = summary::rows(&lines);
-    shell.result(&rows, &summary::table(&rows));
+    let groups = group::groups(&lines);
+    let text = summary::table(&rows) + &group::table(&groups);
+    shell.result(&Summary { rows, groups }, &text);
     Ok(())
 }
 
--- a/crates/alderglade-operator/src/command/explain/summary.rs
+++ b/crates/alderglade-operator/src/command/explain/summary.rs
@@ -3,6 +3,8 @@
 //! Each request is counted once, under the one thing that ended it or made it late. Lost worth says what to look at
 //! first: a thousand late short replies may weigh less than ten long prompts that were refused.
 
+pub mod group;
+
 use super::Line;
 use alderglade_core::fleet::placement::{self, LATE_VALUE, SHORT_PROMPT_TOKENS};
 use serde::Serialize;
@@ -78,8 +80,19 @@
     }
 }
 
+/// The ways in which requests end, as far as groups tell them apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    InTime,
+    Late,
+    Refused,
+    /// Answered with an error, broken off, cut off or without an end in the log.
+    Failed,
+}
+
 /// How a request ended.
 struct End {
+    outcome: Outcome,
     cause: String,
     /// The part of its worth that it did not earn.
     lost: f64,
@@ -88,29 +101,43 @@
 impl End {
     fn lost(cause: impl Into<String>) -> End {
         End {
+            outcome: Outcome::Failed,
             cause: cause.into(),
             lost: 1.0,
         }
     }
 
+    fn refused(cause: String) -> End {
+        End {
+            outcome: Outcome::Refused,
+            ..End::lost(cause)
+        }
+    }
+
     fn late(cause: impl Into<String>) -> End {
         End {
+            outcome: Outcome::Late,
             cause: format!("late: {}", cause.into()),
             lost: 1.0 - LATE_VALUE,
         }
     }
 }
 
-/// Sums up what the lines say of requests; the greatest loss comes first.
-pub fn rows(lines: &[Line]) -> Vec<Row> {
+/// Returns the lines of each request in order, by its id.
+fn stories(lines: &[Line]) -> BTreeMap<&str, Vec<&Line>> {
     let mut requests: BTreeMap<&str, Vec<&Line>> = BTreeMap::new();
     for line in lines {
         if let Some(id) = line.id.as_deref() {
             requests.entry(id).or_default().push(line);
         }
     }
+    requests
+}
+
+/// Sums up what the lines say of requests; the greatest loss comes first.
+pub fn rows(lines: &[Line]) -> Vec<Row> {
     let mut sums: BTreeMap<(Length, String), Row> = BTreeMap::new();
-    for story in requests.values() {
+    for story in stories(lines).values() {
         add(&mut sums, story);
     }
     let mut rows: Vec<Row> = sums.into_values().collect();
@@ -129,8 +156,7 @@
 
 /// Counts one request.
 fn add(sums: &mut BTreeMap<(Length, String), Row>, story: &[&Line]) {
-    let prompts = story.iter().filter_map(|line| number(line, "prompt"));
-    let prompt = prompts.max().unwrap_or(0);
+    let prompt = highest(story, "prompt");
     let length = Length::of(prompt);
     let end = end(story);
     let row = sums.entry((length, end.cause.clone())).or_insert(Row {
@@ -163,7 +189,7 @@
     };
     match last.event.as_str() {
         "answered" => answered(story, last, failure),
-        "refused" => End::lost(refused(story, last, failure)),
+        "refused" => End::refused(refused(story, last, failure)),
         "broken_off" => End::lost(format!("broken off after: {}", failure.unwrap_or("-"))),
         "cut_off" => End::lost(cut_off(last)),
         _ => End::lost("the caller left"),
@@ -190,6 +216,7 @@
     let steady = number(last, "pause_aim_ms").is_none_or(|bears| pause <= bears);
     match failure {
         _ if in_time && steady => End {
+            outcome: Outcome::InTime,
             cause: "in time".to_string(),
             lost: 0.0,
         },
@@ -206,6 +233,8 @@
     let (waited, expected) = (of_placed("waited_ms"), of_placed("expected_ms"));
     if waited > HELD * first as f64 {
         "held"
+    } else if of_placed("slot_wait_ms") > HELD * (first as f64 - waited) {
+        "no free slot"
     } else if first as f64 - waited > SLOWER * expected {
         "later than planned"
     } else {
@@ -218,6 +247,9 @@
     let kind = text(last, "kind").unwrap_or("-");
     let held = story.iter().rev().find(|line| line.event == "held");
     let reason = held.and_then(|line| text(line, "reason"));
+    if let Some(reason) = text(last, "reason") {
+        return format!("refused ({kind}) for: {reason}");
+    }
     match (failure, reason) {
         (Some(problem), _) => format!("refused ({kind}) after: {problem}"),
         (None, Some(reason)) => format!("refused ({kind}), held for: {reason}"),
@@ -225,6 +257,12 @@
     }
 }
 
+/// Returns the highest number of this name in the lines of a request; `0` if there is none.
+fn highest(story: &[&Line], name: &str) -> u64 {
+    let numbers = story.iter().filter_map(|line| number(line, name));
+    numbers.max().unwrap_or(0)
+}
+
 fn number(line: &Line, name: &str) -> Option<u64> {
     line.details.get(name).and_then(Value::as_u64)
 }
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -162,3 +162,64 @@
         "{text}"
     );
 }
+
+const GROUPS: &str = r#"
+  1.0 host-1 {"at_ms":1,"n":3001,"level":"INFO","event":"started","host":"host-1","domain":"north"}
+  1.0 host-2 {"at_ms":1,"n":3001,"level":"INFO","event":"started","host":"host-2","domain":"south"}
+  1.1 host-1 {"at_ms":2,"n":3401,"level":"INFO","event":"placed","id":"a","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":60,"workspace":"alpha"}
+  1.2 host-1 {"at_ms":3,"n":3403,"level":"INFO","event":"answered","id":"a","status":200,"first_ms":80,"longest_pause_ms":60,"aim_ms":300,"pause_aim_ms":250,"workspace":"alpha"}
+  1.3 host-1 {"at_ms":4,"n":3407,"level":"INFO","event":"held","id":"b","reason":"slots","prompt":5000,"waited_ms":0,"workspace":"beta","rank":2}
+  1.4 host-1 {"at_ms":5,"n":3404,"level":"INFO","event":"refused","id":"b","kind":"overloaded","workspace":"beta","rank":2,"reason":"slots"}
+  1.5 host-2 {"at_ms":6,"n":3401,"level":"INFO","event":"placed","id":"c","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":900,"workspace":"beta","rank":2,"slot_wait_ms":800}
+  1.6 host-2 {"at_ms":7,"n":3403,"level":"INFO","event":"answered","id":"c","status":200,"first_ms":900,"longest_pause_ms":60,"aim_ms":300,"pause_aim_ms":250,"workspace":"beta","rank":2}
+  1.7 host-3 {"at_ms":8,"n":3404,"level":"INFO","event":"refused","id":"d","kind":"unauthorized"}
+"#;
+
+/// Guards against requests that are counted for another workspace, failure domain or rank than their own, which would
+/// answer the complaint of a customer wrongly.
+#[test]
+fn the_summary_compares_workspaces_failure_domains_and_ranks() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = write(folder.path(), "groups.log", GROUPS);
+    let output = command(&["explain", "--summary", &log]);
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("refused (overloaded) for: slots\n"), "{text}");
+    assert!(text.contains("late: no free slot\n"), "{text}");
+    let (_, table) = text.split_once("\n\n").expect("a second table");
+    let rows = table.lines().skip(1);
+    let mut rows: Vec<Vec<&str>> = rows.map(|row| row.split_whitespace().collect()).collect();
+    rows.iter_mut().for_each(|row| row.truncate(9));
+    rows.sort();
+    // Workspace, domain, rank, requests, in time, late, refused, failed, held.
+    let expected = [
+        ["-", "-", "0", "1", "0.0", "0", "1", "0", "0"],
+        ["alpha", "north", "0", "1", "100.0", "0", "0", "0", "0"],
+        ["beta", "north", "2", "1", "0.0", "0", "1", "0", "1"],
+        ["beta", "south", "2", "1", "0.0", "1", "0", "0", "0"],
+    ];
+    assert_eq!(rows, expected, "{text}");
+}
+
+/// Guards against a changed shape of what programs read: rows by cause come first and keep their fields.
+#[test]
+fn groups_follow_the_rows_by_cause_for_programs() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = write(folder.path(), "groups.log", GROUPS);
+    let output = command(&["explain", "--summary", "--json", &log]);
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let rows = value.as_array().expect("an array");
+    let has = |row: &serde_json::Value, name: &str| row.get(name).is_some();
+    assert!(
+        rows[..4]
+            .iter()
+            .all(|row| has(row, "cause") && has(row, "length")),
+        "{value}"
+    );
+    assert!(
+        rows[4..]
+            .iter()
+            .all(|row| has(row, "failure_domain") && has(row, "rank"))
+    );
+    assert_eq!(rows.len(), 8);
+}
