Streams whose callers read nothing keep less memory

Cause: the request head, which a stream keeps, refers to the 8 KB read buffer of the caller's connection, and the connection allocated a second one. While a stream waited for its caller, it kept the server's last bytes, and with them a read buffer of the connection to the server. The event splitter kept the capacity of the events before the rest. Each chunk of a stream had 8 KB free of the memory pool, so that chunks of up to 8 KB were never counted: with 200 stalled callers 11 MB of chunks were in flight (55 KB each), and the pool was untouched.

Change: header values and target are copied out of the read buffer before the connection reads on. The relay drops the server's bytes before it waits. The splitter returns spare capacity. Chunks of streams are taken from the pool in full (the first one in flight still needs no room), and two chunks are queued for a caller in place of eight; the connection and its socket hold more.

--- a/crates/alderglade-core/src/fleet/sse.rs
+++ b/crates/alderglade-core/src/fleet/sse.rs
@@ -26,6 +26,8 @@
             let id = id_of(&bytes);
             events.push(Event { bytes, id });
         }
+        // A stream whose receiver does not read keeps the rest, without room for the bytes that preceded it.
+        self.rest.shrink_to_fit();
         events
     }
 
--- a/crates/alderglade-serve/src/body_sender.rs
+++ b/crates/alderglade-serve/src/body_sender.rs
@@ -12,8 +12,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tokio::sync::{Notify, mpsc};
 
-/// Chunks that are queued for a slow caller before the server is slowed down.
-const MAX_QUEUED_CHUNKS: usize = 8;
+/// Chunks that are queued for a slow caller before the server is slowed down. The connection and its socket hold
+/// several more, so that a short queue does not delay a caller that reads.
+const MAX_QUEUED_CHUNKS: usize = 2;
 /// Expected length of a chunk, in bytes: what a connection to a server reads at once.
 const EXPECTED_CHUNK_BYTES: usize = 8 * 1024;
 
@@ -85,7 +86,7 @@
     ///
     /// Returns an error if the caller has disconnected.
     pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
-        let mut memory = Portion::new(&self.pool);
+        let mut memory = Portion::without_free_bytes(&self.pool);
         while !self.is_empty() && !memory.grow(bytes.len()) {
             tokio::select! {
                 () = self.in_flight.written.notified() => {}
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -18,7 +18,7 @@
 use alderglade_core::time::Time;
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Response};
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::rc::Rc;
@@ -33,8 +33,7 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Answers one request.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Answer> {
-    let (head, body) = request.into_parts();
+pub async fn serve(node: Rc<Node>, head: Parts, body: Incoming) -> Response<Answer> {
     let in_flight = node.track_request();
     let arrived = in_flight.progress.arrived;
     let info = match read_head(&node, &head) {
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event;
 pub mod forward;
 pub mod generate;
+mod head;
 pub mod job;
 pub mod listen;
 pub mod memory;
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::forward;
+use crate::head;
 use crate::node::Node;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -77,8 +78,11 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let node = service_node.clone();
         mark_received.set(true);
+        let (mut head, body) = request.into_parts();
+        // Before the connection reads on, which would otherwise allocate a second buffer.
+        head::detach(&mut head);
         // Boxed apart from the connection, which lives much longer: while it is idle, and while a stream is relayed.
-        let served = Box::pin(forward::serve(node, request));
+        let served = Box::pin(forward::serve(node, head, body));
         async move { Ok::<_, Infallible>(served.await) }
     });
     let connection = http1::Builder::new()
--- a/crates/alderglade-serve/src/memory.rs
+++ b/crates/alderglade-serve/src/memory.rs
@@ -36,6 +36,8 @@
     used: usize,
     /// Bytes among them that were taken from the pool.
     pooled: usize,
+    /// Bytes that may be used without the pool.
+    free: usize,
 }
 
 impl Portion {
@@ -45,6 +47,18 @@
             pool: pool.clone(),
             used: 0,
             pooled: 0,
+            free: FREE_BYTES,
+        }
+    }
+
+    /// Creates an empty portion all of whose bytes are taken from the pool. For one of many pieces of a request, since
+    /// otherwise each piece would have free bytes.
+    pub fn without_free_bytes(pool: &Arc<Pool>) -> Portion {
+        Portion {
+            pool: pool.clone(),
+            used: 0,
+            pooled: 0,
+            free: 0,
         }
     }
 
@@ -52,7 +66,7 @@
     #[must_use]
     pub fn grow(&mut self, bytes: usize) -> bool {
         let used = self.used + bytes;
-        let more = used.saturating_sub(FREE_BYTES).saturating_sub(self.pooled);
+        let more = used.saturating_sub(self.free).saturating_sub(self.pooled);
         let available = &self.pool.available;
         let take = |available: usize| available.checked_sub(more);
         let has_room = available
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -181,6 +181,8 @@
     async fn relay_events(&mut self, part: &mut ServerPart) -> Result<(), Interruption> {
         while let Some(data) = self.next_when_writable(part).await? {
             let complete = self.complete_events(&mut part.splitter, &data);
+            // Otherwise the connection's read buffer stays allocated while the caller does not read.
+            drop(data);
             if part.splitter.rest().len() > MAX_EVENT_BYTES {
                 return Err(Interruption::Failed("an event is too long".to_string()));
             }
--- a/crates/alderglade-serve/tests/testsuite/memory.rs
+++ b/crates/alderglade-serve/tests/testsuite/memory.rs
@@ -30,3 +30,17 @@
     drop(one);
     assert_eq!(pool.available(), 100 * KB);
 }
+
+/// Guards against chunks of a stream that escape the bound because each is small.
+#[test]
+fn pieces_without_free_bytes_take_all_bytes_from_the_pool() {
+    let pool = Pool::new(10 * KB);
+    let mut one = Portion::without_free_bytes(&pool);
+    assert!(one.grow(4 * KB));
+    let mut two = Portion::without_free_bytes(&pool);
+    assert!(two.grow(4 * KB));
+    assert_eq!(pool.available(), 2 * KB);
+    assert!(!Portion::without_free_bytes(&pool).grow(4 * KB));
+    drop(one);
+    assert_eq!(pool.available(), 6 * KB);
+}
