Gauges of capacity are updated when metrics are read

Cause: alderglade_free_slots and alderglade_queue_length were updated at each tick, four times a second, with a pass over all engines each time, although they are read every few seconds at most. A host has 0.12 of a core.

Change: Node::encode_metrics updates them before it encodes the metrics.

The saved time was not measured.

--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -138,7 +138,7 @@
 /// Serves the metrics to operators.
 pub async fn serve_metrics(node: Rc<Node>, listener: TcpListener) {
     simple(listener, move |request| match request.uri().path() {
-        "/metrics" => plain(StatusCode::OK, node.metrics.encode()),
+        "/metrics" => plain(StatusCode::OK, node.encode_metrics()),
         _ => plain(StatusCode::NOT_FOUND, Vec::new()),
     })
     .await;
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -297,7 +297,6 @@
         self.set_gauges(&mut state, now);
         drop(state);
         self.observe_store();
-        self.observe_capacity();
         self.store_status_changed.notify_waiters();
         log_peers(joined, lost);
         self.regroup();
--- a/crates/alderglade-serve/src/node/capacity.rs
+++ b/crates/alderglade-serve/src/node/capacity.rs
@@ -7,8 +7,15 @@
 use alderglade_core::fleet::placement::{Engine, SHORT_PROMPT_TOKENS};
 
 impl Node {
-    /// Updates the gauges of free slots and of the wait queue. Must not be called while the state is borrowed.
-    pub(super) fn observe_capacity(&self) {
+    /// Returns all metrics in the Prometheus text format. The gauges of capacity are updated only when they are read:
+    /// they take a pass over all engines, which would be several passes a second in [`Node::tick`].
+    pub fn encode_metrics(&self) -> Vec<u8> {
+        self.observe_capacity();
+        self.metrics.encode()
+    }
+
+    /// Updates the gauges of free slots and of the wait queue.
+    fn observe_capacity(&self) {
         let Some(config) = self.state.borrow().config.clone() else {
             return;
         };
