--- a/crates/alderglade-operator/src/command/explain/summary.rs
+++ b/crates/alderglade-operator/src/command/explain/summary.rs
@@ -247,13 +247,14 @@
     let kind = text(last, "kind").unwrap_or("-");
     let held = story.iter().rev().find(|line| line.event == "held");
     let reason = held.and_then(|line| text(line, "reason"));
-    if let Some(reason) = text(last, "reason") {
-        return format!("refused ({kind}) for: {reason}");
-    }
+    let short_of = text(last, "reason");
     match (failure, reason) {
         (Some(problem), _) => format!("refused ({kind}) after: {problem}"),
         (None, Some(reason)) => format!("refused ({kind}), held for: {reason}"),
-        (None, None) => format!("refused ({kind}) at once"),
+        (None, None) => match short_of {
+            Some(short_of) => format!("refused ({kind}) at once for: {short_of}"),
+            None => format!("refused ({kind}) at once"),
+        },
     }
 }
 
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -173,6 +173,7 @@
   1.5 host-2 {"at_ms":6,"n":3401,"level":"INFO","event":"placed","id":"c","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":900,"workspace":"beta","rank":2,"slot_wait_ms":800}
   1.6 host-2 {"at_ms":7,"n":3403,"level":"INFO","event":"answered","id":"c","status":200,"first_ms":900,"longest_pause_ms":60,"aim_ms":300,"pause_aim_ms":250,"workspace":"beta","rank":2}
   1.7 host-3 {"at_ms":8,"n":3404,"level":"INFO","event":"refused","id":"d","kind":"unauthorized"}
+  1.8 host-1 {"at_ms":9,"n":3404,"level":"INFO","event":"refused","id":"e","kind":"overloaded","workspace":"alpha","reason":"share"}
 "#;
 
 /// Guards against requests that are counted for another workspace, failure domain or rank than their own, which would
@@ -184,7 +185,14 @@
     let output = command(&["explain", "--summary", &log]);
     assert_eq!(output.status.code(), Some(0));
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    assert!(text.contains("refused (overloaded) for: slots\n"), "{text}");
+    assert!(
+        text.contains("refused (overloaded), held for: slots\n"),
+        "{text}"
+    );
+    assert!(
+        text.contains("refused (overloaded) at once for: share\n"),
+        "{text}"
+    );
     assert!(text.contains("late: no free slot\n"), "{text}");
     let (_, table) = text.split_once("\n\n").expect("a second table");
     let rows = table.lines().skip(1);
@@ -194,7 +202,7 @@
     // Workspace, domain, rank, requests, in time, late, refused, failed, held.
     let expected = [
         ["-", "-", "0", "1", "0.0", "0", "1", "0", "0"],
-        ["alpha", "north", "0", "1", "100.0", "0", "0", "0", "0"],
+        ["alpha", "north", "0", "2", "50.0", "0", "1", "0", "0"],
         ["beta", "north", "2", "1", "0.0", "0", "1", "0", "1"],
         ["beta", "south", "2", "1", "0.0", "1", "0", "0", "0"],
     ];
@@ -211,15 +219,15 @@
     let rows = value.as_array().expect("an array");
     let has = |row: &serde_json::Value, name: &str| row.get(name).is_some();
     assert!(
-        rows[..4]
+        rows[..5]
             .iter()
             .all(|row| has(row, "cause") && has(row, "length")),
         "{value}"
     );
     assert!(
-        rows[4..]
+        rows[5..]
             .iter()
             .all(|row| has(row, "failure_domain") && has(row, "rank"))
     );
-    assert_eq!(rows.len(), 8);
+    assert_eq!(rows.len(), 9);
 }
