Ranks from the priorities of workspaces and routes, and the urgency at engines

Cause: priorities of routes were read and not used, those of workspaces were dropped when the configuration was read. Engines could not tell a resumed stream or a retry from new work.

Change: rank::Ranks orders the priorities once for each configuration; a job gets its rank at admission. A rank delays a prompt in the wait queue by 1 s a level, 3 s at most. Engines receive an urgency for lower ranks, for retries of callers that waited as told, and for resumed streams; none for ordinary work. Config and config::Patch get the priorities of workspaces in a new last field, empty if all are equal. It is read as empty from hosts of the former version; a patch states the resulting number of priorities, so that a host that lacks some does not apply it. The pinned bytes of three configurations change only by this field (one byte, 00).

--- a/crates/alderglade-core/src/fleet/config.rs
+++ b/crates/alderglade-core/src/fleet/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force: routes, services, limits and workspaces, with their lookups.
 
 mod patch;
+mod priority;
 
 pub use patch::Patch;
 
@@ -8,6 +9,7 @@
 use super::load_table::Pauses;
 use super::pass::EngineProfile;
 use crate::Name;
+use priority::Priorities;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -73,7 +75,7 @@
     pub time_limit: Duration,
     /// The latency objective: the time within which an answer (for a stream, its first event) earns its full value.
     pub objective: Duration,
-    /// The rank of its requests; `0` is the highest. Not used: prompts are placed by their value.
+    /// The priority of its requests among those of a workspace; `0` is the highest. See [`super::rank`].
     pub priority: u32,
     /// The maximum number of backend servers that one request is sent to.
     pub max_attempts: u32,
@@ -145,7 +147,7 @@
     pub name: Name,
     /// The keys that grant access to it.
     pub keys: Vec<Name>,
-    /// Its rank; `0` is the highest. Not used: prompts are placed by their value.
+    /// The priority of its requests; `0` is the highest. See [`super::rank`].
     pub priority: u32,
     /// The regions in which its requests may run; empty for all.
     pub regions: Arc<[Name]>,
@@ -174,6 +176,9 @@
     keys: Option<HashMap<Name, Name>>,
     /// The regions of the workspaces that restrict them.
     regions: HashMap<Name, Arc<[Name]>>,
+    /// The priorities of the workspaces, if they differ.
+    #[serde(deserialize_with = "priority::or_default")]
+    priorities: Arc<Priorities>,
 }
 
 impl Config {
@@ -197,6 +202,7 @@
         let regions =
             restricted.map(|workspace| (workspace.name.clone(), workspace.regions.clone()));
         let regions = regions.collect();
+        let priorities = priority::of(workspaces.as_deref().unwrap_or_default());
         Config {
             version,
             limits,
@@ -204,6 +210,7 @@
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             keys: workspaces.map(index_keys),
             regions,
+            priorities: Arc::new(priorities),
         }
     }
 
@@ -216,10 +223,21 @@
             .find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Returns the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten()
+    }
+
+    /// Returns the priorities of the workspaces; empty if all are equal.
+    pub fn workspace_priorities(&self) -> &HashMap<Name, u32> {
+        &self.priorities
+    }
+
     /// Returns the pauses that answers of a service tolerate, from the routes that lead to it.
     pub fn pauses(&self, service: &str) -> Pauses {
-        let routes = self.routes.values().flatten();
-        let leading = routes.filter(|route| route.targets.iter().any(|to| &*to.service == service));
+        let leading = self
+            .routes()
+            .filter(|route| route.targets.iter().any(|to| &*to.service == service));
         Pauses::of(leading.filter_map(|route| route.kind.longest_pause()))
     }
 
--- a/crates/alderglade-core/src/fleet/config/patch.rs
+++ b/crates/alderglade-core/src/fleet/config/patch.rs
@@ -3,6 +3,7 @@
 //! Most new versions change a few routes or keys of hundreds. A host that has the older version builds the
 //! newer one from the difference, without a call to the store.
 
+use super::priority::{self, Changes};
 use super::{Config, Limits, Route, Service};
 use crate::Name;
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,9 @@
     keys: Vec<Key>,
     /// The regions of all workspaces that restrict them.
     regions: HashMap<Name, Arc<[Name]>>,
+    /// The changed priorities of workspaces; `None` if there are none before or after.
+    #[serde(deserialize_with = "priority::or_default")]
+    priorities: Option<Box<Changes>>,
 }
 
 /// Identifies a route.
@@ -98,6 +102,7 @@
             dropped_keys: dropped_keys.cloned().collect(),
             keys: keys.map(Key::of).collect(),
             regions: new.regions.clone(),
+            priorities: Changes::between(&old.priorities, &new.priorities).map(Box::new),
         })
     }
 }
@@ -112,7 +117,8 @@
 }
 
 impl Config {
-    /// Returns the configuration that a patch leads to, or `None` if the patch applies to another version.
+    /// Returns the configuration that a patch leads to, or `None` if the patch applies to another version or to
+    /// priorities that this configuration lacks.
     pub fn apply_patch(&self, patch: &Patch) -> Option<Config> {
         if patch.base != self.version {
             return None;
@@ -121,6 +127,9 @@
         next.version = patch.version;
         next.limits = patch.limits;
         next.regions.clone_from(&patch.regions);
+        if let Some(changes) = &patch.priorities {
+            next.priorities = Arc::new(changes.apply(&self.priorities)?);
+        }
         let changed = patch.routes.iter().map(RouteKey::of);
         for key in patch.dropped_routes.iter().cloned().chain(changed) {
             if let Some(list) = next.routes.get_mut(&key.host) {
--- a/crates/alderglade-core/tests/testsuite/fleet/config.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/config.rs
@@ -157,7 +157,7 @@
         workspaces.push(Workspace {
             name: format!("w{}", u.int_in_range(0..=2u8)?).into(),
             keys: vec![key.into()],
-            priority: 1,
+            priority: u.int_in_range(1..=2)?,
             regions: regions(u)?,
         });
     }
@@ -204,3 +204,40 @@
     assert_eq!(Patch::between(&config_with_keys(), &config(None)), None);
     assert_eq!(Patch::between(&config(None), &config_with_keys()), None);
 }
+
+fn config_with_priorities(version: u64, priorities: &[(&str, u32)]) -> Config {
+    let workspaces = priorities.iter().map(|(name, priority)| Workspace {
+        name: (*name).into(),
+        keys: Vec::new(),
+        priority: *priority,
+        regions: Vec::new().into(),
+    });
+    let workspaces = Some(workspaces.collect());
+    Config::new(
+        version,
+        Limits::default(),
+        Vec::new(),
+        Vec::new(),
+        workspaces,
+    )
+}
+
+#[test]
+fn priorities_of_workspaces_are_kept_only_if_they_differ() {
+    let equal = config_with_priorities(1, &[("a", 4), ("b", 4)]);
+    assert!(equal.workspace_priorities().is_empty());
+    let differing = config_with_priorities(1, &[("a", 4), ("b", 3)]);
+    assert_eq!(differing.workspace_priorities().len(), 2);
+}
+
+/// A host that got its configuration from a host of the former version lacks the priorities. If it applied only the
+/// changes of the next version, it would order prompts differently from then on.
+#[test]
+fn a_patch_does_not_apply_where_priorities_are_missing() {
+    let old = config_with_priorities(3, &[("a", 1), ("b", 2), ("c", 2)]);
+    let new = config_with_priorities(9, &[("a", 1), ("b", 3), ("c", 2)]);
+    let patch = Patch::between(&old, &new).expect("both use keys");
+    assert_eq!(old.apply_patch(&patch), Some(new));
+    let incomplete = config_with_priorities(3, &[]);
+    assert_eq!(incomplete.apply_patch(&patch), None);
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -25,6 +25,7 @@
 mod progress;
 mod quarantine;
 mod queue;
+mod rank;
 mod rate_limit;
 mod reassembly;
 mod relay;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -31,6 +31,17 @@
     Lost,
 }
 
+/// What a server receives with a request in addition to what its caller sent.
+#[derive(Debug, Clone, Default)]
+pub struct Addition {
+    /// The servers that read parts of the prompt or hold memory for it.
+    pub helpers: Vec<Helper>,
+    /// The id of the last event that the caller already has.
+    pub last_event: Option<String>,
+    /// How early an engine admits the request; see [`Dispatch::urgency`].
+    pub urgency: Option<u8>,
+}
+
 /// Sends a job to a server and waits for the head of the response. Sends nothing if the permit is no longer valid.
 ///
 /// # Errors
@@ -41,8 +52,7 @@
     job: &Job,
     server: &Server,
     permit: Permit,
-    helpers: Vec<Helper>,
-    last_event: Option<String>,
+    addition: Addition,
     attempt: u32,
 ) -> Result<(Exchange, Reply), SendFailure> {
     if !node.may_run_at(&job.homes, server) {
@@ -62,9 +72,9 @@
         server: server.id().clone(),
         time_left: job.time_left(),
         workspace: job.workspace.clone(),
-        helpers,
-        last_event,
-        urgency: None,
+        helpers: addition.helpers,
+        last_event: addition.last_event,
+        urgency: addition.urgency,
     };
     let needs_new_connection = !job.route.kind.is_repeatable();
     let request = build_request(node, job, &dispatch);
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -13,7 +13,6 @@
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::config::{Access, Config, Kind, Route};
 use alderglade_core::fleet::fingerprint::{Content, Fingerprint};
-use alderglade_core::fleet::rank::Rank;
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use bytes::{Bytes, BytesMut};
@@ -137,6 +136,7 @@
 ) -> Result<Job, Refusal> {
     let config = node.wait_for_config(STARTUP_TIMEOUT).await;
     let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, RETRY_ELSEWHERE_DELAY))?;
+    let ranks = node.state.borrow().ranks.clone();
     let Admission { route, workspace } = check_access(node, &config, &head, &info)?;
     let time_limit = info.time_limit.unwrap_or(route.time_limit);
     let progress = in_flight.progress.clone();
@@ -156,6 +156,7 @@
         return Err(Refusal::new(ErrorKind::Quarantined, left));
     }
     let homes = config.homes(&route, workspace.as_deref());
+    let rank = ranks.rank(&service, route.priority, workspace.as_deref());
     Ok(Job {
         info,
         fingerprint: request_fingerprint,
@@ -167,7 +168,7 @@
         route,
         service,
         workspace,
-        rank: Rank::default(),
+        rank,
         homes,
         config: config.version,
         progress,
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -4,7 +4,7 @@
 mod reservation;
 
 use crate::answer::Content;
-use crate::attempt::{self, SendFailure};
+use crate::attempt::{self, Addition, SendFailure};
 use crate::client::Exchange;
 use crate::clock;
 use crate::event::{self, Record};
@@ -308,8 +308,12 @@
     let sends_left = state.may_send(job.route.max_attempts);
     let may_replace = sends_left && job.route.kind.is_repeatable();
     let attempt = state.total;
-    let helpers = placed.helpers.clone();
-    let answer = attempt::send(node, job, server, permit, helpers, last_event, attempt);
+    let addition = Addition {
+        helpers: placed.helpers.clone(),
+        last_event,
+        urgency: urgency(node, job, state),
+    };
+    let answer = attempt::send(node, job, server, permit, addition, attempt);
     let answer = async { check_response(node, job, server, attempt, answer.await) };
     tokio::select! {
         // A response that has arrived takes precedence over any sign of its absence.
@@ -330,6 +334,13 @@
     }
 }
 
+/// Returns how early an engine should admit a generation; `None` if its server is no engine.
+fn urgency(node: &Node, job: &Job, state: &SendState) -> Option<u8> {
+    place::profile(node, job)?;
+    let resumed = job.expectation(state.last_event_at).resumed;
+    job.rank.urgency(job.has_waited_to_retry(), resumed)
+}
+
 /// Finds another server for a generation whose server has sent nothing for `silence`. Keeps waiting while no server
 /// can take it, as on a host that is about to stop.
 async fn find_replacement(
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -106,7 +106,7 @@
 }
 
 /// Returns the timing profile of the engines that serve a job, if its service states one.
-fn profile(node: &Node, job: &Job) -> Option<EngineProfile> {
+pub(super) fn profile(node: &Node, job: &Job) -> Option<EngineProfile> {
     let config = node.state.borrow().config.clone()?;
     config.service(&job.service)?.engine
 }
@@ -169,7 +169,7 @@
         time_left: job.time_left(),
         is_retry: job.is_retry(),
         resumed: expectation.resumed,
-        order_delay: node.share_delay(job),
+        order_delay: node.share_delay(job) + job.rank.order_delay(),
         value: placement::value(prompt.tokens),
         avoid: state.avoid.clone(),
         stalled: state.stalled.clone(),
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -120,6 +120,15 @@
         limit.is_some_and(|limit| limit + MIN_DIFFERENCE < self.route.time_limit)
     }
 
+    /// Returns whether the caller was refused before and has waited for as long as it was told.
+    pub fn has_waited_to_retry(&self) -> bool {
+        /// The age of the first attempt from which on a retry counts: 0.9 of the shortest delay that a caller is told
+        /// under overload, one second. Retrying earlier gains nothing.
+        const MIN_AGE: Duration = Duration::from_millis(900);
+        let limit = self.info.time_limit;
+        limit.is_some_and(|limit| limit + MIN_AGE <= self.route.time_limit)
+    }
+
     /// Returns the caller's description of the prompt, or an ordinary short prompt if there is none.
     pub fn prompt(&self) -> Prompt {
         self.info.prompt.unwrap_or(DEFAULT_PROMPT)
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -20,6 +20,7 @@
 use alderglade_core::fleet::loan::LoanRequests;
 use alderglade_core::fleet::message::StoreUpdate;
 use alderglade_core::fleet::quarantine::Quarantine;
+use alderglade_core::fleet::rank::Ranks;
 use alderglade_core::fleet::rate_limit::Limits;
 use alderglade_core::fleet::reassembly::Reassembly;
 use alderglade_core::fleet::relay::{Relay, Role};
@@ -42,6 +43,8 @@
     pub loads: LoadTable,
     /// The pauses between events that the routes to each service of engines allow.
     pub(super) pauses: HashMap<Name, Pauses>,
+    /// The order of the priorities in the configuration.
+    pub ranks: Rc<Ranks>,
     /// The health of servers.
     pub health: Health,
     /// Requests under which servers end.
@@ -95,6 +98,7 @@
             evacuations: Evacuations::default(),
             loads: LoadTable::default(),
             pauses: HashMap::new(),
+            ranks: Rc::default(),
             health: Health::default(),
             quarantine: Quarantine::default(),
             backoffs: Backoffs::default(),
@@ -143,6 +147,7 @@
             let pauses =
                 engines.map(|service| (service.name.clone(), config.pauses(&service.name)));
             self.pauses = pauses.collect();
+            self.ranks = Rc::new(Ranks::new(config));
         }
         self.update_engines();
     }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -1,7 +1,7 @@
 //! Serves requests whose response is not a stream, by plain backend servers.
 
 use crate::answer::{Chunk, Content};
-use crate::attempt::{self, SendFailure};
+use crate::attempt::{self, Addition, SendFailure};
 use crate::body_sender::{BodySender, CallerGone};
 use crate::client::{Collected, Exchange, RemainingBody};
 use crate::clock;
@@ -249,7 +249,7 @@
     job.progress.set_stage(Stage::Sent(server.id().clone()));
     let may_replace = sends < job.route.max_attempts && job.route.kind.is_repeatable();
     let sent = request_state.send();
-    let exchange = attempt::send(node, job, server, permit, Vec::new(), None, sends);
+    let exchange = attempt::send(node, job, server, permit, Addition::default(), sends);
     let whole = async {
         let (exchange, reply) = exchange.await?;
         collect(node, job, server, sends, exchange, &reply).await
--- a/crates/alderglade-serve/tests/testsuite/wire_bytes.rs
+++ b/crates/alderglade-serve/tests/testsuite/wire_bytes.rs
@@ -314,7 +314,7 @@
         6567696f6e010a736572766963652d3531010a736572766963652d35320101020000000000000c400000\
         00000000124000000000000016400000000000001a400000000000001e4008090a0b0c0000000000002b\
         4001066b65792d353101066b65792d35320c776f726b73706163652d3532010c776f726b73706163652d\
-        35320104686f6d65",
+        35320104686f6d6500",
     );
 }
 
@@ -399,8 +399,58 @@
         022021010106746172676574000000000000d03f0106726567696f6e010a736572766963652d35330a73\
         6572766963652d35330101020000000000000c4000000000000012400000000000001640000000000000\
         1a400000000000001e4008090a0b0c0000000000002b400101066b65792d35330c776f726b7370616365\
-        2d3533010c776f726b73706163652d35330104686f6d65",
+        2d3533010c776f726b73706163652d35330104686f6d6500",
     );
     let open = Config::new(54, Limits::default(), Vec::new(), Vec::new(), None);
-    check(&open, "36808001808080020f0000000000");
+    check(&open, "36808001808080020f000000000000");
+}
+
+/// Returns a configuration with priorities of workspaces; `first` is that of the first one.
+fn config_with_priorities(version: u64, first: u32) -> Config {
+    let workspaces = [("one", first), ("two", 2)].map(|(name, priority)| Workspace {
+        name: name.into(),
+        keys: Vec::new(),
+        priority,
+        regions: Vec::new().into(),
+    });
+    let workspaces = Some(workspaces.into());
+    Config::new(
+        version,
+        Limits::default(),
+        Vec::new(),
+        Vec::new(),
+        workspaces,
+    )
+}
+
+#[test]
+fn changed_priorities_of_workspaces() {
+    let (old, new) = (config_with_priorities(51, 1), config_with_priorities(52, 3));
+    let patch = Patch::between(&old, &new).expect("a patch");
+    assert_eq!(old.apply_patch(&patch), Some(new));
+    check(
+        &Message::StoreUpdate(StoreUpdate::Config(patch)),
+        "05013334808001808080020f0000000000000000010001036f6e650302",
+    );
+}
+
+/// Hosts of the version before priorities send configurations without them, and ignore the bytes after the fields that
+/// they know. If either were an error, a host that starts in an outage of the store could get no configuration from a
+/// host of the other version.
+#[test]
+fn configurations_of_the_former_version_are_read_without_priorities() {
+    let complete = config_with_priorities(51, 1);
+    let former = postcard::to_stdvec(&config_with_priorities(51, 2)).expect("bytes");
+    let read: Config = postcard::from_bytes(&former[..former.len() - 1]).expect("a configuration");
+    assert!(read.workspace_priorities().is_empty());
+    let later = [postcard::to_stdvec(&complete).expect("bytes"), vec![7]].concat();
+    assert_eq!(postcard::from_bytes(&later), Ok(complete.clone()));
+    let patch = Patch::between(&complete, &config_with_priorities(52, 1)).expect("a patch");
+    let bytes = postcard::to_stdvec(&patch).expect("bytes");
+    // Its last field: present, nothing dropped, nothing set, two priorities.
+    let (before, last) = bytes.split_at(bytes.len() - 4);
+    assert_eq!(last, [1, 0, 0, 2]);
+    let read: Patch = postcard::from_bytes(before).expect("a patch");
+    let next = complete.apply_patch(&read).expect("the next configuration");
+    assert_eq!(next.workspace_priorities(), complete.workspace_priorities());
 }
