The wait queue holds short prompts while no slot is free, and refuses what can't be in time

Cause: a short prompt was refused only if it couldn't start within its whole time limit, so in a burst beyond the slots half of the first events were late. A caller that retried after a refusal competed with new requests.

Change: `placement/slot_queue` decides by the free slots and by the queued short prompts that precede: a prompt with a slot is placed; one that can be in time is held (reason `slots`); a first attempt that can't is refused as it arrives, with a jittered retry delay; anything else is held until the last moment at which it can be in time and then placed where it begins first. Resumed streams are placed at once, and long ones aren't held. Short and long prompts are counted apart and share the entries of a notice. A retry at least 0.9 s after the first attempt ranks by that attempt and isn't refused. Ranks of other hosts' short prompts are corrected by the usual delay of a notice. A stopping host refuses as `draining` for lack of slots too, since `streams_that_take_longer_than_expected_are_not_lost_in_a_stop` got `overloaded` from one whose only engine was full.

--- a/crates/alderglade-core/src/fleet/load_table.rs
+++ b/crates/alderglade-core/src/fleet/load_table.rs
@@ -14,12 +14,13 @@
 
 pub use load::{Load, PAUSE_CLASSES, PauseClass, Pauses};
 pub use notice::{Holding, Notice};
-pub use queue::{Demand, QueuedId};
+pub use queue::{Demand, QueueLengths, QueuedId};
 pub use reservation::{Part, Reservation, ReservationId};
 
 use super::heartbeat;
 use super::incarnation::Key;
 use super::pass::EngineProfile;
+use super::placement::SHORT_PROMPT_TOKENS;
 use super::progress::{Backlog, Pace, Progress};
 use super::relay::Neighbour;
 use crate::Name;
@@ -79,6 +80,9 @@
     totals: HashMap<Key, Load>,
     /// The engines that state their timing.
     engines: HashMap<Key, Engine>,
+    /// The time below which a prompt in the wait queue counts as short, in milliseconds: the time in which the slowest
+    /// engine reads the shortest long prompt. Demands don't state their service.
+    short_reading: f64,
     /// When the last notice from a host of each failure domain arrived.
     domain_last_heard: HashMap<Name, Time>,
     /// How long this host's answers hold their slots.
@@ -97,6 +101,9 @@
             (server, Engine { profile, progress })
         });
         self.engines = updated.collect();
+        let profiles = self.engines.values().map(|engine| &engine.profile);
+        let limits = profiles.map(|profile| profile.read_ms(SHORT_PROMPT_TOKENS));
+        self.short_reading = limits.fold(0.0, f64::max);
         let engines = &self.engines;
         let is_obsolete =
             |server: &Key, own: &OwnLoad| own.load.holds_nothing() && !engines.contains_key(server);
@@ -214,24 +221,56 @@
 
     /// Updates what a queued prompt needs.
     ///
-    /// Returns how many prompts precede it, over all hosts.
+    /// Returns how many prompts of its kind, short or long, precede it over all hosts.
     pub fn update_queued(&mut self, id: QueuedId, demand: Demand, now: Time) -> u32 {
         let entry = Entry::new(demand, now);
         self.own_queue.insert(id, entry);
+        let is_short = entry.is_short(self.short_reading);
+        let own = self.own_queue.values().copied();
         let peers = self.peers.values().flat_map(|peer| &peer.queue);
-        let queue = self.own_queue.values().chain(peers);
+        let peers = peers.map(|other| if is_short { other.as_sent() } else { *other });
+        let queue = own.chain(peers);
+        let queue = queue.filter(|other| other.is_short(self.short_reading) == is_short);
         let before = queue.filter(|other| other.is_before(&entry)).count();
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 
+    /// Returns the numbers of short and of long prompts in the wait queue, over all hosts.
+    pub fn queue_lengths(&self) -> QueueLengths {
+        let peers = self.peers.values().flat_map(|peer| &peer.queue);
+        let queue = self.own_queue.values().chain(peers);
+        let (short, long): (Vec<&Entry>, Vec<&Entry>) =
+            queue.partition(|entry| entry.is_short(self.short_reading));
+        QueueLengths {
+            short: short.len(),
+            long: long.len(),
+        }
+    }
+
     /// Removes a prompt from the wait queue.
     pub fn dequeue(&mut self, id: QueuedId) {
         self.own_queue.remove(&id);
     }
 
-    /// Returns what this host's queued prompts need, oldest first, as many as a notice carries.
+    /// Returns what this host's queued prompts need, oldest first, as many as a notice carries. Half of them may be short
+    /// if there are as many, so that neither kind hides the other.
     pub fn queued_demands(&self, now: Time) -> Vec<Demand> {
-        let entries = self.own_queue.values().take(MAX_REPORTED_DEMANDS);
+        let is_short = |entry: &&Entry| entry.is_short(self.short_reading);
+        let long = self
+            .own_queue
+            .values()
+            .filter(|entry| !is_short(entry))
+            .count();
+        let max_short = MAX_REPORTED_DEMANDS - long.min(MAX_REPORTED_DEMANDS / 2);
+        let short: Vec<&Entry> = self
+            .own_queue
+            .values()
+            .filter(is_short)
+            .take(max_short)
+            .collect();
+        let max_long = MAX_REPORTED_DEMANDS - short.len();
+        let long = self.own_queue.values().filter(|entry| !is_short(entry));
+        let entries = long.take(max_long).chain(short);
         entries.map(|entry| entry.demand(now)).collect()
     }
 
--- a/crates/alderglade-core/src/fleet/load_table/queue.rs
+++ b/crates/alderglade-core/src/fleet/load_table/queue.rs
@@ -1,10 +1,13 @@
-//! The wait queue of long prompts, shared by all hosts.
+//! The wait queue of prompts, shared by all hosts.
 //!
 //! Each host reports to its peers which prompts wait for engines there, and all hosts rank them by the same rule. Hosts
 //! therefore agree on the next prompt without asking each other: a prompt starts once fewer prompts precede it than may
 //! be read at the same time. Without the queue the first host to look takes the engines, and prompts with little time
 //! left lose them to others with plenty. Over 33 simulated days the queue earned 8 in 1,000 more of the total value,
 //! and 1 in 100 more of the value of the longest prompts.
+//!
+//! Short prompts wait for slots and long ones for engines that may read them, so they are counted apart: neither kind
+//! delays the other.
 
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -29,6 +32,15 @@
     pub reading_ms: u32,
 }
 
+/// The numbers of prompts in the wait queue.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueLengths {
+    /// Short prompts, which wait for slots.
+    pub short: usize,
+    /// Long prompts.
+    pub long: usize,
+}
+
 /// A prompt in the wait queue.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Entry {
@@ -57,6 +69,24 @@
         }
     }
 
+    /// Returns whether the prompt is short, if short ones are read in less than `limit` milliseconds.
+    pub(super) fn is_short(&self, limit: f64) -> bool {
+        f64::from(self.reading_ms) < limit
+    }
+
+    /// Returns the prompt as it ranks at its own host, given that its demand arrived from there in a notice. Demands state
+    /// the time left when they are sent, so each ranks later at other hosts by the delay of the notice. Short prompts
+    /// are due a few milliseconds apart, and without the correction each host considers its own ones next.
+    pub(super) fn as_sent(&self) -> Entry {
+        /// The usual delay of a notice, in milliseconds. It is rather too low: if it were too high, two hosts would each
+        /// wait for the other one's prompt.
+        const NOTICE_DELAY_MS: i64 = 5;
+        Entry {
+            due_ms: self.due_ms - NOTICE_DELAY_MS,
+            ..*self
+        }
+    }
+
     /// Returns whether this prompt precedes another one.
     pub(super) fn is_before(&self, other: &Entry) -> bool {
         self.rank() < other.rank()
--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -2,7 +2,9 @@
 //! lets the prompt wait.
 
 use super::parts::{self, CostedPlan};
-use super::{Decision, Engine, MAX_PARTS, Reason, ServiceState, Wait, Work, hold_policy, timing};
+use super::{
+    Decision, Engine, MAX_PARTS, Reason, ServiceState, Wait, Work, hold_policy, slots, timing,
+};
 use std::time::Duration;
 
 /// The target reading time of one part of a long prompt, in milliseconds: a pause that most answers tolerate.
@@ -19,7 +21,7 @@
 
 /// Chooses the engines of a long prompt, holds it, or refuses it if its time is too short.
 pub(super) fn choose(work: &Work, usable: &[&Engine], state: &ServiceState) -> Decision {
-    let pool = without_suspects(usable);
+    let pool = slots::trusted(usable);
     let full_read = pool[0].profile.read_ms(work.prompt);
     let max_parts =
         ((full_read / TARGET_PART_MS).ceil() as usize).clamp(1, pool.len().min(MAX_PARTS));
@@ -29,8 +31,9 @@
         return wait_or_refuse(work, fastest);
     };
     match hold_policy::reason_to_wait(work, &costed, fastest, full_read, state) {
-        Some(reason) => hold(work, reason),
-        None => Decision::Send(costed.plan),
+        // A stream that another server began isn't held behind new work.
+        Some(reason) if !work.resumed => hold(work, reason),
+        _ => Decision::Send(costed.plan),
     }
 }
 
@@ -53,19 +56,6 @@
     if others.len() >= enough { others } else { pool }
 }
 
-/// Removes suspect engines, unless all of them are suspect.
-fn without_suspects<'a>(usable: &[&'a Engine]) -> Vec<&'a Engine> {
-    let trusted: Vec<&Engine> = usable
-        .iter()
-        .copied()
-        .filter(|engine| !engine.suspect)
-        .collect();
-    if trusted.is_empty() {
-        return usable.to_vec();
-    }
-    trusted
-}
-
 /// Returns the cheapest plan with up to `max_parts` parts; among equally cheap ones the one with fewer parts.
 fn cheapest(
     work: &Work,
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -6,7 +6,7 @@
 //! be late, and accept a higher cost as their own time runs out. Some engines are left to short prompts.
 //!
 //! `short` and `long` choose for the two kinds of prompts, and `parts` plans a long prompt over a number of engines.
-//! `hold_policy` decides whether a long prompt should wait, `demand` computes what its rank in the wait queue depends
+//! `hold_policy` decides whether a long prompt should wait, `slot_queue` whether a short one should, `demand` computes what its rank in the wait queue depends
 //! on, and `wait` describes the wait to operators. All of them use `cost`, `timing` and `slots`. `jitter` keeps hosts
 //! that choose at the same moment from making the same choice, and `spread` does where engines have few free slots.
 
@@ -17,6 +17,7 @@
 mod long;
 mod parts;
 mod short;
+mod slot_queue;
 mod slots;
 mod spread;
 mod timing;
@@ -57,6 +58,8 @@
     pub time_left: Duration,
     /// Whether the caller was refused before and has retried.
     pub is_retry: bool,
+    /// How long before this attempt the caller's first one arrived, as the remaining time that it states shows.
+    pub earlier: Duration,
     /// Whether the prompt continues a stream that another server began.
     pub resumed: bool,
     /// How much later than its due time the prompt ranks in the wait queue, because others have a higher rank or because
@@ -138,7 +141,8 @@
 pub struct ServiceState {
     /// The number of prompts being read that occupy many engines at once.
     pub multi_engine_prompts: u32,
-    /// The number of queued prompts that precede this one, over all hosts.
+    /// The number of queued prompts that precede this one, over all hosts: of short ones if it is short, else of long
+    /// ones.
     pub queued_before: u32,
     /// How busy the engines are with reading, from `0.0` (idle) to `1.0` (reading all the time).
     pub pressure: f64,
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -4,7 +4,10 @@
 //! early ones stay free of short answers and can read long prompts.
 
 use super::cost::{self, OTHER_DOMAIN_COST_MS};
-use super::{Decision, Engine, Plan, ServiceState, Work, jitter, slots, spread, timing};
+use super::slot_queue::Verdict;
+use super::{
+    Decision, Engine, Plan, ServiceState, Work, jitter, slot_queue, slots, spread, timing,
+};
 use std::time::Duration;
 
 /// How much longer a short prompt may wait for the last engine of the order than for the first, in milliseconds. This
@@ -27,7 +30,7 @@
 /// The retry delay for callers if no engine is usable, which [`super::choose`] rules out.
 const NO_USABLE_ENGINE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Chooses the engine of a short prompt, or refuses the prompt if its caller would leave before the first event.
+/// Chooses the engine of a short prompt, holds it while no slot is free for it, or refuses it if it can't be in time.
 ///
 /// An engine without a free slot is chosen only if no trusted engine has one.
 pub(super) fn choose(
@@ -36,14 +39,17 @@
     usable: &[&Engine],
     state: &ServiceState,
 ) -> Decision {
+    let trusted = slots::trusted(usable);
+    let verdict = slot_queue::decide(work, &trusted, state.queued_before);
     let pool = slots::with_free_slot(usable);
     let pool = if pool.is_empty() { usable } else { &pool };
-    let mut ranked: Vec<(f64, &Engine)> = candidates(engines, pool)
-        .map(|candidate| (cost(work, &candidate), candidate.engine))
-        .collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let ranked: Vec<&Engine> = ranked.into_iter().map(|(_, engine)| engine).collect();
-    let Some(chosen) = spread::choose(work, &ranked, state.placements_per_second) else {
+    let chosen = match verdict {
+        Verdict::Hold(wait) => return Decision::Wait(wait),
+        Verdict::Refuse(retry_delay) => return Decision::Refuse(retry_delay),
+        Verdict::PlaceSoonest => soonest(work, pool),
+        Verdict::Place => cheapest(work, engines, pool, state),
+    };
+    let Some(chosen) = chosen else {
         return Decision::Refuse(NO_USABLE_ENGINE_RETRY_DELAY);
     };
     let plan = plan(work, chosen);
@@ -53,6 +59,35 @@
     Decision::Send(plan)
 }
 
+/// Returns the engine with the least cost, or one of the cheapest if they have few free slots.
+fn cheapest<'a>(
+    work: &Work,
+    engines: &'a [Engine],
+    pool: &[&'a Engine],
+    state: &ServiceState,
+) -> Option<&'a Engine> {
+    let mut ranked: Vec<(f64, &Engine)> = candidates(engines, pool)
+        .map(|candidate| (cost(work, &candidate), candidate.engine))
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let ranked: Vec<&Engine> = ranked.into_iter().map(|(_, engine)| engine).collect();
+    spread::choose(work, &ranked, state.placements_per_second)
+}
+
+/// Returns the engine where the first event comes first, wherever it is in the order of the service.
+fn soonest<'a>(work: &Work, pool: &[&'a Engine]) -> Option<&'a Engine> {
+    /// The maximum jitter, in milliseconds: less than the wait that one more request in the queue of an engine causes.
+    const MAX_JITTER_MS: f64 = 30.0;
+    let cost = |engine: &Engine| {
+        let part = engine.profile.read_ms(work.prompt);
+        let jitter = MAX_JITTER_MS * jitter::jitter(work, engine);
+        timing::first_event(engine, part) + jitter + drawbacks(work, engine)
+    };
+    let costs = pool.iter().map(|engine| (cost(engine), *engine));
+    let best = costs.min_by(|a, b| a.0.total_cmp(&b.0));
+    best.map(|(_, engine)| engine)
+}
+
 /// Returns the plan to send a short prompt to an engine.
 pub(super) fn plan(work: &Work, engine: &Engine) -> Plan {
     let part = engine.profile.read_ms(work.prompt);
@@ -126,14 +161,18 @@
 
 /// Returns the cost of an engine apart from its time to the first event, in milliseconds.
 fn penalty(work: &Work, engine: &Engine) -> f64 {
-    /// The cost of an engine without enough memory, where an answer may be preempted and read again.
-    const NO_MEMORY_COST_MS: f64 = 1_000.0;
     /// The cost of each running answer above the packed limit, in milliseconds. Two of them exceed the cost of the
     /// whole order, so that slots are left for prompts whose placements are still in transit.
     const CROWDING_COST_MS: f64 = 80.0;
     let excess = engine.load.running as f64 - cost::packed_limit(engine);
-    let mut penalty = CROWDING_COST_MS * excess.max(0.0);
-    penalty += slots::wait_ms(engine);
+    CROWDING_COST_MS * excess.max(0.0) + slots::wait_ms(engine) + drawbacks(work, engine)
+}
+
+/// Returns the cost of an engine that has too little memory, is suspect or is in another failure domain, in milliseconds.
+fn drawbacks(work: &Work, engine: &Engine) -> f64 {
+    /// The cost of an engine without enough memory, where an answer may be preempted and read again.
+    const NO_MEMORY_COST_MS: f64 = 1_000.0;
+    let mut penalty = 0.0;
     if timing::free_memory(engine) < work.memory as i64 {
         penalty += NO_MEMORY_COST_MS;
     }
--- a/crates/alderglade-core/src/fleet/placement/slots.rs
+++ b/crates/alderglade-core/src/fleet/placement/slots.rs
@@ -18,6 +18,8 @@
 pub struct Slots {
     /// The number of free slots.
     pub free: u32,
+    /// The number of requests that wait for a slot in the queues of engines.
+    pub waiting: u32,
     /// The number of slots that become free per second while all of them are in use.
     pub freed_per_second: f64,
 }
@@ -26,10 +28,21 @@
     /// Sums up the slots of some engines.
     pub fn of<'a>(engines: impl Iterator<Item = &'a Engine>) -> Slots {
         engines.fold(Slots::default(), |sum, engine| Slots {
-            free: sum.free + free(engine),
+            free: sum.free.saturating_add(free(engine)),
+            waiting: sum.waiting.saturating_add(waiting(engine)),
             freed_per_second: sum.freed_per_second + freed_per_second(engine),
         })
     }
+
+    /// Returns the time until a prompt has a slot that `before` other prompts precede, in milliseconds. The requests in
+    /// the queues of engines precede it too.
+    pub(super) fn wait_ms(&self, before: u32) -> f64 {
+        if before < self.free {
+            return 0.0;
+        }
+        let slots_needed = f64::from(before - self.free) + f64::from(self.waiting) + 1.0;
+        slots_needed / self.freed_per_second * 1_000.0
+    }
 }
 
 /// Returns the time for which an answer of `output` tokens holds its slot if it needs a pass of `pass_ms` milliseconds
@@ -51,8 +64,26 @@
     if free(engine) > 0 {
         return 0.0;
     }
-    let waiting = engine.load.running - i64::from(engine.profile.slots) + 1;
-    waiting as f64 / freed_per_second(engine) * 1_000.0
+    (f64::from(waiting(engine)) + 1.0) / freed_per_second(engine) * 1_000.0
+}
+
+/// Returns the number of requests that wait for a slot in the queue of an engine.
+fn waiting(engine: &Engine) -> u32 {
+    let excess = engine
+        .load
+        .running
+        .saturating_sub(i64::from(engine.profile.slots));
+    u32::try_from(excess.max(0)).unwrap_or(u32::MAX)
+}
+
+/// Returns the engines that aren't suspect, or all of them if each is.
+pub(super) fn trusted<'a>(engines: &[&'a Engine]) -> Vec<&'a Engine> {
+    let trusted = engines.iter().copied().filter(|engine| !engine.suspect);
+    let trusted: Vec<&Engine> = trusted.collect();
+    if trusted.is_empty() {
+        return engines.to_vec();
+    }
+    trusted
 }
 
 /// Returns the engines with a free slot that aren't suspect.
--- a/crates/alderglade-core/src/fleet/placement/wait.rs
+++ b/crates/alderglade-core/src/fleet/placement/wait.rs
@@ -22,6 +22,8 @@
     Busy,
     /// Other answers would lose more value than the prompt may cost them at present.
     Harm,
+    /// Engines have no free slot for the prompt.
+    Slots,
 }
 
 impl Reason {
@@ -32,6 +34,7 @@
             Reason::MultiEngine => "giants",
             Reason::Busy => "busy",
             Reason::Harm => "harm",
+            Reason::Slots => "slots",
         }
     }
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod request_state;
 mod restored;
 mod rng;
+mod slot_queue;
 mod slots;
 mod slowdown;
 mod sse;
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -49,6 +49,7 @@
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
         is_retry: false,
+        earlier: Duration::ZERO,
         resumed: false,
         order_delay: Duration::ZERO,
         value: value(5_000),
--- a/crates/alderglade-core/tests/testsuite/fleet/slots.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/slots.rs
@@ -12,10 +12,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-const SLOTS: u32 = 12;
+pub(super) const SLOTS: u32 = 12;
 
 /// Returns engines with 12 slots and answers of 2 s, of which each has this many requests.
-fn engines(running: &[i64]) -> Vec<Engine> {
+pub(super) fn engines(running: &[i64]) -> Vec<Engine> {
     let engine = |(number, running): (usize, &i64)| Engine {
         id: key(&format!("e{number:02}")),
         load: Load {
@@ -35,7 +35,7 @@
     running.iter().enumerate().map(engine).collect()
 }
 
-fn short(random: Option<u64>) -> Work {
+pub(super) fn short(random: Option<u64>) -> Work {
     Work {
         prompt: 5_000,
         memory: 6_400,
@@ -44,6 +44,7 @@
         waited: Duration::ZERO,
         time_left: Duration::from_secs(10),
         is_retry: false,
+        earlier: Duration::ZERO,
         resumed: false,
         order_delay: Duration::ZERO,
         value: value(5_000),
@@ -53,7 +54,7 @@
     }
 }
 
-fn state(engines: &[Engine], queued_before: u32, placements: f64) -> ServiceState {
+pub(super) fn state(engines: &[Engine], queued_before: u32, placements: f64) -> ServiceState {
     ServiceState {
         multi_engine_prompts: 0,
         queued_before,
@@ -63,7 +64,7 @@
     }
 }
 
-fn sent(decision: Decision) -> Plan {
+pub(super) fn sent(decision: Decision) -> Plan {
     match decision {
         Decision::Send(plan) => plan,
         other => panic!("not sent: {other:?}"),
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -17,7 +17,7 @@
 /// Time that an engine takes for one stride of output tokens, at most, when engines are busy.
 const MAX_STRIDE_TIME: Duration = Duration::from_millis(75);
 /// A stopping host returns prompts that still wait to their callers when it has less time left than this: about the
-/// time to read and answer a long prompt.
+/// time to read and answer a long prompt. Short prompts that wait for a slot do so for less than their objective.
 const MIN_TIME_BEFORE_STOP: Duration = Duration::from_millis(5_000);
 
 /// Waits until the prompt should be sent and returns the plan.
@@ -53,9 +53,16 @@
                 return Err(request_state.refuse(ErrorKind::Draining, RETRY_DELAY));
             }
             Decision::Send(plan) => return Ok(plan),
-            Decision::Wait(_) if ends_in.is_some_and(|left| left < MIN_TIME_BEFORE_STOP) => {
+            Decision::Wait(wait)
+                if wait.reason != Reason::Slots
+                    && ends_in.is_some_and(|left| left < MIN_TIME_BEFORE_STOP) =>
+            {
                 return Err(request_state.refuse(ErrorKind::Draining, RETRY_DELAY));
             }
+            // Callers of a stopping host retry elsewhere, whatever the reason.
+            Decision::Refuse(after) if ends_in.is_some() => {
+                return Err(request_state.refuse(ErrorKind::Draining, after));
+            }
             Decision::Refuse(after) => {
                 return Err(request_state.refuse(ErrorKind::Overloaded, after));
             }
@@ -111,7 +118,7 @@
     config.service(&job.service)?.engine
 }
 
-/// Decides on a prompt from the current state. A long prompt is added to the wait queue through `queue`.
+/// Decides on a prompt from the current state. The prompt is added to the wait queue through `queue`.
 fn decide(
     node: &Rc<Node>,
     job: &Job,
@@ -124,10 +131,8 @@
     let work = work(node, job, state, profile.stride);
     let engines = node.engines(&job.service, profile, &job.homes, work.memory - work.prompt);
     let demand = placement::demand(&work, &profile, engines.len());
-    let queued_before = demand.map_or(0, |demand| {
-        let queued = queue.get_or_insert_with(|| node.enqueue(demand));
-        queued.update(demand)
-    });
+    let queued = queue.get_or_insert_with(|| node.enqueue(demand));
+    let queued_before = queued.update(demand);
     let service = ServiceState {
         queued_before,
         multi_engine_prompts: node.state.borrow().loads.multi_engine_prompts(),
@@ -158,6 +163,12 @@
     }
 }
 
+/// Returns how long before this attempt the caller's first one arrived: a caller that retries states its remaining time.
+fn time_since_first_attempt(job: &Job) -> Duration {
+    let limit = job.info.time_limit.unwrap_or(job.route.time_limit);
+    job.route.time_limit.saturating_sub(limit)
+}
+
 /// Returns the properties of a prompt that placement needs.
 fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
@@ -173,6 +184,7 @@
         waited: job.waited(),
         time_left: job.time_left(),
         is_retry: job.is_retry(),
+        earlier: time_since_first_attempt(job),
         resumed: false,
         order_delay: node.share_delay(job),
         value: placement::value(prompt.tokens),
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -204,6 +204,7 @@
         caller_timeout: Duration::from_millis(10_000),
         waited: Duration::ZERO,
         is_retry: false,
+        earlier: Duration::ZERO,
         resumed: false,
         order_delay: Duration::ZERO,
         time_left: Duration::from_secs(15),
