--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -33,6 +33,7 @@
 mod restored;
 mod rng;
 mod share;
+mod slot_queue;
 mod slots;
 mod slowdown;
 mod sse;
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -7,7 +7,9 @@
 use crate::node::{Node, QueueGuard, Unavailability};
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::pass::EngineProfile;
-use alderglade_core::fleet::placement::{self, Decision, Plan, Reason, ServiceState, Work};
+use alderglade_core::fleet::placement::{
+    self, Decision, Plan, Reason, SHORT_PROMPT_TOKENS, ServiceState, Work,
+};
 use alderglade_core::fleet::request_state::{RequestState, Waiting};
 use alderglade_core::request::Refusal;
 use rand::RngExt;
@@ -17,7 +19,7 @@
 /// Time that an engine takes for one stride of output tokens, at most, when engines are busy.
 const MAX_STRIDE_TIME: Duration = Duration::from_millis(75);
 /// A stopping host returns prompts that still wait to their callers when it has less time left than this: about the
-/// time to read and answer a long prompt.
+/// time to read and answer a long prompt. Short prompts that wait for a slot do so for less than their objective.
 const MIN_TIME_BEFORE_STOP: Duration = Duration::from_millis(5_000);
 
 /// Waits until the prompt should be sent and returns the plan.
@@ -53,12 +55,20 @@
                 return Err(request_state.refuse(ErrorKind::Draining, RETRY_DELAY));
             }
             Decision::Send(plan) => return Ok(plan),
-            Decision::Wait(_) if ends_in.is_some_and(|left| left < MIN_TIME_BEFORE_STOP) => {
+            Decision::Wait(wait)
+                if wait.reason != Reason::Slots
+                    && ends_in.is_some_and(|left| left < MIN_TIME_BEFORE_STOP) =>
+            {
                 return Err(request_state.refuse(ErrorKind::Draining, RETRY_DELAY));
             }
+            // Callers of a stopping host retry elsewhere, whatever the reason.
+            Decision::Refuse(after) if ends_in.is_some() => {
+                return Err(request_state.refuse(ErrorKind::Draining, after));
+            }
             Decision::Refuse(after) => {
                 node.record_shortage();
-                return Err(request_state.refuse(ErrorKind::Overloaded, after));
+                let refusal = request_state.refuse(ErrorKind::Overloaded, after);
+                return Err(refusal.with_reason(shortage(node, job, state)));
             }
             Decision::Wait(wait) => {
                 log_held(node, job, state, wait.reason);
@@ -72,6 +82,18 @@
     }
 }
 
+/// Returns the reason that is logged for the refusal of a prompt for lack of capacity.
+fn shortage(node: &Node, job: &Job, state: &SendState) -> &'static str {
+    if job.prompt().tokens >= SHORT_PROMPT_TOKENS {
+        return state.held_for.last().unwrap_or(&Reason::Busy).label();
+    }
+    if node.share_delay(job).is_zero() {
+        Reason::Slots.label()
+    } else {
+        "share"
+    }
+}
+
 /// Logs why a prompt is held back, once for each reason.
 fn log_held(node: &Node, job: &Job, state: &mut SendState, reason: Reason) {
     if state.held_for.contains(&reason) {
@@ -118,7 +140,7 @@
     config.service(&job.service)?.engine
 }
 
-/// Decides on a prompt from the current state. A long prompt is added to the wait queue through `queue`.
+/// Decides on a prompt from the current state. The prompt is added to the wait queue through `queue`.
 fn decide(
     node: &Rc<Node>,
     job: &Job,
@@ -131,10 +153,8 @@
     let work = work(node, job, state, profile.stride);
     let engines = node.engines(&job.service, profile, &job.homes, work.memory - work.prompt);
     let demand = placement::demand(&work, &profile, engines.len());
-    let queued_before = demand.map_or(0, |demand| {
-        let queued = queue.get_or_insert_with(|| node.enqueue(demand));
-        queued.update(demand)
-    });
+    let queued = queue.get_or_insert_with(|| node.enqueue(demand));
+    let queued_before = queued.update(demand);
     let service = ServiceState {
         queued_before,
         multi_engine_prompts: node.state.borrow().loads.multi_engine_prompts(),
@@ -165,6 +185,12 @@
     }
 }
 
+/// Returns how long before this attempt the caller's first one arrived: a caller that retries states its remaining time.
+fn time_since_first_attempt(job: &Job) -> Duration {
+    let limit = job.info.time_limit.unwrap_or(job.route.time_limit);
+    job.route.time_limit.saturating_sub(limit)
+}
+
 /// Returns the properties of a prompt that placement needs.
 fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
@@ -181,6 +207,7 @@
         waited: expectation.waited(clock::now()),
         time_left: job.time_left(),
         is_retry: job.is_retry(),
+        earlier: time_since_first_attempt(job),
         resumed: expectation.resumed,
         order_delay: node.share_delay(job) + job.rank.order_delay(),
         value: placement::value(prompt.tokens),
