Failover: time in which a slow caller stops the relay is no pause of the server

Cause: a resumed stream counted from the moment its last event was relayed. If scarce memory and a slow caller then stopped the relay for longer than the caller's timeout, the server that continues the stream was again allowed no silence.

Change: the wait begins when the next event could be relayed. The longest pause in the log still counts from event to event.

No test makes memory scarce during a failover.

--- a/crates/alderglade-core/src/fleet/caller.rs
+++ b/crates/alderglade-core/src/fleet/caller.rs
@@ -19,8 +19,9 @@
 
 /// The event that the caller of a stream waits for, and how soon it must come to be in time.
 ///
-/// For a stream that another server began, this is the next event after the last one that was relayed. The objective of
-/// the first event has usually passed by then; measured by it, every engine would be equally late, and none preferred.
+/// For a stream that another server began, this is the next event after the last one that was relayed. The
+/// objective of the first event has usually passed by then; measured by it, every engine would be equally late, and
+/// none preferred.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Expectation {
     /// When the caller began to wait for the event.
@@ -41,10 +42,10 @@
         }
     }
 
-    /// Returns the expectation of the event after one that was relayed at `last_event`.
-    pub fn next(last_event: Time, longest_pause: Duration) -> Expectation {
+    /// Returns the expectation of the next event, which could be relayed from `since` on, right after the last one.
+    pub fn next(since: Time, longest_pause: Duration) -> Expectation {
         Expectation {
-            since: last_event,
+            since,
             objective: longest_pause,
             resumed: true,
         }
--- a/crates/alderglade-core/src/fleet/rank.rs
+++ b/crates/alderglade-core/src/fleet/rank.rs
@@ -43,7 +43,8 @@
     }
 
     /// Returns how early an engine should admit a request, from `0`, which is first, to `9`; `None` where that is as for
-    /// new work of the highest rank. `retried` states that its caller was refused before, `resumed` that it continues a stream.
+    /// new work of the highest rank. `retried` states that its caller was refused before, `resumed` that it continues a
+    /// stream.
     pub fn urgency(self, retried: bool, resumed: bool) -> Option<u8> {
         let of_rank = ORDINARY_URGENCY.saturating_add(self.0).min(LAST_URGENCY);
         let retry = if retried { RETRY_ADVANCE } else { 0 };
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -116,8 +116,8 @@
     pub stalled: Vec<Key>,
     /// Reasons for which the prompt was held back so far; each one is logged once.
     pub held_for: Vec<Reason>,
-    /// When the last event of the stream was relayed; `None` until a server has sent one.
-    pub last_event_at: Option<Time>,
+    /// Since when the event after the last one could be relayed; `None` until a server has sent one.
+    pub waits_since: Option<Time>,
     /// When the latest plan was made.
     pub placed_at: Option<Time>,
 }
@@ -178,7 +178,7 @@
         state.sends += 1;
         state.arrivals += 1;
         let sent = request_state.send();
-        let silence = silence(job, &plan, state.last_event_at);
+        let silence = silence(job, &plan, state.waits_since);
         let options = SendOptions {
             permit,
             last_event: last_event.clone(),
@@ -262,10 +262,10 @@
 }
 
 /// Returns how long a server may stay silent before its first event: until the event is too late, or until its caller
-/// might leave before another server begins. `last_event` is when the last event of another server was relayed.
-fn silence(job: &Job, plan: &Plan, last_event: Option<Time>) -> Duration {
+/// might leave before another server begins. `waits_since` is that of [`SendState`].
+fn silence(job: &Job, plan: &Plan, waits_since: Option<Time>) -> Duration {
     let late = plan.time_to_first_event * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK;
-    let waited = job.expectation(last_event).waited(clock::now());
+    let waited = job.expectation(waits_since).waited(clock::now());
     let caller_timeout = job.caller_timeout().saturating_sub(waited);
     caller::silence_timeout(caller_timeout).min(late)
 }
@@ -337,7 +337,7 @@
 /// Returns how early an engine should admit a generation; `None` if its server is no engine.
 fn urgency(node: &Node, job: &Job, state: &SendState) -> Option<u8> {
     place::profile(node, job)?;
-    let resumed = job.expectation(state.last_event_at).resumed;
+    let resumed = job.expectation(state.waits_since).resumed;
     job.rank.urgency(job.has_waited_to_retry(), resumed)
 }
 
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -155,7 +155,7 @@
 /// Returns the properties of a prompt that placement needs.
 fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
-    let expectation = job.expectation(state.last_event_at);
+    let expectation = job.expectation(state.waits_since);
     let expected_output = prompt.expected_output_tokens();
     let output = expected_output
         .max(u64::from(stride))
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -94,10 +94,10 @@
         clock::now().since(self.arrived())
     }
 
-    /// Returns the event that the caller waits for, if the last one was relayed at `last_event`.
-    pub fn expectation(&self, last_event: Option<Time>) -> Expectation {
-        match last_event.zip(self.route.kind.longest_pause()) {
-            Some((last_event, longest_pause)) => Expectation::next(last_event, longest_pause),
+    /// Returns the event that the caller waits for: the next one since `waits_since`, or else the first.
+    pub fn expectation(&self, waits_since: Option<Time>) -> Expectation {
+        match waits_since.zip(self.route.kind.longest_pause()) {
+            Some((since, longest_pause)) => Expectation::next(since, longest_pause),
             None => Expectation::first(self.arrived(), self.route.objective),
         }
     }
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -42,6 +42,10 @@
     last_event: Option<String>,
     /// When the first event was relayed.
     first_event_at: Option<Time>,
+    /// When the last event was relayed.
+    last_event_at: Option<Time>,
+    /// Whether no more events could be relayed since the last ones.
+    events_pending: bool,
     longest_pause: Duration,
     /// The change of servers since whose begin no event was relayed.
     failover: Option<Failover>,
@@ -78,6 +82,8 @@
         state,
         body_sender,
         first_event_at: None,
+        last_event_at: None,
+        events_pending: false,
         longest_pause: Duration::ZERO,
         failover: None,
         _in_flight: in_flight,
@@ -174,7 +180,7 @@
     /// Records and logs that a server failed the stream.
     fn record_failure(&mut self, part: &ServerPart, problem: &str) {
         let now = clock::now();
-        let waiting_since = self.job.expectation(self.state.last_event_at).since;
+        let waiting_since = self.job.expectation(self.state.waits_since).since;
         self.failover
             .get_or_insert_with(|| Failover::detected(waiting_since, now));
         attempt::log_failure(&self.job, &part.server, self.state.total, problem);
@@ -224,9 +230,10 @@
         }
     }
 
-    /// Waits until the caller can accept more, then for the next bytes of a server.
+    /// Waits until the caller can accept more, then for the next bytes of a server. The time in which a slow caller and
+    /// scarce memory stop the relay is no pause of the server.
     async fn next_when_writable(
-        &self,
+        &mut self,
         part: &mut ServerPart,
     ) -> Result<Option<Bytes>, Interruption> {
         tokio::select! {
@@ -236,6 +243,9 @@
                 return Err(Interruption::End(End::Expired));
             }
         }
+        if std::mem::take(&mut self.events_pending) {
+            self.state.waits_since = Some(clock::now());
+        }
         self.next(part).await
     }
 
@@ -308,8 +318,9 @@
     /// events, unless they are the first.
     fn record_pause(&mut self) -> Option<Duration> {
         let now = clock::now();
+        self.events_pending = true;
         self.first_event_at.get_or_insert(now);
-        let last = self.state.last_event_at.replace(now)?;
+        let last = self.last_event_at.replace(now)?;
         let pause = now.since(last);
         self.longest_pause = self.longest_pause.max(pause);
         Some(pause)
--- a/crates/alderglade-serve/src/relay/failover.rs
+++ b/crates/alderglade-serve/src/relay/failover.rs
@@ -8,7 +8,7 @@
 
 /// A change of servers in progress.
 pub(super) struct Failover {
-    /// When the last event was relayed, or the request arrived if there was none.
+    /// Since when the next event could be relayed, or when the request arrived if there was no event.
     waiting_since: Time,
     /// When the break was detected.
     detected_at: Time,
