--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -172,7 +172,7 @@
         state.total += 1;
         state.readers.clone_from(&plan.helpers);
         state.placed_at = Some(clock::now());
-        let resumed = last_event.is_some() || state.last_event_at.is_some();
+        let resumed = last_event.is_some() || state.waits_since.is_some();
         log_placed(node, job, &placed.server, &plan, state, resumed);
         job.progress
             .set_stage(Stage::Sent(placed.server.id().clone()));
@@ -487,7 +487,7 @@
     resumed: bool,
 ) {
     let waited = job.waited();
-    let since_event = state.last_event_at.map(|at| clock::now().since(at));
+    let since_event = state.waits_since.map(|at| clock::now().since(at));
     node.metrics.wait_time.observe(waited.as_secs_f64());
     event::write(&Record::Placed {
         id: &job.info.id,
