Move the state of a generation's sends to its own file

Change: SendState and its two limits move to generate/state.rs, unchanged but for the visibility of two items.

--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -2,6 +2,9 @@
 
 mod place;
 mod reservation;
+mod state;
+
+pub use state::SendState;
 
 use crate::answer::Content;
 use crate::attempt::{self, Addition, SendFailure};
@@ -19,8 +22,7 @@
 use alderglade_core::fleet::caller;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::health::Outcome;
-use alderglade_core::fleet::incarnation::Key;
-use alderglade_core::fleet::placement::{Plan, Reason};
+use alderglade_core::fleet::placement::Plan;
 use alderglade_core::fleet::request_state::{RequestState, Sent, Waiting};
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
@@ -30,13 +32,6 @@
 
 /// Retry delay that a caller is given if its stream could not be started.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Maximum number of sends of one request, not counting refused connections. It bounds sends that a server disclaims
-/// or that cannot reach one, which the limit of the route does not count.
-const MAX_SENDS: u32 = 5;
-/// Maximum number of servers tried for one request that refuse the connection, in addition to [`MAX_SENDS`]. A
-/// refused connection costs one round trip. When a third of many servers has crashed at once, five refusals in a row
-/// are likely.
-const MAX_REFUSED_CONNECTIONS: u32 = 12;
 /// How late a first event may be, in addition to a multiple of the expected time, before a resumable stream moves to
 /// another server. Longer than the time for which work on a dead server stalls.
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(2_000);
@@ -95,43 +90,6 @@
     }
 }
 
-/// State that one generation keeps across its sends.
-#[derive(Default)]
-pub struct SendState {
-    /// Sends that count as attempts: they reached a server, or may have, and it did not disclaim them.
-    pub sends: u32,
-    /// Sends that arrived at a server, or may have, whether it ran them or not. Each one beyond the first is a retry.
-    pub arrivals: u32,
-    /// All sends.
-    pub total: u32,
-    /// Sends for which the connection was refused.
-    pub refused_connections: u32,
-    /// Sets of memory that were requested.
-    pub memory_sets: u32,
-    /// Servers that failed the request; other servers are preferred.
-    pub avoid: Vec<Key>,
-    /// Servers that currently read parts of the prompt, in addition to the one that answers.
-    readers: Vec<Key>,
-    /// Servers that read the prompt together without any result.
-    pub stalled: Vec<Key>,
-    /// Reasons for which the prompt was held back so far; each one is logged once.
-    pub held_for: Vec<Reason>,
-    /// Since when the event after the last one could be relayed; `None` until a server has sent one.
-    pub waits_since: Option<Time>,
-    /// When the latest plan was made.
-    pub placed_at: Option<Time>,
-}
-
-impl SendState {
-    /// Returns whether another send may be tried. `max_attempts` is the limit that the route sets on `sends`.
-    fn may_send(&self, max_attempts: u32) -> bool {
-        let other_sends = self.total - self.refused_connections;
-        self.sends < max_attempts
-            && other_sends < MAX_SENDS
-            && self.refused_connections < MAX_REFUSED_CONNECTIONS
-    }
-}
-
 /// Serves a generation. `in_flight` counts the request until the stream has ended.
 pub async fn serve(node: &Rc<Node>, job: Job, in_flight: RequestGuard) -> Response<Content> {
     node.record_first_send(&job.service);
