--- a/crates/alderglade-core/src/fleet/share.rs
+++ b/crates/alderglade-core/src/fleet/share.rs
@@ -12,6 +12,7 @@
 pub use report::{MAX_NAMED, Named, Report};
 
 use crate::Name;
+use crate::fleet::heartbeat;
 use crate::fleet::position::Position;
 use crate::time::Time;
 use claims::Claims;
@@ -127,8 +128,9 @@
         interval: Duration,
         now: Time,
     ) -> Option<Report> {
-        // Heartbeats are checked every 250 ms, and a check may come a little early.
-        let interval = interval.mul_f64(0.9);
+        // This is checked every 250 ms. Rounded to the nearest check, so that 320 ms don't become 500 ms: how much a
+        // heavy workspace costs the others depends on how old the reports are.
+        let interval = interval.saturating_sub(heartbeat::MIN_INTERVAL / 2);
         let is_early = self
             .last_report
             .is_some_and(|last| now.since(last) < interval);
--- a/crates/alderglade-core/tests/testsuite/fleet/share/pool.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/share/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet::rng::SeededRng;
 use alderglade_core::Name;
+use alderglade_core::fleet::heartbeat;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::share::{Charge, Shares};
 use alderglade_core::time::Time;
@@ -22,7 +23,6 @@
 const MAX_RETRY_AGE: Duration = Duration::from_millis(7_000);
 /// The time within which a prompt must get a slot: 0.9 of an objective of 300 ms.
 const SLACK: Duration = Duration::from_millis(270);
-const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The load and the size of a pool.
 pub struct Pool {
@@ -150,7 +150,7 @@
             run.send(measured, now);
             if now >= next_report {
                 run.exchange_reports(now);
-                next_report = now + REPORT_INTERVAL;
+                next_report = now + heartbeat::MIN_INTERVAL;
             }
             now = now + STEP;
         }
@@ -292,14 +292,16 @@
         prompt.charge = Some(charge);
     }
 
+    /// Sends the reports that are due to all other hosts. Must be called at each tick of the heartbeat.
     fn exchange_reports(&mut self, now: Time) {
+        let interval = heartbeat::interval(self.hosts.len(), false);
         let reports = self
             .hosts
             .iter_mut()
             .enumerate()
             .filter_map(|(number, shares)| {
                 let host: Name = format!("h{number}").into();
-                shares.take_report(&host, Position::new(1, 1), REPORT_INTERVAL, now)
+                shares.take_report(&host, Position::new(1, 1), interval, now)
             });
         let reports: Vec<_> = reports.collect();
         for (number, shares) in self.hosts.iter_mut().enumerate() {
