Slots without memory for a short prompt don't count as free

Change: slots::free is bounded by the memory that placements may still fill, in units of a usual short prompt.

--- a/crates/alderglade-core/src/fleet/placement/slots.rs
+++ b/crates/alderglade-core/src/fleet/placement/slots.rs
@@ -13,6 +13,9 @@
 /// for which changes are collected before they are sent.
 pub(super) const NOTICE_DELAY_MS: f64 = 10.0;
 
+/// The memory that a short prompt and its answer need, in tokens: somewhat more than the usual 5,000 and 1,500.
+const SHORT_PROMPT_MEMORY_TOKENS: i64 = 8_000;
+
 /// The slots of a set of engines.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Slots {
@@ -52,11 +55,16 @@
     timing::from_millis(strides as f64 * pass_ms)
 }
 
-/// Returns the number of free slots of an engine.
+/// Returns the number of free slots of an engine that short prompts can use: a prompt without memory isn't admitted, and
+/// those behind it in the engine's queue aren't either.
+///
+/// An engine that holds a share of a long prompt's memory has few running answers and hardly any memory left. While all
+/// other slots were in use, short prompts were placed on such engines and began up to 1.4 s late.
 pub(super) fn free(engine: &Engine) -> u32 {
     let slots = i64::from(engine.profile.slots);
     let free = slots.saturating_sub(engine.load.running.max(0));
-    u32::try_from(free).unwrap_or(0)
+    let with_memory = timing::free_memory(engine) / SHORT_PROMPT_MEMORY_TOKENS;
+    u32::try_from(free.min(with_memory)).unwrap_or(0)
 }
 
 /// Returns the time until an engine has a slot for a prompt that is placed there now, in milliseconds.
