A workspace over its share has no privilege as a retry and is refused when late

Change: Work::over_share; the age of the first attempt doesn't count for it, and the last moment refuses it instead of placing it. A prompt that a server has already failed is still placed.

--- a/crates/alderglade-core/src/fleet/placement/slot_queue.rs
+++ b/crates/alderglade-core/src/fleet/placement/slot_queue.rs
@@ -62,7 +62,7 @@
     if slot_wait <= time_left {
         return hold((RECHECK_SHARE * slot_wait).min(time_left));
     }
-    if has_just_arrived(work) {
+    if has_just_arrived(work) || (time_left <= 0.0 && may_be_refused_late(work)) {
         return Verdict::Refuse(retry_delay(work, slot_wait));
     }
     if time_left > 0.0 {
@@ -86,12 +86,19 @@
     is_fresh && work.avoid.is_empty() && age_at_arrival(work).is_zero()
 }
 
+/// Returns whether a prompt is refused although it has been held: one whose workspace is over its share. Its delay puts
+/// it behind prompts that arrive later; sent late without a free slot, it would take the next slot from those before it.
+fn may_be_refused_late(work: &Work) -> bool {
+    work.over_share && work.avoid.is_empty()
+}
+
 /// Returns the age of a caller's first attempt when this attempt arrived; zero if it is too young to have been a reason
-/// for a retry, so that retrying earlier than asked gains nothing.
+/// for a retry, so that retrying earlier than asked gains nothing. Zero also if its workspace is over its share, which
+/// would otherwise keep by retries what the share takes from it.
 pub(super) fn age_at_arrival(work: &Work) -> Duration {
     /// The share of the shortest retry delay that counts as having waited, since callers' clocks differ.
     const MIN_AGE_SHARE: f64 = 0.9;
-    if work.earlier < MIN_RETRY_DELAY.mul_f64(MIN_AGE_SHARE) {
+    if work.over_share || work.earlier < MIN_RETRY_DELAY.mul_f64(MIN_AGE_SHARE) {
         return Duration::ZERO;
     }
     work.earlier
--- a/crates/alderglade-core/tests/testsuite/fleet/slot_queue.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/slot_queue.rs
@@ -146,6 +146,32 @@
     assert_eq!(due(&delayed), due(&after(0)) - 200);
 }
 
+/// A workspace over its share kept its place by retries, and its prompts that had become late behind others took the slots
+/// of those before them.
+#[test]
+fn a_workspace_over_its_share_has_no_privilege_as_a_retry_and_is_refused_when_late() {
+    let over = |work: Work| Work {
+        over_share: true,
+        order_delay: Duration::from_millis(1_000),
+        ..work
+    };
+    let retry = over(Work {
+        earlier: Duration::from_millis(1_200),
+        is_retry: true,
+        ..after(0)
+    });
+    let due = |work: &Work| demand(work, &profile(), 10).due_ms;
+    assert_eq!(due(&retry), due(&over(after(0))));
+    refused(&decide(&retry, 20));
+    refused(&decide(&over(after(299)), 20));
+    sent(decide(&after(299), 20));
+    let failed = Work {
+        avoid: vec![key("e1")],
+        ..over(after(299))
+    };
+    sent(decide(&failed, 20));
+}
+
 /// Returns a table that knows engines, so that it can tell short prompts from long ones.
 fn table() -> LoadTable {
     let mut loads = LoadTable::default();
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -195,6 +195,7 @@
 fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
     let expectation = job.expectation(state.waits_since);
+    let share_delay = node.share_delay(job);
     let expected_output = prompt.expected_output_tokens();
     let output = expected_output
         .max(u64::from(stride))
@@ -209,7 +210,8 @@
         is_retry: job.is_retry(),
         earlier: time_since_first_attempt(job),
         resumed: expectation.resumed,
-        order_delay: node.share_delay(job) + job.rank.order_delay(),
+        order_delay: share_delay + job.rank.order_delay(),
+        over_share: !share_delay.is_zero(),
         value: placement::value(prompt.tokens),
         avoid: state.avoid.clone(),
         stalled: state.stalled.clone(),
