Held short prompts share one look at the engines

Cause: each check of a held prompt summed up the load of all engines.

A host computes it when it looks at all engines, and decides on held prompts by it for 10 ms. Only a prompt that may be sent looks at the engines again. Prompts that are restricted to regions or have failed somewhere do so each time.

The cost of a held prompt in a running host was not measured.

--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -25,6 +25,7 @@
 
 pub use cost::LATE_VALUE;
 pub use demand::demand;
+pub use slot_queue::{Outlook, still_held};
 pub use slots::{Slots, expected_answer_time};
 pub use wait::{Reason, Wait};
 
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -4,7 +4,7 @@
 //! early ones stay free of short answers and can read long prompts.
 
 use super::cost::{self, OTHER_DOMAIN_COST_MS};
-use super::slot_queue::Verdict;
+use super::slot_queue::{Outlook, Verdict};
 use super::{
     Decision, Engine, Plan, ServiceState, Work, jitter, slot_queue, slots, spread, timing,
 };
@@ -39,8 +39,10 @@
     usable: &[&Engine],
     state: &ServiceState,
 ) -> Decision {
-    let trusted = slots::trusted(usable);
-    let verdict = slot_queue::decide(work, &trusted, state.queued_before);
+    let Some(outlook) = Outlook::of(usable) else {
+        return Decision::Refuse(NO_USABLE_ENGINE_RETRY_DELAY);
+    };
+    let verdict = slot_queue::decide(work, &outlook, state.queued_before);
     let pool = slots::with_free_slot(usable);
     let pool = if pool.is_empty() { usable } else { &pool };
     let chosen = match verdict {
--- a/crates/alderglade-core/src/fleet/placement/slot_queue.rs
+++ b/crates/alderglade-core/src/fleet/placement/slot_queue.rs
@@ -9,9 +9,10 @@
 //! prompt is held beyond the last moment at which it would be in time if it had a slot.
 
 use super::hold_policy::PLANNED_SHARE;
-use super::slots::Slots;
+use super::slots::{self, Slots};
 use super::timing::{self, to_millis};
 use super::{Engine, Reason, Wait, Work};
+use crate::fleet::pass::EngineProfile;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -47,9 +48,50 @@
     Refuse(Duration),
 }
 
-/// Decides on a short prompt that `before` other short prompts precede; `engines` are the usable, trusted ones.
-pub(super) fn decide(work: &Work, engines: &[&Engine], before: u32) -> Verdict {
-    let slots = Slots::of(engines.iter().copied());
+/// What the engines of a service offer to short prompts that wait for a slot.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Outlook {
+    slots: Slots,
+    /// The median time from a slot's becoming free to the start of reading, in milliseconds.
+    ///
+    /// Slots become free at the end of a pass and the next pass begins before any host knows of it, so a held prompt
+    /// waits for that pass and is read in the following one.
+    until_reading: f64,
+    profile: EngineProfile,
+}
+
+impl Outlook {
+    /// Summarizes engines; `None` if there are none. Suspect ones don't count unless all of them are.
+    pub fn of(engines: &[&Engine]) -> Option<Outlook> {
+        let engines = slots::trusted(engines);
+        let times = engines
+            .iter()
+            .map(|engine| 2.0 * timing::idle_pass(engine) + engine.backlog.queued);
+        let mut times: Vec<f64> = times.collect();
+        let profile = engines.first()?.profile;
+        let middle = times.len() / 2;
+        Some(Outlook {
+            slots: Slots::of(engines.iter().copied()),
+            until_reading: *times.select_nth_unstable_by(middle, f64::total_cmp).1,
+            profile,
+        })
+    }
+}
+
+/// Returns how long to hold a short prompt that was held before, or `None` if the engines must be looked at again because
+/// a slot may be free or the time is over.
+///
+/// An outlook that is as old as the delay of notices saves nearly all work for the prompts that are held at one host.
+pub fn still_held(work: &Work, outlook: &Outlook, before: u32) -> Option<Wait> {
+    match decide(work, outlook, before) {
+        Verdict::Hold(wait) => Some(wait),
+        _ => None,
+    }
+}
+
+/// Decides on a short prompt that `before` other short prompts precede.
+pub(super) fn decide(work: &Work, outlook: &Outlook, before: u32) -> Verdict {
+    let Outlook { slots, .. } = outlook;
     if work.resumed {
         return Verdict::PlaceSoonest;
     }
@@ -57,7 +99,8 @@
         return Verdict::Place;
     }
     let slot_wait = slots.wait_ms(before);
-    let latest_start = PLANNED_SHARE * to_millis(work.objective) - typical_reading(work, engines);
+    let first_event = outlook.until_reading + outlook.profile.read_ms(work.prompt);
+    let latest_start = PLANNED_SHARE * to_millis(work.objective) - first_event;
     let time_left = latest_start - to_millis(work.waited);
     if slot_wait <= time_left {
         return hold((RECHECK_SHARE * slot_wait).min(time_left));
@@ -97,23 +140,6 @@
     work.earlier
 }
 
-/// Returns the median of the times from a slot's becoming free to the first event of a held prompt that takes it.
-///
-/// Slots become free at the end of a pass and the next pass begins before any host knows of it, so the prompt waits for
-/// that pass and is read in the following one.
-fn typical_reading(work: &Work, engines: &[&Engine]) -> f64 {
-    let readings = engines.iter().map(|engine| {
-        let part = engine.profile.read_ms(work.prompt);
-        2.0 * timing::idle_pass(engine) + engine.backlog.queued + part
-    });
-    let mut readings: Vec<f64> = readings.collect();
-    let middle = readings.len() / 2;
-    if readings.is_empty() {
-        return 0.0;
-    }
-    *readings.select_nth_unstable_by(middle, f64::total_cmp).1
-}
-
 /// Returns the delay after which a refused caller should retry: when capacity is expected, with jitter.
 fn retry_delay(work: &Work, slot_wait: f64) -> Duration {
     let limit = work.time_left.mul_f64(MAX_RETRY_SHARE);
--- a/crates/alderglade-core/tests/testsuite/fleet/slot_queue.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/slot_queue.rs
@@ -5,7 +5,7 @@
 use crate::each_seed;
 use alderglade_core::fleet::load_table::{Demand, LoadTable, Notice, QueueLengths};
 use alderglade_core::fleet::placement::{
-    Decision, Engine, Reason, SHORT_PROMPT_TOKENS, Work, choose, demand,
+    Decision, Engine, Outlook, Reason, SHORT_PROMPT_TOKENS, Work, choose, demand, still_held,
 };
 use alderglade_core::time::Time;
 use std::collections::BTreeSet;
@@ -216,3 +216,24 @@
     };
     assert!(is_held(&choose(&work, &engines, &state(&engines, 0, 0.0))));
 }
+
+/// The cheap check of held prompts must not hold one that could be sent, nor let one go that would be held.
+#[test]
+fn the_outlook_holds_a_prompt_as_long_as_the_engines_do() {
+    each_seed(200, |u| {
+        let mut running = Vec::new();
+        for _ in 0..u.int_in_range(1..=20)? {
+            running.push(u.int_in_range(11..=14)?);
+        }
+        let engines = engines(&running);
+        let before = u.int_in_range(0..=30)?;
+        let work = after(u.int_in_range(30..=300)?);
+        let all: Vec<&Engine> = engines.iter().collect();
+        let outlook = Outlook::of(&all).expect("engines");
+        let held = still_held(&work, &outlook, before).map(Decision::Wait);
+        let decision = choose(&work, &engines, &state(&engines, before, 100.0));
+        let chosen = Some(decision).filter(|decision| matches!(decision, Decision::Wait(_)));
+        assert_eq!(held, chosen);
+        Ok(())
+    });
+}
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -7,7 +7,9 @@
 use crate::node::{Node, QueueGuard, Unavailability};
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::pass::EngineProfile;
-use alderglade_core::fleet::placement::{self, Decision, Plan, Reason, ServiceState, Work};
+use alderglade_core::fleet::placement::{
+    self, Decision, Plan, Reason, SHORT_PROMPT_TOKENS, ServiceState, Wait, Work,
+};
 use alderglade_core::fleet::request_state::{RequestState, Waiting};
 use alderglade_core::request::Refusal;
 use rand::RngExt;
@@ -129,6 +131,9 @@
         return decide_without_profile(node, job, state);
     };
     let work = work(node, job, state, profile.stride);
+    if let Some(wait) = still_held(node, job, &work, &profile, queue.as_ref()) {
+        return Decision::Wait(wait);
+    }
     let engines = node.engines(&job.service, profile, &job.homes, work.memory - work.prompt);
     let demand = placement::demand(&work, &profile, engines.len());
     let queued = queue.get_or_insert_with(|| node.enqueue(demand));
@@ -144,7 +149,36 @@
             .loads
             .placements_per_second(clock::now()),
     };
-    placement::choose(&work, &engines, &service)
+    let decision = placement::choose(&work, &engines, &service);
+    let waits_for_slots = |wait: &Wait| wait.reason == Reason::Slots;
+    if may_use_all(job, &work) && matches!(&decision, Decision::Wait(wait) if waits_for_slots(wait))
+    {
+        node.keep_outlook(&job.service, &engines);
+    }
+    decision
+}
+
+/// Returns how long to hold on to a short prompt that is in the wait queue, if the recent outlook on the engines suffices
+/// to decide that.
+fn still_held(
+    node: &Node,
+    job: &Job,
+    work: &Work,
+    profile: &EngineProfile,
+    queue: Option<&QueueGuard>,
+) -> Option<Wait> {
+    if work.prompt >= SHORT_PROMPT_TOKENS || !may_use_all(job, work) {
+        return None;
+    }
+    let queued = queue?;
+    let outlook = node.recent_outlook(&job.service)?;
+    let before = queued.update(placement::demand(work, profile, 1));
+    placement::still_held(work, &outlook, before)
+}
+
+/// Returns whether a prompt may use all engines of its service.
+fn may_use_all(job: &Job, work: &Work) -> bool {
+    job.homes.is_unrestricted() && work.avoid.is_empty()
 }
 
 /// Places a stream of a service that states no engine profile: on the server with the fewest calls of this host.
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -85,6 +85,7 @@
     store_contact: Cell<store::Contact>,
     /// A moving average of how much the engines have to read.
     pressure: Cell<choice::Pressure>,
+    outlooks: RefCell<choice::Outlooks>,
     /// Wakes the task that sends changes to peers.
     pub notice_due: Notify,
     /// Wakes requests that wait until a host that has just started can serve them.
@@ -142,6 +143,7 @@
             started: clock::now(),
             store_contact: Cell::default(),
             pressure: Cell::default(),
+            outlooks: RefCell::default(),
             notice_due: Notify::new(),
             startup_progress: Notify::new(),
             envelopes: RefCell::default(),
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -11,9 +11,10 @@
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::load_table::LoadTable;
 use alderglade_core::fleet::pass::EngineProfile;
-use alderglade_core::fleet::placement::{self, Engine};
+use alderglade_core::fleet::placement::{self, Engine, Outlook};
 use alderglade_core::time::Time;
 use rand::RngExt;
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Maximum random addition to the cost of a plain backend server, so that hosts with equal inputs don't all choose
@@ -55,6 +56,12 @@
     updated: Time,
 }
 
+/// What engines offer to held short prompts, per service, and when that was computed.
+pub(super) type Outlooks = HashMap<Name, (Time, Outlook)>;
+
+/// How long an outlook is used for held prompts: the delay of notices, as the table shows little new before.
+const MAX_OUTLOOK_AGE: Duration = Duration::from_millis(10);
+
 /// Returns whether a server should be avoided if others can serve: it has failed, or it is in another failure domain
 /// that seems to be disconnected from the own one.
 fn is_suspect(
@@ -160,6 +167,22 @@
         engines.collect()
     }
 
+    /// Returns the recent outlook on the engines of a service, if there is one.
+    pub fn recent_outlook(&self, service: &str) -> Option<Outlook> {
+        let outlooks = self.outlooks.borrow();
+        let (computed, outlook) = outlooks.get(service)?;
+        (clock::now().since(*computed) < MAX_OUTLOOK_AGE).then_some(*outlook)
+    }
+
+    /// Keeps the outlook on the engines of a service, all of which may be used.
+    pub fn keep_outlook(&self, service: &Name, engines: &[Engine]) {
+        let engines: Vec<&Engine> = engines.iter().collect();
+        if let Some(outlook) = Outlook::of(&engines) {
+            let mut outlooks = self.outlooks.borrow_mut();
+            outlooks.insert(service.clone(), (clock::now(), outlook));
+        }
+    }
+
     /// Adds the current pressure on the engines to its moving average and returns the average.
     pub fn update_pressure(&self, current: f64) -> f64 {
         /// The time constant of the moving average, in seconds; about as long as a long prompt is read.
