--- a/crates/alderglade-core/src/fleet/placement/slot_queue.rs
+++ b/crates/alderglade-core/src/fleet/placement/slot_queue.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The shortest retry delay. Within a second the half of the running answers ends and the queue has changed.
+/// The shortest retry delay. Within a second half of the running answers end.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 /// The maximum random addition to the retry delay. It spreads the callers that are refused in one second over more than
 /// another second.
--- a/crates/alderglade-core/tests/testsuite/fleet/burst.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/burst.rs
@@ -5,16 +5,16 @@
 use model::{Attempt, CASE, Case, Model, OBJECTIVE};
 
 /// Runs a case and checks what holds in all of them: a prompt is refused within a tenth of its objective and isn't held
-/// beyond 0.9 of it, a patient caller is refused once, and no more wait in an engine than its queue has room for.
+/// beyond 0.9 of it, a caller that waits as asked is refused once, and no more wait in an engine than its queue has room for.
 fn run(case: Case, seed: u64) -> Model {
     let model = Model::run(case, seed);
     for attempt in &model.attempts {
         let within = |at: Option<u64>, limit| at.is_none_or(|at| at - attempt.arrived <= limit);
         assert!(within(attempt.refused, OBJECTIVE / 10), "seed {seed}");
         assert!(within(attempt.sent, OBJECTIVE * 9 / 10), "seed {seed}");
-        let is_patient_retry = !attempt.is_first() && !attempt.hasty;
+        let is_asked_retry = !attempt.is_first() && !attempt.early;
         assert!(
-            !(is_patient_retry && attempt.refused.is_some()),
+            !(is_asked_retry && attempt.refused.is_some()),
             "seed {seed}"
         );
     }
@@ -84,7 +84,7 @@
 /// Each half decides by what it sees. If only the hosts are cut off from each other, twice as many prompts are sent as
 /// slots become free; they wait in the engines.
 #[test]
-fn halves_that_do_not_hear_each_other_keep_their_promises() {
+fn halves_that_do_not_hear_each_other_keep_all_bounds() {
     for seed in 0..6 {
         let model = run(
             Case {
@@ -121,27 +121,26 @@
     }
 }
 
-/// A caller that retries at once competed with the same chance as others each time; it must at least not have a better
-/// one.
+/// A caller that retries at once must not have a better chance than a first attempt.
 #[test]
-fn a_hasty_retry_has_no_better_chance_than_a_first_attempt() {
-    let (mut hasty, mut first) = ((0, 0), (0, 0));
+fn an_early_retry_has_no_better_chance_than_a_first_attempt() {
+    let (mut early, mut first) = ((0, 0), (0, 0));
     for seed in 0..6 {
-        let model = run(Case { hasty: 20, ..CASE }, seed);
-        let is_hasty =
+        let model = run(Case { early: 20, ..CASE }, seed);
+        let is_early =
             |attempt: &Attempt| !attempt.is_first() && attempt.arrived - attempt.first < 900;
         let add = |sum: &mut (usize, usize), (count, in_time): (usize, usize)| {
             *sum = (sum.0 + count, sum.1 + count * in_time);
         };
-        add(&mut hasty, model.in_time(is_hasty));
+        add(&mut early, model.in_time(is_early));
         add(&mut first, model.in_time(Attempt::is_first));
     }
     let share = |(count, in_time): (usize, usize)| in_time / count.max(1);
-    assert!(hasty.0 > 100, "{hasty:?}");
+    assert!(early.0 > 100, "{early:?}");
     assert!(
-        share(hasty) <= share(first),
+        share(early) <= share(first),
         "{} {}",
-        share(hasty),
+        share(early),
         share(first)
     );
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/burst/model.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/burst/model.rs
@@ -33,7 +33,7 @@
     /// When a third of the hosts is killed.
     pub(super) kill_at: Option<u64>,
     /// The callers that retry after 50 ms instead of the stated delay, in percent.
-    pub(super) hasty: u64,
+    pub(super) early: u64,
 }
 
 pub(super) const CASE: Case = Case {
@@ -44,7 +44,7 @@
     halves: false,
     split_engines: false,
     kill_at: None,
-    hasty: 0,
+    early: 0,
 };
 
 /// One attempt of a caller.
@@ -54,7 +54,7 @@
     /// When the caller's first attempt arrived.
     pub(super) first: u64,
     pub(super) arrived: u64,
-    pub(super) hasty: bool,
+    pub(super) early: bool,
     queued: Option<QueuedId>,
     reservation: Option<ReservationId>,
     pub(super) sent: Option<u64>,
@@ -78,7 +78,7 @@
 enum Event {
     Arrival {
         first: u64,
-        hasty: bool,
+        early: bool,
     },
     /// A held attempt is checked again.
     Check(usize),
@@ -164,12 +164,12 @@
         // A slot is held for 2.1 s: a pass, and an answer of 1 to 3 s that ends with a pass.
         let slots = ENGINES as u64 * u64::from(SLOTS);
         if self.rng.next_below(100 * 2_130) < slots * load {
-            let hasty = self.rng.next_below(100) < self.case.hasty;
+            let early = self.rng.next_below(100) < self.case.early;
             self.schedule(
                 self.now,
                 Event::Arrival {
                     first: self.now,
-                    hasty,
+                    early,
                 },
             );
         }
@@ -179,7 +179,7 @@
             .filter(|entry| entry.key().0 <= self.now)
         {
             match entry.remove() {
-                Event::Arrival { first, hasty } => self.arrive(first, hasty),
+                Event::Arrival { first, early } => self.arrive(first, early),
                 Event::Check(attempt) => self.place(attempt),
                 Event::Notice(to, notice) => {
                     self.hosts[to]
@@ -192,7 +192,7 @@
         (0..self.hosts.len()).for_each(|host| self.notify(host));
     }
 
-    fn arrive(&mut self, first: u64, hasty: bool) {
+    fn arrive(&mut self, first: u64, early: bool) {
         let alive = |host: &usize| !self.hosts[*host].is_dead;
         let alive: Vec<usize> = (0..self.hosts.len()).filter(alive).collect();
         let host = alive[self.rng.next_host(alive.len())];
@@ -201,7 +201,7 @@
             host,
             first,
             arrived,
-            hasty,
+            early,
             ..Attempt::default()
         });
         self.place(self.attempts.len() - 1);
@@ -247,9 +247,9 @@
             }
             Decision::Refuse(delay) => {
                 attempt.refused = Some(self.now);
-                let (first, hasty) = (attempt.first, attempt.hasty);
-                let delay = if hasty { 50 } else { delay.as_millis() as u64 };
-                self.schedule(self.now + delay, Event::Arrival { first, hasty });
+                let (first, early) = (attempt.first, attempt.early);
+                let delay = if early { 50 } else { delay.as_millis() as u64 };
+                self.schedule(self.now + delay, Event::Arrival { first, early });
             }
             Decision::Send(plan) => {
                 attempt.sent = Some(self.now);
