--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -67,7 +67,7 @@
     /// How much later than its due time the prompt ranks in the wait queue, because others have a higher rank or because
     /// its workspace is over its share.
     pub order_delay: Duration,
-    /// Whether the prompt's workspace is over its share of the engines while capacity is short.
+    /// Whether the prompt's workspace is far over its share of the engines while capacity is short.
     pub over_share: bool,
     /// The value of the answer, on a scale where an ordinary short reply has a value of about one.
     pub value: f64,
--- a/crates/alderglade-core/src/fleet/placement/slot_queue.rs
+++ b/crates/alderglade-core/src/fleet/placement/slot_queue.rs
@@ -129,14 +129,14 @@
     is_fresh && work.avoid.is_empty() && age_at_arrival(work).is_zero()
 }
 
-/// Returns whether a prompt is refused although it has been held: one whose workspace is over its share. Its delay puts
+/// Returns whether a prompt is refused although it has been held: one whose workspace is far over its share. Its delay puts
 /// it behind prompts that arrive later; sent late without a free slot, it would take the next slot from those before it.
 fn may_be_refused_late(work: &Work) -> bool {
     work.over_share && work.avoid.is_empty()
 }
 
 /// Returns the age of a caller's first attempt when this attempt arrived; zero if it is too young to have been a reason
-/// for a retry, so that retrying earlier than asked gains nothing. Zero also if its workspace is over its share, which
+/// for a retry, so that retrying earlier than asked gains nothing. Zero also if its workspace is far over its share, which
 /// would otherwise keep by retries what the share takes from it.
 pub(super) fn age_at_arrival(work: &Work) -> Duration {
     /// The share of the shortest retry delay that counts as having waited, since callers' clocks differ.
--- a/crates/alderglade-core/src/fleet/share.rs
+++ b/crates/alderglade-core/src/fleet/share.rs
@@ -41,6 +41,15 @@
 /// Reported sums below this are dropped, in milliseconds of engine time; less than any request uses.
 const NEGLIGIBLE_MS: f64 = 1.0;
 
+/// Returns whether a workspace with this delay is so far over its share that its prompts are refused rather than sent late,
+/// and its retries like first attempts.
+///
+/// It takes 2.6 times the fair level. Workspaces that are merely larger than others exceed the level by up to that much; if
+/// their retries were refused too, their callers would lose answers for which others' callers only wait.
+pub fn is_far_over(delay: Duration) -> bool {
+    delay >= MAX_DELAY / 2
+}
+
 /// What was recorded in advance for one answer's slot.
 #[derive(Debug, Clone, Copy)]
 pub struct Charge {
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -11,6 +11,7 @@
     self, Decision, Plan, Reason, SHORT_PROMPT_TOKENS, ServiceState, Wait, Work,
 };
 use alderglade_core::fleet::request_state::{RequestState, Waiting};
+use alderglade_core::fleet::share;
 use alderglade_core::request::Refusal;
 use rand::RngExt;
 use std::rc::Rc;
@@ -243,7 +244,7 @@
         earlier: time_since_first_attempt(job),
         resumed: expectation.resumed,
         order_delay: share_delay + job.rank.order_delay(),
-        over_share: !share_delay.is_zero(),
+        over_share: share::is_far_over(share_delay),
         value: placement::value(prompt.tokens),
         avoid: state.avoid.clone(),
         stalled: state.stalled.clone(),
