Findings of a review of the slot queue

Change, one each: - where several services have engines or homes restrict a prompt, the queue counts others' prompts: such prompts neither wait for slots nor are refused; - short entries of a peer that has been silent for 0.5 s no longer count (48 entries of a killed host preceded all new prompts for up to 4.3 s); - a resumed stream counts harm to running answers again: the queue's choice of the soonest engine had bypassed resumption_cost; - a prompt isn't held beyond the time in which its caller could still be answered; - the least age of a retry follows the capped retry delay of short time limits; - a first attempt with a delay in the order is refused when late, not sent ahead of those before it; - a workspace far over its share gets no urgency as a retry; - an absurd output length can't exceed the range of a duration; reading times are compared as rounded; shares are exchanged for lack of slots or refusals only.

--- a/crates/alderglade-core/src/fleet/load_table.rs
+++ b/crates/alderglade-core/src/fleet/load_table.rs
@@ -227,7 +227,9 @@
         self.own_queue.insert(id, entry);
         let is_short = entry.is_short(self.short_reading);
         let own = self.own_queue.values().copied();
-        let peers = self.peers.values().flat_map(|peer| &peer.queue);
+        let peers = self.peers.values();
+        let peers = peers.filter(|peer| !is_short || !peer.may_have_lost_short_prompts(now));
+        let peers = peers.flat_map(|peer| &peer.queue);
         let peers = peers.map(|other| if is_short { other.as_sent() } else { *other });
         let queue = own.chain(peers);
         let queue = queue.filter(|other| other.is_short(self.short_reading) == is_short);
--- a/crates/alderglade-core/src/fleet/load_table/peer.rs
+++ b/crates/alderglade-core/src/fleet/load_table/peer.rs
@@ -65,6 +65,14 @@
             || (same_incarnation && self.sequence >= notice.sequence)
     }
 
+    /// Returns whether the peer has been silent for so long that its short prompts have probably left the queue. Short
+    /// prompts wait for a fraction of their objective, and a host that holds one sends a notice when it begins and ends. A
+    /// killed host's entries would otherwise precede all new prompts until its notices expire after some seconds.
+    pub(super) fn may_have_lost_short_prompts(&self, now: Time) -> bool {
+        const MAX_SILENCE: Duration = Duration::from_millis(500);
+        now.since(self.last_heard) > MAX_SILENCE
+    }
+
     /// Applies a notice, except for its holdings.
     pub(super) fn update(&mut self, notice: &Notice, now: Time) {
         self.sequence = notice.sequence;
--- a/crates/alderglade-core/src/fleet/load_table/queue.rs
+++ b/crates/alderglade-core/src/fleet/load_table/queue.rs
@@ -71,7 +71,8 @@
 
     /// Returns whether the prompt is short, if short ones are read in less than `limit` milliseconds.
     pub(super) fn is_short(&self, limit: f64) -> bool {
-        f64::from(self.reading_ms) < limit
+        // The reading time was rounded down.
+        f64::from(self.reading_ms) < limit.floor()
     }
 
     /// Returns the prompt as it ranks at its own host, given that its demand arrived from there in a notice. Demands state
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -67,6 +67,9 @@
     /// How much later than its due time the prompt ranks in the wait queue, because others have a higher rank or because
     /// its workspace is over its share.
     pub order_delay: Duration,
+    /// Whether the prompt competes for slots only with those that the wait queue lists: it may use all engines, and no
+    /// other service has any. Otherwise it neither waits for slots nor is refused for lack of them.
+    pub queues_for_slots: bool,
     /// Whether the prompt's workspace is far over its share of the engines while capacity is short.
     pub over_share: bool,
     /// The value of the answer, on a scale where an ordinary short reply has a value of about one.
--- a/crates/alderglade-core/src/fleet/placement/short.rs
+++ b/crates/alderglade-core/src/fleet/placement/short.rs
@@ -76,13 +76,17 @@
     spread::choose(work, &ranked, state.placements_per_second)
 }
 
-/// Returns the engine where the first event comes first, wherever it is in the order of the service.
+/// Returns the engine where the first event comes first, wherever it is in the order of the service. For a resumed stream,
+/// running answers that it would make late count as well.
 fn soonest<'a>(work: &Work, pool: &[&'a Engine]) -> Option<&'a Engine> {
     /// The maximum jitter, in milliseconds: less than the wait that one more request in the queue of an engine causes.
-    const MAX_JITTER_MS: f64 = 30.0;
+    const MAX_SOONEST_JITTER_MS: f64 = 30.0;
     let cost = |engine: &Engine| {
+        if work.resumed {
+            return resumption_cost(work, engine);
+        }
         let part = engine.profile.read_ms(work.prompt);
-        let jitter = MAX_JITTER_MS * jitter::jitter(work, engine);
+        let jitter = MAX_SOONEST_JITTER_MS * jitter::jitter(work, engine);
         timing::first_event(engine, part) + jitter + drawbacks(work, engine)
     };
     let costs = pool.iter().map(|engine| (cost(engine), *engine));
@@ -137,9 +141,6 @@
 /// Returns the cost of choosing an engine, in milliseconds of [`PACKING_MS`].
 fn cost(work: &Work, candidate: &Candidate<'_>) -> f64 {
     let engine = candidate.engine;
-    if work.resumed {
-        return resumption_cost(work, engine);
-    }
     let packing = PACKING_MS * candidate.distance_from_end;
     // An engine without answers would be faster, but answering there makes it less suitable for long prompts: it counts
     // as if it were in the middle of a pass.
--- a/crates/alderglade-core/src/fleet/placement/slot_queue.rs
+++ b/crates/alderglade-core/src/fleet/placement/slot_queue.rs
@@ -8,7 +8,7 @@
 //! The table may show slots as taken that are free, as those of a killed host until its holdings expire. Therefore no
 //! prompt is held beyond the last moment at which it would be in time if it had a slot.
 
-use super::hold_policy::PLANNED_SHARE;
+use super::hold_policy::{self, PLANNED_SHARE};
 use super::slots::{self, Slots};
 use super::timing::{self, to_millis};
 use super::{Engine, Reason, Wait, Work};
@@ -95,13 +95,19 @@
     if work.resumed {
         return Verdict::PlaceSoonest;
     }
+    let before = if work.queues_for_slots { before } else { 0 };
     if before < slots.free {
         return Verdict::Place;
     }
+    if !work.queues_for_slots {
+        return Verdict::PlaceSoonest;
+    }
     let slot_wait = slots.wait_ms(before);
     let first_event = outlook.until_reading + outlook.profile.read_ms(work.prompt);
     let latest_start = PLANNED_SHARE * to_millis(work.objective) - first_event;
     let time_left = latest_start - to_millis(work.waited);
+    // A caller with little time left would lose the answer.
+    let time_left = time_left.min(hold_policy::first_event_time_left(work) - first_event);
     if slot_wait <= time_left {
         return hold((RECHECK_SHARE * slot_wait).min(time_left));
     }
@@ -129,10 +135,12 @@
     is_fresh && work.avoid.is_empty() && age_at_arrival(work).is_zero()
 }
 
-/// Returns whether a prompt is refused although it has been held: one whose workspace is far over its share. Its delay puts
-/// it behind prompts that arrive later; sent late without a free slot, it would take the next slot from those before it.
+/// Returns whether a prompt is refused although it has been held: a first attempt with a delay in the order, or one whose
+/// workspace is far over its share. The delay puts it behind prompts that arrive later; sent late without a free slot, it
+/// would take the next slot from those before it.
 fn may_be_refused_late(work: &Work) -> bool {
-    work.over_share && work.avoid.is_empty()
+    let is_delayed = !work.order_delay.is_zero() && age_at_arrival(work).is_zero();
+    (work.over_share || is_delayed) && work.avoid.is_empty()
 }
 
 /// Returns the age of a caller's first attempt when this attempt arrived; zero if it is too young to have been a reason
@@ -141,7 +149,9 @@
 pub(super) fn age_at_arrival(work: &Work) -> Duration {
     /// The share of the shortest retry delay that counts as having waited, since callers' clocks differ.
     const MIN_AGE_SHARE: f64 = 0.9;
-    if work.over_share || work.earlier < MIN_RETRY_DELAY.mul_f64(MIN_AGE_SHARE) {
+    let time_limit = work.earlier + work.waited + work.time_left;
+    let min_delay = MIN_RETRY_DELAY.min(time_limit.mul_f64(MAX_RETRY_SHARE));
+    if work.over_share || work.earlier < min_delay.mul_f64(MIN_AGE_SHARE) {
         return Duration::ZERO;
     }
     work.earlier
--- a/crates/alderglade-core/src/fleet/placement/slots.rs
+++ b/crates/alderglade-core/src/fleet/placement/slots.rs
@@ -51,7 +51,10 @@
 /// Returns the time for which an answer of `output` tokens holds its slot if it needs a pass of `pass_ms` milliseconds
 /// for each stride.
 pub fn expected_answer_time(profile: &EngineProfile, output: u64, pass_ms: f64) -> Duration {
-    let strides = output.div_ceil(u64::from(profile.stride.max(1))).max(1);
+    /// More strides are a mistake of the caller that states the output.
+    const MAX_STRIDES: u64 = 1_000_000;
+    let strides = output.div_ceil(u64::from(profile.stride.max(1)));
+    let strides = strides.clamp(1, MAX_STRIDES);
     timing::from_millis(strides as f64 * pass_ms)
 }
 
--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -54,6 +54,7 @@
         earlier: Duration::ZERO,
         resumed: false,
         order_delay: Duration::ZERO,
+        queues_for_slots: true,
         over_share: false,
         value: value(5_000),
         avoid: Vec::new(),
--- a/crates/alderglade-core/tests/testsuite/fleet/slots.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/slots.rs
@@ -47,6 +47,7 @@
         earlier: Duration::ZERO,
         resumed: false,
         order_delay: Duration::ZERO,
+        queues_for_slots: true,
         over_share: false,
         value: value(5_000),
         avoid: Vec::new(),
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -24,6 +24,7 @@
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::placement::Plan;
 use alderglade_core::fleet::request_state::{RequestState, Sent, Waiting};
+use alderglade_core::fleet::share;
 use alderglade_core::request::Refusal;
 use alderglade_core::time::Time;
 use http::Response;
@@ -297,7 +298,9 @@
 fn urgency(node: &Node, job: &Job, state: &SendState) -> Option<u8> {
     place::profile(node, job)?;
     let resumed = job.expectation(state.waits_since).resumed;
-    job.rank.urgency(job.has_waited_to_retry(), resumed)
+    // A workspace far over its share has no privilege as a retry, neither in the wait queue nor at an engine.
+    let is_retry = job.has_waited_to_retry() && !share::is_far_over(node.share_delay(job));
+    job.rank.urgency(is_retry, resumed)
 }
 
 /// Finds another server for a generation whose server has sent nothing for `silence`. Keeps waiting while no server
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -73,7 +73,9 @@
             }
             Decision::Wait(wait) => {
                 log_held(node, job, state, wait.reason);
-                node.record_shortage();
+                if wait.reason == Reason::Slots {
+                    node.record_shortage();
+                }
                 if let Some(queue) = &mut queue {
                     queue.announce();
                 }
@@ -244,6 +246,7 @@
         earlier: time_since_first_attempt(job),
         resumed: expectation.resumed,
         order_delay: share_delay + job.rank.order_delay(),
+        queues_for_slots: job.homes.is_unrestricted() && node.has_single_engine_service(),
         over_share: share::is_far_over(share_delay),
         value: placement::value(prompt.tokens),
         avoid: state.avoid.clone(),
--- a/crates/alderglade-serve/src/node/choice.rs
+++ b/crates/alderglade-serve/src/node/choice.rs
@@ -167,6 +167,11 @@
         engines.collect()
     }
 
+    /// Returns whether one service alone has engines. Entries of the wait queue don't state their service.
+    pub fn has_single_engine_service(&self) -> bool {
+        self.state.borrow().pauses.len() == 1
+    }
+
     /// Returns the recent outlook on the engines of a service, if there is one.
     pub fn recent_outlook(&self, service: &str) -> Option<Outlook> {
         let outlooks = self.outlooks.borrow();
--- a/crates/alderglade-standin/src/slope.rs
+++ b/crates/alderglade-standin/src/slope.rs
@@ -207,6 +207,7 @@
         earlier: Duration::ZERO,
         resumed: false,
         order_delay: Duration::ZERO,
+        queues_for_slots: true,
         over_share: false,
         time_left: Duration::from_secs(15),
         value: placement::value(prompt),
