--- a/crates/alderglade-core/src/fleet/load_table/queue.rs
+++ b/crates/alderglade-core/src/fleet/load_table/queue.rs
@@ -81,9 +81,9 @@
     pub(super) fn as_sent(&self) -> Entry {
         /// The usual delay of a notice, in milliseconds. It is rather too low: if it were too high, two hosts would each
         /// wait for the other one's prompt.
-        const NOTICE_DELAY_MS: i64 = 5;
+        const MIN_NOTICE_DELAY_MS: i64 = 5;
         Entry {
-            due_ms: self.due_ms - NOTICE_DELAY_MS,
+            due_ms: self.due_ms - MIN_NOTICE_DELAY_MS,
             ..*self
         }
     }
--- a/crates/alderglade-core/src/fleet/placement/mod.rs
+++ b/crates/alderglade-core/src/fleet/placement/mod.rs
@@ -6,9 +6,10 @@
 //! be late, and accept a higher cost as their own time runs out. Some engines are left to short prompts.
 //!
 //! `short` and `long` choose for the two kinds of prompts, and `parts` plans a long prompt over a number of engines.
-//! `hold_policy` decides whether a long prompt should wait, `slot_queue` whether a short one should, `demand` computes what its rank in the wait queue depends
-//! on, and `wait` describes the wait to operators. All of them use `cost`, `timing` and `slots`. `jitter` keeps hosts
-//! that choose at the same moment from making the same choice, and `spread` does where engines have few free slots.
+//! `hold_policy` decides whether a long prompt should wait, and `slot_queue` whether a short one should. `demand`
+//! computes what the rank in the wait queue depends on, and `wait` describes the wait to operators. All of them use
+//! `cost`, `timing` and `slots`. `jitter` keeps hosts that choose at the same moment from making the same choice, and
+//! `spread` does where engines have few free slots.
 
 mod cost;
 mod demand;
--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -154,7 +154,7 @@
         return decide_without_profile(node, job, state);
     };
     let work = work(node, job, state, profile.stride);
-    if let Some(wait) = still_held(node, job, &work, &profile, queue.as_ref()) {
+    if let Some(wait) = wait_from_outlook(node, job, &work, &profile, queue.as_ref()) {
         return Decision::Wait(wait);
     }
     let engines = node.engines(&job.service, profile, &job.homes, work.memory - work.prompt);
@@ -183,7 +183,7 @@
 
 /// Returns how long to hold on to a short prompt that is in the wait queue, if the recent outlook on the engines suffices
 /// to decide that.
-fn still_held(
+fn wait_from_outlook(
     node: &Node,
     job: &Job,
     work: &Work,
--- a/crates/alderglade-serve/src/node/capacity.rs
+++ b/crates/alderglade-serve/src/node/capacity.rs
@@ -3,8 +3,7 @@
 use super::Node;
 use crate::clock;
 use alderglade_core::fleet::homes::Homes;
-use alderglade_core::fleet::pass::EngineProfile;
-use alderglade_core::fleet::placement::{Engine, SHORT_PROMPT_TOKENS};
+use alderglade_core::fleet::placement::{SHORT_PROMPT_TOKENS, Slots};
 
 impl Node {
     /// Returns all metrics in the Prometheus text format. The gauges of capacity are updated only when they are read:
@@ -27,10 +26,11 @@
             };
             // The answer time does not matter for the number of free slots.
             let engines = self.engines(&service.name, profile, &Homes::default(), 0);
-            free += engines.iter().map(free_slots).sum::<i64>();
+            let reachable = engines.iter().filter(|engine| !engine.suspect);
+            free += Slots::of(reachable).free;
             short_reading_ms = short_reading_ms.min(profile.read_ms(SHORT_PROMPT_TOKENS));
         }
-        self.metrics.free_slots.set(free);
+        self.metrics.free_slots.set(i64::from(free));
         self.observe_queue(short_reading_ms);
     }
 
@@ -47,12 +47,3 @@
         }
     }
 }
-
-/// Returns the free slots of an engine; none if it seems to be unreachable.
-fn free_slots(engine: &Engine) -> i64 {
-    let EngineProfile { slots, .. } = engine.profile;
-    if engine.suspect {
-        return 0;
-    }
-    (i64::from(slots) - engine.load.running).max(0)
-}
