--- a/crates/alderglade-serve/src/node/share.rs
+++ b/crates/alderglade-serve/src/node/share.rs
@@ -5,6 +5,7 @@
 use crate::job::Job;
 use alderglade_core::Name;
 use alderglade_core::fleet::load_table::{Notice, Reservation};
+use alderglade_core::fleet::placement::SHORT_PROMPT_TOKENS;
 use alderglade_core::fleet::share::{Charge, Report};
 use alderglade_core::time::Time;
 use std::rc::Rc;
@@ -12,7 +13,13 @@
 
 impl Node {
     /// Returns how much later than its due time a request ranks in the wait queue, because of its workspace's use.
+    ///
+    /// Zero for long prompts. Their objectives of some seconds are hardly longer than the longest delay, so a delayed one
+    /// would be late or given up although engines have time for it.
     pub fn share_delay(&self, job: &Job) -> Duration {
+        if job.prompt().tokens >= SHORT_PROMPT_TOKENS {
+            return Duration::ZERO;
+        }
         let now = clock::now();
         let shares = &mut self.state.borrow_mut().shares;
         shares.refresh(now);
