--- a/crates/alderglade-core/src/fleet/placement/slots.rs
+++ b/crates/alderglade-core/src/fleet/placement/slots.rs
@@ -66,8 +66,7 @@
 pub(super) fn free(engine: &Engine) -> u32 {
     let slots = i64::from(engine.profile.slots);
     let free = slots.saturating_sub(engine.load.running.max(0));
-    let memory = engine.profile.memory_tokens as i64;
-    let with_memory = memory.saturating_sub(engine.load.memory) / SHORT_PROMPT_MEMORY_TOKENS;
+    let with_memory = timing::free_memory(engine) / SHORT_PROMPT_MEMORY_TOKENS;
     u32::try_from(free.min(with_memory)).unwrap_or(0)
 }
 
