Log when no server of a service can be connected to

A host now logs service_unreachable (3115) when connections to two servers of a service have failed and none has succeeded since, with the number of hosts that it hears, and service_reachable (3116) when one succeeds; the gauge alderglade_unreachable_services holds the number of such services.

The client's send is split, so that a new connection to a server is seen apart from one to the store. No decision has changed.

--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod rank;
 pub mod rate_limit;
+pub mod reachability;
 pub mod reassembly;
 pub mod relay;
 pub mod request_state;
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod queue;
 mod rank;
 mod rate_limit;
+mod reachability;
 mod reassembly;
 mod relay;
 mod request_state;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -6,6 +6,7 @@
 use crate::job::Job;
 use crate::node::{Node, Permit};
 use crate::translate::{Dispatch, Helper, Reply};
+use crate::transport;
 use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::fingerprint::Fingerprint;
@@ -79,11 +80,7 @@
     let needs_new_connection = !job.route.kind.is_repeatable();
     let request = build_request(node, job, &dispatch);
     let sent_at = clock::now();
-    let exchange = match node
-        .client
-        .send(server.address, request, needs_new_connection)
-        .await
-    {
+    let exchange = match transport::send(node, server, request, needs_new_connection).await {
         Ok(exchange) => exchange,
         Err(error) => return Err(handle_error(node, job, server, attempt, &error).await),
     };
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -66,8 +66,9 @@
     },
 }
 
-/// An open connection.
-struct OpenConnection {
+/// An open connection on which nothing is being sent.
+pub struct OpenConnection {
+    address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     /// The task that runs it.
     task: AbortHandle,
@@ -80,6 +81,14 @@
     until: Time,
 }
 
+/// The result of sending a request on an idle connection.
+pub enum IdleSend {
+    /// It was sent, and answered or not.
+    Done(Result<Exchange, Error>),
+    /// Nothing of it was sent: there is no usable idle connection.
+    Unsent(Request<Full<Bytes>>),
+}
+
 /// Why no response head arrived.
 struct ExchangeFailure {
     error: Error,
@@ -133,16 +142,46 @@
         request: Request<Full<Bytes>>,
         fresh: bool,
     ) -> Result<Exchange, Error> {
-        let mut request = request;
-        if !fresh && let Some(idle) = self.take_idle(address) {
-            let failure = match self.exchange(address, idle, request).await {
-                Ok(exchange) => return Ok(exchange),
-                Err(failure) => failure,
-            };
-            request = failure.unsent.ok_or(failure.error)?;
-        }
+        let request = match self.send_on_idle(address, request, fresh).await {
+            IdleSend::Done(result) => return result,
+            IdleSend::Unsent(request) => request,
+        };
         let link = self.connect(address).await?;
-        let result = self.exchange(address, link, request).await;
+        self.send_on(link, request).await
+    }
+
+    /// Sends a request on an idle connection, if there is one and `fresh` is not set, and waits for the head of the
+    /// response.
+    pub async fn send_on_idle(
+        self: &Rc<Client>,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> IdleSend {
+        let idle = if fresh { None } else { self.take_idle(address) };
+        let Some(link) = idle else {
+            return IdleSend::Unsent(request);
+        };
+        match self.exchange(link, request).await {
+            Ok(exchange) => IdleSend::Done(Ok(exchange)),
+            Err(ExchangeFailure { error, unsent }) => match unsent {
+                Some(request) => IdleSend::Unsent(request),
+                None => IdleSend::Done(Err(error)),
+            },
+        }
+    }
+
+    /// Sends a request on a connection and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks before the head has arrived.
+    pub async fn send_on(
+        self: &Rc<Client>,
+        link: OpenConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, Error> {
+        let result = self.exchange(link, request).await;
         result.map_err(|failure| failure.error)
     }
 
@@ -166,14 +205,16 @@
         self.idle.borrow().values().map(Vec::len).sum()
     }
 
-    /// Sends a request on a connection and waits for the head of the response.
     async fn exchange(
         self: &Rc<Client>,
-        address: SocketAddr,
         link: OpenConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<Exchange, ExchangeFailure> {
-        let OpenConnection { mut sender, task } = link;
+        let OpenConnection {
+            address,
+            mut sender,
+            task,
+        } = link;
         let mut connection = Connection {
             client: self.clone(),
             address,
@@ -217,7 +258,7 @@
     pub async fn listens(self: &Rc<Client>, address: SocketAddr) -> Option<bool> {
         match self.connect(address).await {
             Ok(link) => {
-                self.keep_idle(address, link, DEFAULT_IDLE_TIMEOUT);
+                self.keep_idle(link, DEFAULT_IDLE_TIMEOUT);
                 Some(true)
             }
             Err(Error::Closed { .. }) => Some(false),
@@ -225,8 +266,14 @@
         }
     }
 
+    /// Keeps a connection that was opened ahead of the next request.
+    pub fn keep(&self, link: OpenConnection) {
+        self.keep_idle(link, DEFAULT_IDLE_TIMEOUT);
+    }
+
     /// Keeps an idle connection until its timeout expires.
-    fn keep_idle(&self, address: SocketAddr, link: OpenConnection, idle_timeout: Duration) {
+    fn keep_idle(&self, link: OpenConnection, idle_timeout: Duration) {
+        let address = link.address;
         let entry = IdleConnection {
             link,
             until: clock::now() + idle_timeout,
@@ -256,7 +303,11 @@
     }
 
     /// Opens a connection.
-    async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, Error> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if none is open within 300 ms.
+    pub async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, Error> {
         let unreachable = |reason: String| Error::Unreachable { reason };
         let stream = clock::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
@@ -280,6 +331,7 @@
             }
         });
         Ok(OpenConnection {
+            address,
             sender,
             task: task.abort_handle(),
         })
@@ -301,7 +353,12 @@
             if sender.ready().await.is_err() {
                 return;
             }
-            client.keep_idle(address, OpenConnection { sender, task }, idle_timeout);
+            let link = OpenConnection {
+                address,
+                sender,
+                task,
+            };
+            client.keep_idle(link, idle_timeout);
         });
     }
 }
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -69,6 +69,10 @@
 const EVACUATED: Kind = info(3113, "evacuated");
 /// The number of groups that the hosts are divided into has changed.
 const GROUPED: Kind = info(3114, "grouped");
+/// Connections to servers of a service fail, and none succeeds.
+const SERVICE_UNREACHABLE: Kind = warn(3115, "service_unreachable");
+/// A server of an unreachable service can be connected to again.
+const SERVICE_REACHABLE: Kind = info(3116, "service_reachable");
 /// The store does not respond.
 const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store responds again.
@@ -125,7 +129,7 @@
 const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 47] = [
+pub const ALL: [Kind; 49] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -146,6 +150,8 @@
     SERVER_COLD,
     EVACUATED,
     GROUPED,
+    SERVICE_UNREACHABLE,
+    SERVICE_REACHABLE,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
@@ -199,6 +205,8 @@
             Record::Grouped { .. } => &GROUPED,
             Record::EntryUnreadable { .. } => &ENTRY_UNREADABLE,
             Record::EntryMended { .. } => &ENTRY_MENDED,
+            Record::ServiceUnreachable { .. } => &SERVICE_UNREACHABLE,
+            Record::ServiceReachable { .. } => &SERVICE_REACHABLE,
             Record::StoreLost { .. } => &STORE_LOST,
             Record::StoreBack { .. } => &STORE_BACK,
             Record::StoreRole { .. } => &STORE_ROLE,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -133,6 +133,22 @@
         /// The number of servers of the own group.
         servers: usize,
     },
+    /// Connections to several servers of a service failed, and none has succeeded since.
+    ServiceUnreachable {
+        /// The service.
+        service: &'a str,
+        /// The number of servers whose connections failed.
+        failed_servers: usize,
+        /// The number of other hosts whose heartbeats arrive.
+        live_hosts: usize,
+    },
+    /// A connection to a server of an unreachable service was opened.
+    ServiceReachable {
+        /// The service.
+        service: &'a str,
+        /// How long the service was unreachable, in milliseconds.
+        after_ms: u64,
+    },
     /// An entry of the store cannot be parsed and is ignored.
     EntryUnreadable {
         /// The object that holds it: `servers`, `hosts`, `quarantine` or `evacuations`.
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod slowdown;
 pub mod ticket;
 pub mod translate;
+pub mod transport;
 pub mod unary;
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -54,6 +54,8 @@
     pub passed_over: IntGauge,
     /// Backend servers that have stated a rate limit.
     pub limited: IntGauge,
+    /// Services none of whose servers this host can connect to.
+    pub unreachable: IntGauge,
     /// Restarts of backend servers under the same id.
     pub restarts: IntCounter,
     /// Entries of the store that could not be parsed, counted once for each change of them.
@@ -138,6 +140,10 @@
                 "alderglade_limited_servers",
                 "Servers that have named the most requests that they take.",
             )?,
+            unreachable: IntGauge::new(
+                "alderglade_unreachable_services",
+                "Services none of whose servers this host can connect to.",
+            )?,
             restarts: IntCounter::new(
                 "alderglade_server_restarts_total",
                 "Servers that have started again under their id.",
@@ -187,7 +193,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 32] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 33] = [
             Box::new(self.answers.clone()),
             Box::new(self.objectives.clone()),
             Box::new(self.by_requester.held.clone()),
@@ -208,6 +214,7 @@
             Box::new(self.servers.clone()),
             Box::new(self.passed_over.clone()),
             Box::new(self.limited.clone()),
+            Box::new(self.unreachable.clone()),
             Box::new(self.restarts.clone()),
             Box::new(self.unreadable.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -18,6 +18,7 @@
 mod permit;
 mod progress;
 mod quarantine;
+mod reachability;
 mod relay;
 mod restart;
 mod retry_budget;
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -22,6 +22,7 @@
 use alderglade_core::fleet::quarantine::Quarantine;
 use alderglade_core::fleet::rank::Ranks;
 use alderglade_core::fleet::rate_limit::Limits;
+use alderglade_core::fleet::reachability::Reachability;
 use alderglade_core::fleet::reassembly::Reassembly;
 use alderglade_core::fleet::relay::{Relay, Role};
 use alderglade_core::fleet::share::Shares;
@@ -47,6 +48,8 @@
     pub ranks: Rc<Ranks>,
     /// The health of servers.
     pub health: Health,
+    /// Whether the servers of each service can be connected to.
+    pub(super) reachability: Reachability,
     /// Requests under which servers end.
     pub quarantine: Quarantine,
     /// Servers that asked this host to send nothing for a while.
@@ -100,6 +103,7 @@
             pauses: HashMap::new(),
             ranks: Rc::default(),
             health: Health::default(),
+            reachability: Reachability::default(),
             quarantine: Quarantine::default(),
             backoffs: Backoffs::default(),
             limits: Limits::default(),
--- a/crates/alderglade-serve/src/order.rs
+++ b/crates/alderglade-serve/src/order.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::node::Node;
 use crate::translate::Order;
+use crate::transport;
 use alderglade_core::fleet::directory::Server;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -48,7 +49,7 @@
         .body(Full::new(order.body))
         .context(UnwritableSnafu)?;
     let exchange = async {
-        let exchange = node.client.send(server.address, request, false).await?;
+        let exchange = transport::send(node, server, request, false).await?;
         exchange.collect().await
     };
     let sent_at = clock::now();
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -70,6 +70,8 @@
 "n":3112,"level":"INFO","event":"server_cold","server":"server-15","for_ms":152}
 "n":3113,"level":"INFO","event":"evacuated","domains":["north","south"]}
 "n":3114,"level":"INFO","event":"grouped","groups":171,"hosts":172,"servers":173}
+"n":3115,"level":"WARN","event":"service_unreachable","service":"service-55","failed_servers":552,"live_hosts":553}
+"n":3116,"level":"INFO","event":"service_reachable","service":"service-56","after_ms":562}
 "n":3107,"level":"WARN","event":"entry_unreadable","of":"of-18","name":"name-18","problem":"problem-18"}
 "n":3108,"level":"INFO","event":"entry_mended","of":"of-19","name":"name-19"}
 "n":3201,"level":"WARN","event":"store_lost","problem":"problem-20"}
@@ -183,6 +185,8 @@
         Record::ServerCold { server: "server-15", for_ms: 152 },
         Record::Evacuated { domains },
         Record::Grouped { groups: 171, hosts: 172, servers: 173 },
+        Record::ServiceUnreachable { service: "service-55", failed_servers: 552, live_hosts: 553 },
+        Record::ServiceReachable { service: "service-56", after_ms: 562 },
         Record::EntryUnreadable { of: "of-18", name: "name-18", problem: "problem-18" },
         Record::EntryMended { of: "of-19", name: "name-19" },
         Record::StoreLost { problem: "problem-20" },
