--- a/crates/alderglade-core/src/fleet/health.rs
+++ b/crates/alderglade-core/src/fleet/health.rs
@@ -156,6 +156,17 @@
         }
     }
 
+    /// Retracts what this host's own calls have found: its path to the server was cut, not the server down.
+    pub fn retract(&mut self, server: Key) {
+        if let Some(record) = self.records.get_mut(&server) {
+            record.failure_rate = 0.0;
+            record.silences = 0;
+            record.own_ejected_until = Time::default();
+            record.closed = false;
+            record.unanswered_at = None;
+        }
+    }
+
     /// Ejects a server because a server stated to this host that another one refuses work, or that it is slow itself.
     pub fn eject(&mut self, server: Key, now: Time) {
         let record = self.records.entry(server).or_default();
--- a/crates/alderglade-core/src/fleet/incarnation.rs
+++ b/crates/alderglade-core/src/fleet/incarnation.rs
@@ -7,6 +7,8 @@
 
 use crate::Name;
 use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One incarnation of a backend server: the time from one start of its process to the next.
@@ -66,6 +68,26 @@
 )]
 pub struct Key([u8; 6]);
 
+/// Error for a text that is not a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidKey;
+
+impl FromStr for Key {
+    type Err = InvalidKey;
+
+    fn from_str(text: &str) -> Result<Key, InvalidKey> {
+        let mut bytes = [0; 6];
+        hex::decode_to_slice(text, &mut bytes).map_err(|_| InvalidKey)?;
+        Ok(Key(bytes))
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&hex::encode(self.0))
+    }
+}
+
 impl Key {
     /// Returns the key as a number. Its lower 48 bits are as evenly distributed as the bytes of the key.
     pub(super) fn number(self) -> u64 {
--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -55,6 +55,8 @@
     Config(Patch),
     /// Some of the entry hosts.
     Hosts(Vec<Host>),
+    /// The keys of some of the entry hosts.
+    ProxyKeys(Vec<ProxyKey>),
 }
 
 /// An entry host.
@@ -66,6 +68,18 @@
     pub address: SocketAddr,
     /// Its failure domain, if known.
     pub domain: Option<Name>,
+    /// The key with which other hosts send requests through it, if known. It is sent as a [`ProxyKey`].
+    #[serde(skip)]
+    pub proxy_key: Option<Name>,
+}
+
+/// The key with which other hosts send requests through a host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProxyKey {
+    /// The name of the host.
+    pub host: Name,
+    /// The key.
+    pub key: Name,
 }
 
 /// A forwarded notice of another host.
--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod position;
 pub mod progress;
+pub mod proxy;
 pub mod quarantine;
 pub mod rank;
 pub mod rate_limit;
--- a/crates/alderglade-core/src/fleet/reachability.rs
+++ b/crates/alderglade-core/src/fleet/reachability.rs
@@ -1,95 +1,273 @@
-//! Tracks whether this host can open connections to the servers of each service.
+//! Tracks which backend servers this host can connect to by itself.
 //!
-//! A server that cannot be connected to may be down, or the host's own path to it may be cut. One server does not tell
-//! these apart. If connections to several servers of a service fail and none succeeds in between, the host probably has
-//! lost its path to all of them. Only new connections count: in a partition, open ones may live on for a while.
+//! If a connection to a server can't be opened, either the server is down or the host's path to it is cut. Other hosts
+//! tell these apart: a server that another host connects to is *blocked* here, and requests reach it through another
+//! host. A host to which several servers are blocked counts as *partitioned*: it uses other hosts for every server to
+//! which it has not connected itself since.
+//!
+//! Only new connections count, because open ones may live on for a while.
 
 use super::incarnation::Key;
-use crate::Name;
 use crate::time::Time;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Servers of a service to which connections must fail before the service counts as unreachable, if it has as many.
-const MIN_FAILED_SERVERS: usize = 2;
-/// How long a failed connection counts. Older ones say nothing about the path now.
-const FAILURE_LIFETIME: Duration = Duration::from_secs(10);
+/// Blocked servers from which on the host counts as partitioned.
+const MIN_BLOCKED_SERVERS: usize = 2;
+/// How long after a check of a server that found it down, or was inconclusive, the next one may begin.
+const RECHECK_DELAY: Duration = Duration::from_millis(1_000);
+/// The same, for all servers together. If all servers are down, this bounds the checks of a host.
+const FAILED_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of checks at the same time.
+const MAX_CHECKS: usize = 4;
+/// Time between two probes of the path to a server.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a server's silence counts towards a suspicion.
+const SILENCE_LIFETIME: Duration = Duration::from_millis(3_000);
+
+/// How requests reach a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// Over a connection of this host.
+    Direct,
+    /// Through another host.
+    Proxied,
+}
+
+/// How a connection to a server failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// It was refused. Open connections may still work.
+    Refused,
+    /// There was no answer. Open connections have probably stopped working, too.
+    Silent,
+}
 
-/// A change of whether a service can be reached.
+/// What other hosts say of a server that this host can't connect to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// Another host connects to it.
+    Reached,
+    /// Its machine refuses other hosts' connections, too.
+    Down,
+    /// No host could tell.
+    Unknown,
+}
+
+/// A change of whether the host counts as partitioned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
-    /// Connections to this many of its servers have failed, and none has succeeded since.
-    Lost {
-        /// The number of servers.
-        failed_servers: usize,
-    },
-    /// A connection to one of its servers was opened.
+    /// It has lost its path to the servers.
+    Lost,
+    /// It has connected to all blocked servers again.
     Regained {
-        /// How long it was unreachable.
+        /// How long it was partitioned.
         after: Duration,
     },
 }
 
-/// The connections to the servers of one service.
+/// The path to one server.
 #[derive(Debug, Default)]
 struct Record {
-    /// Servers to which connections have failed since the last one succeeded.
-    failed: BTreeSet<Key>,
-    /// When a connection last failed.
-    last_failure: Time,
-    /// Since when the service is unreachable.
-    unreachable_since: Option<Time>,
+    /// Whether another host connects to the server while this one doesn't.
+    blocked: bool,
+    /// How the last connection failed, if none has been opened since.
+    failure: Option<Failure>,
+    /// When a connection was last opened.
+    connected_at: Option<Time>,
+    /// When it was found to be blocked.
+    blocked_at: Option<Time>,
+    checking: bool,
+    /// When the last check that did not reach the server ended.
+    check_failed_at: Option<Time>,
+    probed_at: Time,
+}
+
+/// The time in which the host has no path to the servers.
+#[derive(Debug, Clone, Copy)]
+struct Partition {
+    since: Time,
+    /// Whether open connections have probably stopped working: no new one was refused.
+    silent: bool,
 }
 
-/// The reachability of all services.
+/// The paths to all servers.
 #[derive(Debug, Default)]
 pub struct Reachability {
-    services: HashMap<Name, Record>,
+    servers: HashMap<Key, Record>,
+    /// The partition, while there is one.
+    partition: Option<Partition>,
+    /// When the last check that did not reach its server ended.
+    check_failed_at: Option<Time>,
+    /// When the last probe began; `None` if the next one is due.
+    probed_at: Option<Time>,
+    /// Whether the next probe goes to a server that isn't known to be blocked.
+    probes_others: bool,
+    /// Servers that were silent on open connections, and when, since the last answer of any server.
+    silent: HashMap<Key, Time>,
 }
 
 impl Reachability {
-    /// Records that no connection to a server could be opened. `known_servers` is the number of servers of its service.
-    pub fn record_failure(
-        &mut self,
-        service: &Name,
-        server: Key,
-        known_servers: usize,
-        now: Time,
-    ) -> Option<Change> {
-        let record = self.services.entry(service.clone()).or_default();
-        if record.unreachable_since.is_none() && now.since(record.last_failure) > FAILURE_LIFETIME {
-            record.failed.clear();
+    /// Returns how requests reach a server now.
+    pub fn path(&self, server: Key) -> Path {
+        let record = self.servers.get(&server);
+        let blocked = record.is_some_and(|record| record.blocked);
+        let connected = record.and_then(|record| record.connected_at);
+        let unproven = self
+            .partition
+            .is_some_and(|partition| connected.is_none_or(|at| at < partition.since));
+        if blocked || unproven {
+            Path::Proxied
+        } else {
+            Path::Direct
+        }
+    }
+
+    /// Returns whether a request that was sent to a server directly at a time has probably lost its connection: the path
+    /// was lost since, and new connections got no answer.
+    pub fn has_lost_connection(&self, server: Key, sent: Time) -> bool {
+        let record = self.servers.get(&server).filter(|record| record.blocked);
+        let record = record.filter(|record| record.failure == Some(Failure::Silent));
+        let blocked_at = record.and_then(|record| record.blocked_at);
+        let partition = self.partition.filter(|partition| partition.silent);
+        let lost_at = blocked_at.max(partition.map(|partition| partition.since));
+        lost_at.is_some_and(|at| at >= sent) && self.path(server) == Path::Proxied
+    }
+
+    /// Records that a connection to a server was opened.
+    pub fn record_connection(&mut self, server: Key, now: Time) -> Option<Change> {
+        self.silent.clear();
+        let record = self.servers.entry(server).or_default();
+        let was_blocked = std::mem::take(&mut record.blocked);
+        record.failure = None;
+        record.connected_at = Some(now);
+        if was_blocked {
+            // The other blocked servers may be reachable again, too.
+            self.probed_at = None;
+            self.probes_others = false;
+        }
+        self.update_partition(now)
+    }
+
+    /// Records that no connection to a server could be opened. Returns whether other hosts should be asked about the
+    /// server now; [`Reachability::finish_check`] must follow then.
+    pub fn record_failure(&mut self, server: Key, failure: Failure, now: Time) -> bool {
+        let checks = self.servers.values().filter(|record| record.checking);
+        let has_room = checks.count() < MAX_CHECKS;
+        let is_over = |at: Option<Time>, delay| at.is_none_or(|at| now.since(at) >= delay);
+        let is_partitioned = self.partition.is_some();
+        let is_allowed =
+            has_room && !is_partitioned && is_over(self.check_failed_at, FAILED_CHECK_DELAY);
+        let record = self.servers.entry(server).or_default();
+        record.failure = Some(failure);
+        record.connected_at = None;
+        let is_due = !record.blocked && is_over(record.check_failed_at, RECHECK_DELAY);
+        if record.checking || !is_due || !is_allowed {
+            return false;
         }
-        record.failed.insert(server);
-        record.last_failure = now;
-        let failed_servers = record.failed.len();
-        let is_lost = failed_servers >= MIN_FAILED_SERVERS.min(known_servers.max(1));
-        if !is_lost || record.unreachable_since.is_some() {
+        record.checking = true;
+        true
+    }
+
+    /// Returns whether other hosts are being asked about a server.
+    pub fn is_checking(&self, server: Key) -> bool {
+        self.servers
+            .get(&server)
+            .is_some_and(|record| record.checking)
+    }
+
+    /// Applies what other hosts say of a server. A connection that was opened meanwhile counts for more.
+    pub fn finish_check(&mut self, server: Key, finding: Finding, now: Time) -> Option<Change> {
+        let record = self.servers.entry(server).or_default();
+        record.checking = false;
+        if finding != Finding::Reached {
+            record.check_failed_at = Some(now);
+            self.check_failed_at = Some(now);
             return None;
         }
-        record.unreachable_since = Some(now);
-        Some(Change::Lost { failed_servers })
+        if record.connected_at.is_some() {
+            return None;
+        }
+        record.blocked = true;
+        record.blocked_at = Some(now);
+        self.update_partition(now)
     }
 
-    /// Records that a connection to a server of a service was opened.
-    pub fn record_connection(&mut self, service: &str, now: Time) -> Option<Change> {
-        let record = self.services.remove(service)?;
-        let since = record.unreachable_since?;
-        let after = now.since(since);
-        Some(Change::Regained { after })
+    /// Records that a server was silent on a connection that was open before. Returns whether to find out by a new
+    /// connection whether the path to it is cut: another server was silent, too, and none has answered since.
+    pub fn record_silence(&mut self, server: Key, now: Time) -> bool {
+        self.silent
+            .retain(|_, at| now.since(*at) <= SILENCE_LIFETIME);
+        self.silent.insert(server, now);
+        self.silent.len() >= MIN_BLOCKED_SERVERS
     }
 
-    /// Returns whether a service is unreachable from this host.
-    pub fn is_unreachable(&self, service: &str) -> bool {
-        let record = self.services.get(service);
-        record.is_some_and(|record| record.unreachable_since.is_some())
+    /// Records that a server has answered over a connection of this host.
+    pub fn record_answer(&mut self) {
+        self.silent.clear();
     }
 
-    /// Returns the number of unreachable services.
-    pub fn unreachable_count(&self) -> usize {
-        let records = self.services.values();
-        records
-            .filter(|record| record.unreachable_since.is_some())
-            .count()
+    /// Returns the server to which a connection should be opened now to find out whether the path to it is back. `all`
+    /// are the servers that the host may use.
+    pub fn next_probe(&mut self, all: impl Iterator<Item = Key>, now: Time) -> Option<Key> {
+        let is_due = self
+            .probed_at
+            .is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
+        if !is_due {
+            return None;
+        }
+        // Every second probe goes to a server that isn't known to be blocked: the host may be partitioned from some only.
+        let wants_blocked = !self.probes_others;
+        let candidates = all.filter(|server| self.path(*server) == Path::Proxied);
+        let probe = candidates.min_by_key(|server| {
+            let record = self.servers.get(server);
+            let blocked = record.is_some_and(|record| record.blocked);
+            let probed_at = record.map_or(Time::default(), |record| record.probed_at);
+            (blocked != wants_blocked, probed_at)
+        })?;
+        self.probes_others = wants_blocked;
+        self.probed_at = Some(now);
+        self.servers.entry(probe).or_default().probed_at = now;
+        Some(probe)
+    }
+
+    /// Drops the servers that are no longer listed.
+    pub fn retain(&mut self, is_listed: impl Fn(Key) -> bool, now: Time) -> Option<Change> {
+        self.servers.retain(|server, _| is_listed(*server));
+        self.silent.retain(|server, _| is_listed(*server));
+        self.update_partition(now)
+    }
+
+    /// Returns the blocked servers.
+    pub fn blocked(&self) -> BTreeSet<Key> {
+        let blocked = self.servers.iter().filter(|(_, record)| record.blocked);
+        blocked.map(|(server, _)| *server).collect()
+    }
+
+    /// Returns the number of blocked servers.
+    pub fn blocked_count(&self) -> usize {
+        let records = self.servers.values();
+        records.filter(|record| record.blocked).count()
+    }
+
+    /// Begins or ends the partition, according to the number of blocked servers.
+    fn update_partition(&mut self, now: Time) -> Option<Change> {
+        let blocked = self.servers.values().filter(|record| record.blocked);
+        match self.partition {
+            None if blocked.clone().count() >= MIN_BLOCKED_SERVERS => {
+                let mut failures = blocked.map(|record| record.failure);
+                self.partition = Some(Partition {
+                    since: now,
+                    silent: failures.all(|failure| failure == Some(Failure::Silent)),
+                });
+                Some(Change::Lost)
+            }
+            Some(partition) if blocked.count() == 0 => {
+                self.partition = None;
+                let after = now.since(partition.since);
+                Some(Change::Regained { after })
+            }
+            _ => None,
+        }
     }
 }
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod pass;
 mod placement;
 mod progress;
+mod proxy;
 mod quarantine;
 mod queue;
 mod rank;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -5,8 +5,9 @@
 use crate::event::{self, Record};
 use crate::job::Job;
 use crate::node::{Node, Permit};
+use crate::proxy::Purpose;
 use crate::translate::{Dispatch, Helper, Reply};
-use crate::transport;
+use crate::transport::{self, Outgoing};
 use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::fingerprint::Fingerprint;
@@ -77,10 +78,16 @@
         last_event: addition.last_event,
         urgency: addition.urgency,
     };
-    let needs_new_connection = !job.route.kind.is_repeatable();
-    let request = build_request(node, job, &dispatch);
+    let outgoing = Outgoing {
+        id: &job.info.id,
+        server,
+        homes: &job.homes,
+        purpose: Purpose::Request,
+        fresh: !job.route.kind.is_repeatable(),
+    };
+    let request = || build_request(node, job, &dispatch);
     let sent_at = clock::now();
-    let exchange = match transport::send(node, server, request, needs_new_connection).await {
+    let exchange = match transport::send(node, &outgoing, request).await {
         Ok(exchange) => exchange,
         Err(error) => return Err(handle_error(node, job, server, attempt, &error).await),
     };
@@ -124,6 +131,7 @@
             SendFailure::Closed
         }
         Error::NotSent => SendFailure::NotSent,
+        Error::ProxyLost { .. } => SendFailure::Lost,
         Error::Lost { .. } => {
             node.record_outcome(server.key(), Outcome::Broken);
             // Peers are notified immediately: they may be about to send to that server, too.
@@ -139,13 +147,19 @@
 /// Problem logged for a server that used all of a request's time.
 pub const NO_ANSWER_IN_TIME: &str = "no answer in the time allowed";
 
+/// Problem logged for a server to which this host's path is cut.
+pub const PATH_LOST: &str = "the path to the server is cut";
+
 /// Problem logged for a server that restarted.
 pub const RESTARTED: &str = "the server has started again";
 
 /// Records and logs that a server was silent for longer than allowed.
-pub fn record_silence(node: &Node, job: &Job, server: &Server, attempt: u32, problem: &str) {
+pub fn record_silence(node: &Rc<Node>, job: &Job, server: &Server, attempt: u32, problem: &str) {
     log_failure(job, server, attempt, problem);
     node.record_outcome(server.key(), Outcome::Unreachable);
+    if node.record_direct_silence(server.key()) {
+        tokio::task::spawn_local(transport::test_path(node.clone(), server.clone()));
+    }
 }
 
 /// Waits until a server has restarted and logs it: a request that was sent to it ended with the former incarnation.
@@ -199,8 +213,7 @@
 impl ServerCheck {
     /// Checks whether the server has ended. The connection shows only that it broke; a network fault looks the same.
     async fn run(self) {
-        let address = self.server.address;
-        let ended = self.node.client.listens(address).await == Some(false);
+        let ended = transport::has_ended(&self.node, &self.server).await;
         event::write(&Record::ServerBrokeOff {
             id: &self.id,
             asked: self.fingerprint,
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -64,6 +65,12 @@
         /// The error that was observed.
         reason: String,
     },
+    /// The connection to the host through which the request was sent was lost. That says nothing about the server.
+    #[snafu(display("contact with the proxy lost: {reason}"))]
+    ProxyLost {
+        /// The error that was observed.
+        reason: String,
+    },
 }
 
 /// An open connection on which nothing is being sent.
@@ -112,6 +119,8 @@
     task: Option<AbortHandle>,
     idle_timeout: Duration,
     reusable: bool,
+    /// What is in use until the exchange on the connection has ended.
+    held: Option<Box<dyn Any>>,
 }
 
 /// A response whose head has arrived, and whose body is still to come.
@@ -222,6 +231,7 @@
             task: Some(task),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             reusable: false,
+            held: None,
         };
         if let Err(error) = sender.ready().await {
             log::debug!("idle connection to {address} was closed: {error}");
@@ -253,19 +263,6 @@
         })
     }
 
-    /// Returns whether a server listens at an address, or `None` if that is unknown. A connection opened for this is
-    /// kept for the next request.
-    pub async fn listens(self: &Rc<Client>, address: SocketAddr) -> Option<bool> {
-        match self.connect(address).await {
-            Ok(link) => {
-                self.keep_idle(link, DEFAULT_IDLE_TIMEOUT);
-                Some(true)
-            }
-            Err(Error::Closed { .. }) => Some(false),
-            Err(_) => None,
-        }
-    }
-
     /// Keeps a connection that was opened ahead of the next request.
     pub fn keep(&self, link: OpenConnection) {
         self.keep_idle(link, DEFAULT_IDLE_TIMEOUT);
@@ -339,6 +336,11 @@
 }
 
 impl Connection {
+    /// Holds on to a guard until the exchange on the connection has ended.
+    pub fn hold(&mut self, guard: impl Any) {
+        self.held = Some(Box::new(guard));
+    }
+
     /// Keeps the connection for another request, if the other side allows it.
     pub fn recycle(mut self) {
         if !self.reusable {
@@ -449,7 +451,7 @@
 }
 
 /// Sets socket options so that a silent peer is detected within seconds.
-fn set_socket_options(stream: &TcpStream) {
+pub(crate) fn set_socket_options(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_DELAY)
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -69,10 +69,10 @@
 const EVACUATED: Kind = info(3113, "evacuated");
 /// The number of groups that the hosts are divided into has changed.
 const GROUPED: Kind = info(3114, "grouped");
-/// Connections to servers of a service fail, and none succeeds.
-const SERVICE_UNREACHABLE: Kind = warn(3115, "service_unreachable");
-/// A server of an unreachable service can be connected to again.
-const SERVICE_REACHABLE: Kind = info(3116, "service_reachable");
+/// The host has lost its own path to the servers, which other hosts reach.
+const PATH_LOST: Kind = warn(3115, "path_lost");
+/// The host has its own path to the servers again.
+const PATH_REGAINED: Kind = info(3116, "path_regained");
 /// The store does not respond.
 const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store responds again.
@@ -97,6 +97,8 @@
 const PEER_FAULT: Kind = warn(3303, "peer_fault");
 /// A listener could not accept a connection.
 const LISTEN_FAULT: Kind = warn(3304, "listen_fault");
+/// Something that was not sent by a host of this system asked for a request to be carried.
+const PROXY_REFUSED: Kind = warn(3305, "proxy_refused");
 /// A request is sent to a backend server.
 const PLACED: Kind = info(3401, "placed");
 /// An attempt failed.
@@ -123,13 +125,15 @@
 const QUARANTINE_RELEASED: Kind = info(3412, "quarantine_released");
 /// A quarantine decision could not be written to the store.
 const QUARANTINE_NOT_KEPT: Kind = warn(3413, "quarantine_not_kept");
+/// A request was sent to a server through another host.
+const PROXIED: Kind = info(3414, "proxied");
 /// Memory could not be reserved for a prompt.
 const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
 /// Reserved memory was not released; it expires by itself.
 const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 49] = [
+pub const ALL: [Kind; 51] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -150,8 +154,8 @@
     SERVER_COLD,
     EVACUATED,
     GROUPED,
-    SERVICE_UNREACHABLE,
-    SERVICE_REACHABLE,
+    PATH_LOST,
+    PATH_REGAINED,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
@@ -164,6 +168,7 @@
     PEER_LOST,
     PEER_FAULT,
     LISTEN_FAULT,
+    PROXY_REFUSED,
     PLACED,
     ATTEMPT_FAILED,
     ANSWERED,
@@ -177,6 +182,7 @@
     QUARANTINED,
     QUARANTINE_RELEASED,
     QUARANTINE_NOT_KEPT,
+    PROXIED,
     MEMORY_REFUSED,
     MEMORY_NOT_RELEASED,
 ];
@@ -205,8 +211,8 @@
             Record::Grouped { .. } => &GROUPED,
             Record::EntryUnreadable { .. } => &ENTRY_UNREADABLE,
             Record::EntryMended { .. } => &ENTRY_MENDED,
-            Record::ServiceUnreachable { .. } => &SERVICE_UNREACHABLE,
-            Record::ServiceReachable { .. } => &SERVICE_REACHABLE,
+            Record::PathLost { .. } => &PATH_LOST,
+            Record::PathRegained { .. } => &PATH_REGAINED,
             Record::StoreLost { .. } => &STORE_LOST,
             Record::StoreBack { .. } => &STORE_BACK,
             Record::StoreRole { .. } => &STORE_ROLE,
@@ -219,6 +225,7 @@
             Record::PeerLost { .. } => &PEER_LOST,
             Record::PeerFault { .. } => &PEER_FAULT,
             Record::ListenFault { .. } => &LISTEN_FAULT,
+            Record::ProxyRefused { .. } => &PROXY_REFUSED,
             Record::Placed { .. } => &PLACED,
             Record::AttemptFailed { .. } => &ATTEMPT_FAILED,
             Record::Answered { .. } => &ANSWERED,
@@ -232,6 +239,7 @@
             Record::Quarantined { .. } => &QUARANTINED,
             Record::QuarantineReleased { .. } => &QUARANTINE_RELEASED,
             Record::QuarantineNotKept { .. } => &QUARANTINE_NOT_KEPT,
+            Record::Proxied { .. } => &PROXIED,
             Record::MemoryRefused { .. } => &MEMORY_REFUSED,
             Record::MemoryNotReleased { .. } => &MEMORY_NOT_RELEASED,
         }
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -133,20 +133,16 @@
         /// The number of servers of the own group.
         servers: usize,
     },
-    /// Connections to several servers of a service failed, and none has succeeded since.
-    ServiceUnreachable {
-        /// The service.
-        service: &'a str,
-        /// The number of servers whose connections failed.
-        failed_servers: usize,
+    /// The host has lost its own path to the servers, which other hosts reach.
+    PathLost {
+        /// The number of servers that other hosts reach and this one doesn't.
+        blocked: usize,
         /// The number of other hosts whose heartbeats arrive.
         live_hosts: usize,
     },
-    /// A connection to a server of an unreachable service was opened.
-    ServiceReachable {
-        /// The service.
-        service: &'a str,
-        /// How long the service was unreachable, in milliseconds.
+    /// The host has its own path to the servers again.
+    PathRegained {
+        /// How long it had none, in milliseconds.
         after_ms: u64,
     },
     /// An entry of the store cannot be parsed and is ignored.
@@ -439,6 +435,22 @@
         /// The error that was observed.
         problem: &'a str,
     },
+    /// A request was sent to a server through another host.
+    Proxied {
+        /// The id of the request; empty for a call apart from requests.
+        id: &'a str,
+        /// The server.
+        server: &'a str,
+        /// The other host.
+        host: &'a str,
+        /// `answered`, or why the server has not answered.
+        outcome: &'a str,
+    },
+    /// Something that was not sent by a host of this system asked for a request to be carried.
+    ProxyRefused {
+        /// Where it came from.
+        from: SocketAddr,
+    },
     /// Memory could not be reserved for a prompt.
     MemoryRefused {
         /// The id of the request.
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -259,7 +259,7 @@
 }
 
 /// Reads a whole body within its size limit, its deadline and the host's memory.
-async fn read_body(
+pub(crate) async fn read_body(
     body: Incoming,
     max_bytes: usize,
     deadline: Time,
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -313,8 +313,15 @@
     reservation: &mut ReservationGuard,
     silence: Duration,
 ) -> PermittedPlan {
-    clock::sleep_and_yield(silence).await;
-    record_stall(node, job, state, silent_server);
+    let sent = clock::now();
+    tokio::select! {
+        () = clock::sleep_and_yield(silence) => record_stall(node, job, state, silent_server),
+        // The server is not at fault.
+        () = node.wait_until_path_lost(silent_server.key(), sent) => {
+            attempt::log_failure(job, silent_server, state.total, attempt::PATH_LOST);
+            state.avoid.push(silent_server.key());
+        }
+    }
     reservation.suspend();
     let request_state = RequestState::new().send().lost();
     loop {
@@ -333,7 +340,7 @@
 /// Records that a server sent nothing. If others read parts of the prompt, any of them may be at fault. In that case
 /// the server is not reported as silent, and the next plan uses different engines, so that the same one does not
 /// stall the prompt again.
-fn record_stall(node: &Node, job: &Job, state: &mut SendState, silent_server: &Server) {
+fn record_stall(node: &Rc<Node>, job: &Job, state: &mut SendState, silent_server: &Server) {
     if state.readers.is_empty() {
         attempt::record_silence(node, job, silent_server, state.total, "silence");
     } else {
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod node;
 pub mod order;
 pub mod peer;
+pub mod proxy;
 pub mod relay;
 pub mod settings;
 pub mod slowdown;
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -1,6 +1,7 @@
 //! Listeners for callers, for the balancer's readiness check and for operators.
 
-use crate::answer::Content;
+use crate::answer::{BrokenOff, Content};
+use crate::client;
 use crate::clock;
 use crate::event::{self, Record};
 use crate::forward;
@@ -8,7 +9,7 @@
 use crate::node::Node;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -23,6 +24,8 @@
 const MAX_PENDING_CONNECTIONS: u32 = 1_024;
 /// The smallest buffer that the HTTP library allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// Size of the buffers of a connection of another host, in bytes: a request's head with what a host adds to it.
+const MAX_PEER_BUFFER_BYTES: usize = 32 * 1024;
 /// Idle timeout of a connection while the configuration is not known yet.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay after a connection could not be accepted, so that a lack of file descriptors does not cause a busy loop.
@@ -149,13 +152,28 @@
 }
 
 /// Serves requests whose responses are available immediately, until the process ends.
-pub(crate) async fn simple(
+async fn simple(
     listener: TcpListener,
     answer: impl Fn(&Request<Incoming>) -> Response<Content> + Clone + 'static,
 ) {
+    peers(listener, move |_, request| {
+        std::future::ready(answer(&request))
+    })
+    .await;
+}
+
+/// Serves requests of hosts, or of the platform, until the process ends. `answer` gets the address that a request comes
+/// from.
+pub(crate) async fn peers<F, B>(
+    listener: TcpListener,
+    answer: impl Fn(SocketAddr, Request<Incoming>) -> F + Clone + 'static,
+) where
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes, Error = BrokenOff> + 'static,
+{
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 let problem = error.to_string();
                 event::write(&Record::ListenFault { problem: &problem });
@@ -165,13 +183,15 @@
         };
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
+            client::set_socket_options(&stream);
             let service = service_fn(|request: Request<Incoming>| {
-                let response = answer(&request);
-                async move { Ok::<_, Infallible>(response) }
+                let response = answer(from, request);
+                async move { Ok::<_, Infallible>(response.await) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
+                .max_buf_size(MAX_PEER_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!("connection failed: {error}");
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -54,8 +54,14 @@
     pub passed_over: IntGauge,
     /// Backend servers that have stated a rate limit.
     pub limited: IntGauge,
-    /// Services none of whose servers this host can connect to.
-    pub unreachable: IntGauge,
+    /// Servers that other hosts reach and this one doesn't.
+    pub blocked: IntGauge,
+    /// Requests and checks that were sent through other hosts, by whether these could help.
+    pub proxied_sent: IntCounterVec,
+    /// Requests and checks that were carried for other hosts by outcome.
+    pub proxied_served: IntCounterVec,
+    /// Requests that this host carries for other hosts now.
+    pub proxied: IntGauge,
     /// Restarts of backend servers under the same id.
     pub restarts: IntCounter,
     /// Entries of the store that could not be parsed, counted once for each change of them.
@@ -140,9 +146,23 @@
                 "alderglade_limited_servers",
                 "Servers that have named the most requests that they take.",
             )?,
-            unreachable: IntGauge::new(
-                "alderglade_unreachable_services",
-                "Services none of whose servers this host can connect to.",
+            blocked: IntGauge::new(
+                "alderglade_blocked_servers",
+                "Servers that other hosts reach and this one doesn't.",
+            )?,
+            proxied_sent: counter_vec(
+                "alderglade_proxied_sent_total",
+                "Requests sent through other hosts.",
+                "outcome",
+            )?,
+            proxied_served: counter_vec(
+                "alderglade_proxied_served_total",
+                "Requests carried for other hosts.",
+                "outcome",
+            )?,
+            proxied: IntGauge::new(
+                "alderglade_proxied",
+                "Requests that are being carried for other hosts.",
             )?,
             restarts: IntCounter::new(
                 "alderglade_server_restarts_total",
@@ -193,7 +213,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 33] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 36] = [
             Box::new(self.answers.clone()),
             Box::new(self.objectives.clone()),
             Box::new(self.by_requester.held.clone()),
@@ -214,7 +234,10 @@
             Box::new(self.servers.clone()),
             Box::new(self.passed_over.clone()),
             Box::new(self.limited.clone()),
-            Box::new(self.unreachable.clone()),
+            Box::new(self.blocked.clone()),
+            Box::new(self.proxied_sent.clone()),
+            Box::new(self.proxied_served.clone()),
+            Box::new(self.proxied.clone()),
             Box::new(self.restarts.clone()),
             Box::new(self.unreadable.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -36,6 +36,7 @@
 pub use outbox::{Envelope, Recipients};
 pub use permit::{NotPermitted, Permit};
 pub use progress::{Progress, Stage};
+pub use reachability::{ProxiedGuard, Proxy, ProxyUse};
 pub use state::State;
 pub use store::StoreEvent;
 
@@ -103,6 +104,10 @@
     grant_requests: RefCell<permit::OpenGrantRequests>,
     /// Wakes the tasks that wait for the answer of a server that may have restarted.
     server_restarted: Notify,
+    /// Wakes the tasks that wait for what other hosts say of a server, or whose path to a server may be cut.
+    path_checked: Notify,
+    /// The key with which other hosts send requests through this one.
+    pub proxy_key: RefCell<Option<Name>>,
     /// Quarantine verdicts that were not written to the store yet.
     verdicts: RefCell<Vec<Verdict>>,
     /// Wakes the task that writes the verdicts to the store.
@@ -154,6 +159,8 @@
             loan_answered: Notify::new(),
             grant_requests: RefCell::default(),
             server_restarted: Notify::new(),
+            path_checked: Notify::new(),
+            proxy_key: RefCell::default(),
             verdicts: RefCell::default(),
             verdicts_ready: Notify::new(),
             store_status_changed: Notify::new(),
--- a/crates/alderglade-serve/src/node/hosts.rs
+++ b/crates/alderglade-serve/src/node/hosts.rs
@@ -18,17 +18,26 @@
 struct Location {
     address: SocketAddr,
     domain: Option<Name>,
+    /// The key with which requests are sent through the host, if known.
+    proxy_key: Option<Name>,
 }
 
 impl Hosts {
-    /// Adds a host or replaces its address.
+    /// Adds a host or replaces its address. Its key is kept if the new one isn't known.
     pub fn insert(&mut self, host: Host) {
         let Host {
             name,
             address,
             domain,
+            proxy_key,
         } = host;
-        self.by_name.insert(name, Location { address, domain });
+        let known_key = self.proxy_key(&name).cloned();
+        let location = Location {
+            address,
+            domain,
+            proxy_key: proxy_key.or(known_key),
+        };
+        self.by_name.insert(name, location);
     }
 
     /// Adds a host unless it is known: an address that the host itself has sent is newer.
@@ -38,6 +47,18 @@
         }
     }
 
+    /// Replaces the key of a host, if the host is known.
+    pub fn set_proxy_key(&mut self, host: &str, key: Name) {
+        if let Some(location) = self.by_name.get_mut(host) {
+            location.proxy_key = Some(key);
+        }
+    }
+
+    /// Returns the key with which requests are sent through a host, if known.
+    pub fn proxy_key(&self, name: &str) -> Option<&Name> {
+        self.by_name.get(name)?.proxy_key.as_ref()
+    }
+
     /// Removes a host.
     pub fn remove(&mut self, name: &str) {
         self.by_name.remove(name);
@@ -66,6 +87,7 @@
             name: name.clone(),
             address: location.address,
             domain: location.domain.clone(),
+            proxy_key: location.proxy_key.clone(),
         };
         self.by_name.iter().map(host).collect()
     }
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -10,7 +10,7 @@
 use alderglade_core::fleet::directory::Change;
 use alderglade_core::fleet::fanout::{self, Scope, Sender};
 use alderglade_core::fleet::load_table::Notice;
-use alderglade_core::fleet::message::{Fragment, Host, Message, Servers, StoreUpdate};
+use alderglade_core::fleet::message::{Fragment, Host, Message, ProxyKey, Servers, StoreUpdate};
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::reassembly;
 use std::net::SocketAddr;
@@ -114,11 +114,21 @@
 
     /// Returns and clears the updates that were not sent yet to the hosts of the own failure domain.
     pub fn take_outbox(&self) -> Vec<StoreUpdate> {
-        /// Hosts in one update, some 40 bytes each.
+        /// Hosts in one update, some 40 bytes each, and up to 55 with their keys.
         const HOSTS_PER_UPDATE: usize = 24;
         let unpublished_hosts = std::mem::take(&mut self.state.borrow_mut().unpublished_hosts);
         for chunk in unpublished_hosts.chunks(HOSTS_PER_UPDATE) {
             self.queue_update(StoreUpdate::Hosts(chunk.to_vec()));
+            let keys = chunk.iter().filter_map(|host| {
+                Some(ProxyKey {
+                    host: host.name.clone(),
+                    key: host.proxy_key.clone()?,
+                })
+            });
+            let keys: Vec<ProxyKey> = keys.collect();
+            if !keys.is_empty() {
+                self.queue_update(StoreUpdate::ProxyKeys(keys));
+            }
         }
         std::mem::take(&mut self.state.borrow_mut().outbox)
     }
@@ -198,6 +208,12 @@
         match update {
             StoreUpdate::Servers(servers) => self.apply_server_update(servers),
             StoreUpdate::Config(patch) => self.apply_config_patch(patch),
+            StoreUpdate::ProxyKeys(keys) => {
+                let hosts = &mut self.state.borrow_mut().hosts;
+                for ProxyKey { host, key } in keys {
+                    hosts.set_proxy_key(host, key.clone());
+                }
+            }
             StoreUpdate::Hosts(hosts) => {
                 let known = &mut self.state.borrow_mut().hosts;
                 hosts
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -19,6 +19,7 @@
 use alderglade_core::fleet::load_table::{LoadTable, Pauses};
 use alderglade_core::fleet::loan::LoanRequests;
 use alderglade_core::fleet::message::StoreUpdate;
+use alderglade_core::fleet::proxy::Proxies;
 use alderglade_core::fleet::quarantine::Quarantine;
 use alderglade_core::fleet::rank::Ranks;
 use alderglade_core::fleet::rate_limit::Limits;
@@ -48,8 +49,10 @@
     pub ranks: Rc<Ranks>,
     /// The health of servers.
     pub health: Health,
-    /// Whether the servers of each service can be connected to.
+    /// This host's own paths to the servers.
     pub(super) reachability: Reachability,
+    /// The hosts through which requests were sent.
+    pub(super) proxies: Proxies,
     /// Requests under which servers end.
     pub quarantine: Quarantine,
     /// Servers that asked this host to send nothing for a while.
@@ -104,6 +107,7 @@
             ranks: Rc::default(),
             health: Health::default(),
             reachability: Reachability::default(),
+            proxies: Proxies::default(),
             quarantine: Quarantine::default(),
             backoffs: Backoffs::default(),
             limits: Limits::default(),
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -271,6 +271,8 @@
         let known = directory.len();
         let leaving = directory.leaving().len();
         self.metrics.servers.set(known as i64);
+        drop(state);
+        self.retain_paths();
         event::write(&Record::ServersChanged { known, leaving });
     }
 
--- a/crates/alderglade-serve/src/order.rs
+++ b/crates/alderglade-serve/src/order.rs
@@ -2,13 +2,17 @@
 
 use crate::clock;
 use crate::node::Node;
+use crate::proxy::Purpose;
 use crate::translate::Order;
 use crate::transport;
+use crate::transport::Outgoing;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::homes::Homes;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use snafu::{ResultExt, Snafu};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Timeout of a call. Engines respond immediately; the rest is network latency.
@@ -40,7 +44,11 @@
 /// # Errors
 ///
 /// Returns an error if no response arrives.
-pub async fn call(node: &Node, server: &Server, order: Order) -> Result<Response<Bytes>, Error> {
+pub async fn call(
+    node: &Rc<Node>,
+    server: &Server,
+    order: Order,
+) -> Result<Response<Bytes>, Error> {
     let request = Request::builder()
         .method(order.method)
         .uri(order.path)
@@ -48,8 +56,15 @@
         .header(http::header::HOST, server.address.to_string())
         .body(Full::new(order.body))
         .context(UnwritableSnafu)?;
+    let outgoing = Outgoing {
+        id: "",
+        server,
+        homes: &Homes::default(),
+        purpose: Purpose::Order,
+        fresh: false,
+    };
     let exchange = async {
-        let exchange = transport::send(node, server, request, false).await?;
+        let exchange = transport::send(node, &outgoing, || request.clone()).await?;
         exchange.collect().await
     };
     let sent_at = clock::now();
--- a/crates/alderglade-serve/src/peer.rs
+++ b/crates/alderglade-serve/src/peer.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::node::Node;
+use crate::transport;
 use alderglade_clock::Suspension;
 use alderglade_core::fleet::heartbeat;
 use std::rc::Rc;
@@ -41,6 +42,9 @@
         if let Some(source) = node.config_source() {
             tokio::task::spawn_local(copy::copy_config(node.clone(), source));
         }
+        if node.is_path_cut() {
+            tokio::task::spawn_local(transport::probe(node.clone()));
+        }
         sender.heartbeat().await;
         sender.request_confirmations(beat).await;
     }
--- a/crates/alderglade-serve/src/peer/copy.rs
+++ b/crates/alderglade-serve/src/peer/copy.rs
@@ -1,12 +1,15 @@
-//! Copies what is too large for a datagram from host to host over HTTP, on the same port as the datagrams.
+//! Copies what is too large for a datagram from host to host over HTTP, on the same port as the datagrams. Requests to
+//! servers that a host carries for others arrive there, too.
 
+use crate::answer::Content;
 use crate::client;
 use crate::clock;
 use crate::listen;
 use crate::node::Node;
+use crate::proxy::{self, PeerBody};
 use alderglade_core::fleet::config::Config;
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -35,24 +38,35 @@
     Unreadable { source: postcard::Error },
 }
 
-/// Serves other hosts' copy requests until the process ends.
+/// Serves other hosts' copy requests, and carries their requests to servers, until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    listen::simple(listener, move |request| {
-        let config = node.config_in_force();
-        match config.filter(|_| request.uri().path() == CONFIGURATION_PATH) {
-            Some(config) => match postcard::to_stdvec(&*config) {
-                Ok(bytes) => listen::plain(StatusCode::OK, bytes),
-                Err(error) => {
-                    super::log_fault(&error.to_string());
-                    listen::plain(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-                }
-            },
-            None => listen::plain(StatusCode::NOT_FOUND, Vec::new()),
+    listen::peers(listener, move |from, request| {
+        let node = node.clone();
+        async move {
+            match proxy::serve(&node, from, request).await {
+                Ok(response) => response,
+                Err(request) => copy(&node, request.uri().path()).map(PeerBody::from),
+            }
         }
     })
     .await;
 }
 
+/// Answers another host's copy request.
+fn copy(node: &Node, path: &str) -> Response<Content> {
+    let config = node.config_in_force();
+    match config.filter(|_| path == CONFIGURATION_PATH) {
+        Some(config) => match postcard::to_stdvec(&*config) {
+            Ok(bytes) => listen::plain(StatusCode::OK, bytes),
+            Err(error) => {
+                super::log_fault(&error.to_string());
+                listen::plain(StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+            }
+        },
+        None => listen::plain(StatusCode::NOT_FOUND, Vec::new()),
+    }
+}
+
 /// Copies the configuration of another host and applies it if it is newer.
 pub(super) async fn copy_config(node: Rc<Node>, from: SocketAddr) {
     match fetch_config(&node, from).await {
--- a/crates/alderglade-serve/src/peer/receive.rs
+++ b/crates/alderglade-serve/src/peer/receive.rs
@@ -111,6 +111,7 @@
             name: notice.host.clone(),
             address: sender,
             domain: Some(notice.domain.clone()),
+            proxy_key: None,
         });
     }
     drop(state);
--- /dev/null
+++ b/crates/alderglade-serve/src/proxy/body.rs
@@ -0,0 +1,108 @@
+//! The body of a server's response on its way through a proxy.
+
+use crate::answer::{BrokenOff, Content};
+use crate::client::Connection;
+use crate::memory::Portion;
+use crate::node::{ProxiedGuard, RequestGuard};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// What a proxied request uses until it ends.
+pub struct Resources {
+    /// Counts it among the requests that a stop waits for.
+    pub in_flight: RequestGuard,
+    /// Counts it among the proxied requests.
+    pub proxied: ProxiedGuard,
+    /// The memory of its buffers and its body.
+    pub memory: Portion,
+}
+
+/// A body that is read from the server only as fast as the other host reads it. If it is dropped before its end, the
+/// connection to the server is closed, so that the server stops working on it.
+pub struct ProxiedBody {
+    body: Incoming,
+    connection: Option<Connection>,
+    _resources: Resources,
+}
+
+impl ProxiedBody {
+    /// Begins the body of an exchange.
+    pub fn new(
+        exchange_body: Incoming,
+        connection: Connection,
+        resources: Resources,
+    ) -> ProxiedBody {
+        ProxiedBody {
+            body: exchange_body,
+            connection: Some(connection),
+            _resources: resources,
+        }
+    }
+
+    /// Returns whether all of the body was read.
+    fn has_ended(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
+impl Drop for ProxiedBody {
+    fn drop(&mut self) {
+        if self.has_ended()
+            && let Some(connection) = self.connection.take()
+        {
+            connection.recycle();
+        }
+    }
+}
+
+/// The body of a response to another host.
+pub enum PeerBody {
+    /// A body of this host.
+    Own(Content),
+    /// The body of a server's response.
+    Proxied(Box<ProxiedBody>),
+}
+
+impl From<Content> for PeerBody {
+    fn from(content: Content) -> PeerBody {
+        PeerBody::Own(content)
+    }
+}
+
+impl Body for PeerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut *self {
+            PeerBody::Own(content) => Pin::new(content).poll_frame(context),
+            PeerBody::Proxied(proxied) => {
+                let frame = Pin::new(&mut proxied.body).poll_frame(context);
+                frame.map_err(|error| {
+                    log::debug!("a server broke off a proxied response: {error}");
+                    proxied.connection = None;
+                    BrokenOff
+                })
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            PeerBody::Own(content) => content.is_end_stream(),
+            PeerBody::Proxied(proxied) => proxied.has_ended(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            PeerBody::Own(content) => content.size_hint(),
+            PeerBody::Proxied(proxied) => proxied.body.size_hint(),
+        }
+    }
+}
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -274,6 +274,7 @@
     async fn next_frame(&self, part: &mut ServerPart) -> Result<Frame, Interruption> {
         let deadline = self.job.deadline;
         let (silence, may_resume) = (part.silence, self.may_resume());
+        let (server, since) = (part.server.key(), clock::now());
         tokio::select! {
             // Data that has arrived takes precedence over any sign of its absence.
             biased;
@@ -281,6 +282,9 @@
                 Interruption::Failed(attempt::RESTARTED.to_string())
             }),
             () = clock::sleep_and_yield(silence), if may_resume => Err(Interruption::Silent),
+            () = self.node.wait_until_path_lost(server, since), if may_resume => {
+                Err(Interruption::Silent)
+            }
             () = self.body_sender.closed() => Err(Interruption::End(End::CallerLeft)),
             () = clock::sleep_until(deadline) => Err(Interruption::End(End::Expired)),
         }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -114,7 +114,7 @@
 /// The result of one attempt.
 enum Try {
     /// The server responded, and the response can be relayed.
-    Whole(Response<ServerAnswer>),
+    Whole(Box<Response<ServerAnswer>>),
     /// Nothing was sent; this is not counted as an attempt.
     NotSent(RequestState<Waiting>),
     /// The request was sent, and there is no valid response.
@@ -165,9 +165,9 @@
         match try_server(node, job, permitted, request_state, &tried_servers, sends).await {
             Try::Whole(response) if attempts_left && may_retry(job, &response) => {
                 request_state = RequestState::new().send().lost();
-                *failed = Some(response);
+                *failed = Some(*response);
             }
-            Try::Whole(response) => return Ok(response),
+            Try::Whole(response) => return Ok(*response),
             Try::NotSent(waiting) => {
                 request_state = waiting;
                 sends -= 1;
@@ -258,7 +258,7 @@
         // A response that has arrived takes precedence over any sign of its absence.
         biased;
         answer = whole => match answer {
-            Ok(response) => Try::Whole(response),
+            Ok(response) => Try::Whole(Box::new(response)),
             Err(SendFailure::NotSent | SendFailure::Closed) => Try::NotSent(sent.never_sent()),
             Err(SendFailure::Disclaimed(_)) => Try::Failed(sent.disclaimed()),
             Err(SendFailure::Lost) => Try::Failed(sent.lost()),
@@ -277,14 +277,22 @@
 /// Finds another server for a request whose server exceeded its share of the time. Keeps waiting while there is none,
 /// or if the host will stop before the other server would have had its time.
 async fn find_replacement(
-    node: &Node,
+    node: &Rc<Node>,
     job: &Job,
     silent: &Server,
     tried_servers: &[Key],
     sends: u32,
 ) -> PermittedServer {
-    clock::sleep_and_yield(job.time_left().mul_f64(FIRST_TRY_SHARE)).await;
-    attempt::record_silence(node, job, silent, sends, attempt::NO_ANSWER_IN_TIME);
+    let sent = clock::now();
+    tokio::select! {
+        () = clock::sleep_and_yield(job.time_left().mul_f64(FIRST_TRY_SHARE)) => {
+            attempt::record_silence(node, job, silent, sends, attempt::NO_ANSWER_IN_TIME);
+        }
+        // The server is not at fault.
+        () = node.wait_until_path_lost(silent.key(), sent) => {
+            attempt::log_failure(job, silent, sends, attempt::PATH_LOST);
+        }
+    }
     loop {
         let other = node.pick_server(&job.service, &job.homes, tried_servers);
         let other = other.filter(|server| !tried_servers.contains(&server.key()));
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -70,8 +70,8 @@
 "n":3112,"level":"INFO","event":"server_cold","server":"server-15","for_ms":152}
 "n":3113,"level":"INFO","event":"evacuated","domains":["north","south"]}
 "n":3114,"level":"INFO","event":"grouped","groups":171,"hosts":172,"servers":173}
-"n":3115,"level":"WARN","event":"service_unreachable","service":"service-55","failed_servers":552,"live_hosts":553}
-"n":3116,"level":"INFO","event":"service_reachable","service":"service-56","after_ms":562}
+"n":3115,"level":"WARN","event":"path_lost","blocked":551,"live_hosts":552}
+"n":3116,"level":"INFO","event":"path_regained","after_ms":561}
 "n":3107,"level":"WARN","event":"entry_unreadable","of":"of-18","name":"name-18","problem":"problem-18"}
 "n":3108,"level":"INFO","event":"entry_mended","of":"of-19","name":"name-19"}
 "n":3201,"level":"WARN","event":"store_lost","problem":"problem-20"}
@@ -101,6 +101,8 @@
 "n":3502,"level":"WARN","event":"memory_not_released","server":"server-44","problem":"problem-44"}
 "n":3303,"level":"WARN","event":"peer_fault","problem":"problem-45"}
 "n":3304,"level":"WARN","event":"listen_fault","problem":"problem-46"}
+"n":3305,"level":"WARN","event":"proxy_refused","from":"10.0.0.7:8006"}
+"n":3414,"level":"INFO","event":"proxied","id":"id-58","server":"server-58","host":"host-58","outcome":"outcome-58"}
 "n":3005,"level":"WARN","event":"lines_dropped","count":471}
 "n":3001,"level":"INFO","event":"started","host":"host-1","domain":"domain-1","callers":"10.0.0.7:8002","ready":"10.0.0.7:8003","peers":"10.0.0.7:8004","metrics":null}
 "n":3003,"level":"INFO","event":"stopped","cut_off":31,"untold":32,"taken_stopping":33,"connections":34}
@@ -185,8 +187,8 @@
         Record::ServerCold { server: "server-15", for_ms: 152 },
         Record::Evacuated { domains },
         Record::Grouped { groups: 171, hosts: 172, servers: 173 },
-        Record::ServiceUnreachable { service: "service-55", failed_servers: 552, live_hosts: 553 },
-        Record::ServiceReachable { service: "service-56", after_ms: 562 },
+        Record::PathLost { blocked: 551, live_hosts: 552 },
+        Record::PathRegained { after_ms: 561 },
         Record::EntryUnreadable { of: "of-18", name: "name-18", problem: "problem-18" },
         Record::EntryMended { of: "of-19", name: "name-19" },
         Record::StoreLost { problem: "problem-20" },
@@ -227,6 +229,8 @@
         Record::MemoryNotReleased { server: "server-44", problem: "problem-44" },
         Record::PeerFault { problem: "problem-45" },
         Record::ListenFault { problem: "problem-46" },
+        Record::ProxyRefused { from: address(8_006) },
+        Record::Proxied { id: "id-58", server: "server-58", host: "host-58", outcome: "outcome-58" },
         Record::LinesDropped { count: 471 },
     ]
 }
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -101,7 +101,7 @@
                 }
             }
             StoreUpdate::Config(patch) => drop(Config::default().apply_patch(&patch)),
-            StoreUpdate::Hosts(_) => {}
+            StoreUpdate::Hosts(_) | StoreUpdate::ProxyKeys(_) => {}
         }
     }
 
--- a/crates/alderglade-serve/tests/testsuite/wire_bytes.rs
+++ b/crates/alderglade-serve/tests/testsuite/wire_bytes.rs
@@ -13,7 +13,7 @@
 use alderglade_core::fleet::load_table::{Demand, Holding, Load, Notice};
 use alderglade_core::fleet::loan::{self, Loan};
 use alderglade_core::fleet::message::{
-    Confirmation, ConfirmationRequest, ForwardedNotice, Fragment, Host, Message, Servers,
+    Confirmation, ConfirmationRequest, ForwardedNotice, Fragment, Host, Message, ProxyKey, Servers,
     StoreUpdate,
 };
 use alderglade_core::fleet::pass::EngineProfile;
@@ -325,12 +325,15 @@
         name: "name".into(),
         address: address(1),
         domain: Some("domain".into()),
+        // It is not sent with the host.
+        proxy_key: None,
     };
     let address = "[fd00::2]:9002".parse().expect("an address");
     let unknown = Host {
         name: "other".into(),
         address,
         domain: None,
+        proxy_key: None,
     };
     check(
         &Message::StoreUpdate(StoreUpdate::Hosts(vec![known, unknown])),
@@ -340,6 +343,18 @@
     );
 }
 
+#[test]
+fn proxy_keys() {
+    let proxy_key = ProxyKey {
+        host: "name".into(),
+        key: "key".into(),
+    };
+    check(
+        &Message::StoreUpdate(StoreUpdate::ProxyKeys(vec![proxy_key])),
+        "050301046e616d65036b6579",
+    );
+}
+
 #[test]
 fn loans() {
     let request = loan::LoanRequest {
