Tell hosts that can't help from servers that are down

A proxy that could not connect to a server was left out for a while, and the request went on to two more hosts, 300 ms each. With one dead server, a partitioned host would have left out all hosts with a path within a second. A host that has helped lately is no longer left out for it, and the server counts as unreachable. A proxy that doesn't send to one server only (unknown there, leaving, or it has asked that proxy to back off) declines, which says nothing of the host.

A check that finds the server unreachable from other hosts ends after the first round, and its second host is one of another failure domain, as hosts of one are likely to be cut off together. The buffers of hosts' connections follow the longest head of the configuration, and are counted in the pool.

--- a/crates/alderglade-core/src/fleet/proxy.rs
+++ b/crates/alderglade-core/src/fleet/proxy.rs
@@ -73,6 +73,13 @@
         least.map(|(_, candidate)| candidate)
     }
 
+    /// Returns whether a host has helped lately.
+    pub fn has_helped(&self, host: &Name, now: Time) -> bool {
+        self.hosts
+            .get(host)
+            .is_some_and(|record| record.has_helped(now))
+    }
+
     /// Counts an open request through a host.
     pub fn begin(&mut self, host: &Name) {
         self.hosts.entry(host.clone()).or_default().open += 1;
--- a/crates/alderglade-core/src/fleet/reachability.rs
+++ b/crates/alderglade-core/src/fleet/reachability.rs
@@ -48,7 +48,7 @@
 pub enum Finding {
     /// Another host connects to it.
     Reached,
-    /// Its machine refuses other hosts' connections, too.
+    /// Other hosts can't connect to it either.
     Down,
     /// No host could tell.
     Unknown,
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -24,8 +24,6 @@
 const MAX_PENDING_CONNECTIONS: u32 = 1_024;
 /// The smallest buffer that the HTTP library allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
-/// Size of the buffers of a connection of another host, in bytes: a request's head with what a host adds to it.
-const MAX_PEER_BUFFER_BYTES: usize = 32 * 1024;
 /// Idle timeout of a connection while the configuration is not known yet.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay after a connection could not be accepted, so that a lack of file descriptors does not cause a busy loop.
@@ -156,16 +154,15 @@
     listener: TcpListener,
     answer: impl Fn(&Request<Incoming>) -> Response<Content> + Clone + 'static,
 ) {
-    peers(listener, move |_, request| {
-        std::future::ready(answer(&request))
-    })
-    .await;
+    let answer = move |_, request| std::future::ready(answer(&request));
+    peers(listener, || MIN_BUFFER_BYTES, answer).await;
 }
 
-/// Serves requests of hosts, or of the platform, until the process ends. `answer` gets the address that a request comes
-/// from.
+/// Serves requests of hosts, or of the platform, until the process ends. `buffer_bytes` returns the size of a new
+/// connection's buffers; `answer` gets the address that a request comes from.
 pub(crate) async fn peers<F, B>(
     listener: TcpListener,
+    buffer_bytes: impl Fn() -> usize,
     answer: impl Fn(SocketAddr, Request<Incoming>) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<B>> + 'static,
@@ -182,6 +179,7 @@
             }
         };
         let answer = answer.clone();
+        let max_buffer_bytes = buffer_bytes().max(MIN_BUFFER_BYTES);
         tokio::task::spawn_local(async move {
             client::set_socket_options(&stream);
             let service = service_fn(|request: Request<Incoming>| {
@@ -191,7 +189,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE_TIMEOUT)
-                .max_buf_size(MAX_PEER_BUFFER_BYTES)
+                .max_buf_size(max_buffer_bytes)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!("connection failed: {error}");
--- a/crates/alderglade-serve/src/node/reachability.rs
+++ b/crates/alderglade-serve/src/node/reachability.rs
@@ -25,6 +25,8 @@
 pub struct Proxy {
     /// Its name.
     pub host: Name,
+    /// Its failure domain.
+    pub domain: Name,
     /// Where it takes requests of other hosts.
     pub address: SocketAddr,
     /// Its key, which only hosts know.
@@ -193,7 +195,7 @@
 
     /// Chooses a host through which a request reaches a server. One that is restricted to some regions doesn't leave
     /// them on its way, apart from the region that this host is in.
-    pub fn choose_proxy(&self, server: &Server, homes: &Homes, tried: &[Name]) -> Option<Proxy> {
+    pub fn choose_proxy(&self, server: &Server, homes: &Homes, tried: &[Proxy]) -> Option<Proxy> {
         let now = clock::now();
         let own_domain = &self.settings.domain;
         let state = self.state.borrow();
@@ -205,7 +207,7 @@
         };
         let live = state.loads.live_hosts(own_domain, now);
         let candidates = live.filter_map(|host| {
-            let usable = !tried.contains(host.name)
+            let usable = tried.iter().all(|proxy| proxy.host != *host.name)
                 && may_pass(host.domain)
                 && state.hosts.proxy_key(host.name).is_some();
             usable.then_some(Candidate {
@@ -213,13 +215,23 @@
                 domain: host.domain,
             })
         });
+        // The hosts of one failure domain are likely to be cut off together.
+        let candidates: Vec<Candidate<'_>> = candidates.collect();
+        let elsewhere = |candidate: &Candidate<'_>| {
+            let mut domains = tried.iter().map(|proxy| &proxy.domain);
+            domains.all(|domain| domain != candidate.domain)
+        };
+        let others = candidates.iter().copied().filter(elsewhere);
         let near = [own_domain, &server.domain];
         let mut rng = rand::rng();
-        let chosen = state
-            .proxies
-            .choose(candidates, near, now, || rng.random::<f64>())?;
+        let mut random = || rng.random::<f64>();
+        let proxies = &state.proxies;
+        let chosen = proxies
+            .choose(others, near, now, &mut random)
+            .or_else(|| proxies.choose(candidates.iter().copied(), near, now, &mut random))?;
         Some(Proxy {
             host: chosen.host.clone(),
+            domain: chosen.domain.clone(),
             address: state.hosts.get(chosen.host)?,
             key: state.hosts.proxy_key(chosen.host)?.clone(),
         })
@@ -234,16 +246,27 @@
         }
     }
 
-    /// Records whether a host could help to reach a server.
-    pub fn record_proxy(&self, host: &Name, helped: bool) {
+    /// Returns whether a host has helped to reach servers lately.
+    pub fn has_proxy_helped(&self, host: &Name) -> bool {
+        let state = self.state.borrow();
+        state.proxies.has_helped(host, clock::now())
+    }
+
+    /// Records whether a host helped to reach a server; `None` if that says nothing of the host.
+    pub fn record_proxy(&self, host: &Name, helped: Option<bool>) {
         let now = clock::now();
         let proxies = &mut self.state.borrow_mut().proxies;
-        if helped {
-            proxies.record_success(host, now);
-        } else {
-            proxies.record_failure(host, now);
-        }
-        let outcome = if helped { "helped" } else { "failed" };
+        let outcome = match helped {
+            Some(true) => {
+                proxies.record_success(host, now);
+                "helped"
+            }
+            Some(false) => {
+                proxies.record_failure(host, now);
+                "failed"
+            }
+            None => "declined",
+        };
         let sent = &self.metrics.proxied_sent;
         sent.with_label_values(&[outcome]).inc();
     }
@@ -280,6 +303,18 @@
             .is_some_and(|own| own.as_bytes().ct_eq(text.as_bytes()).into())
     }
 
+    /// Returns the size of the buffers of a connection of another host, in bytes: they hold the longest head of a caller
+    /// with what a host adds to it.
+    pub fn peer_buffer_bytes(&self) -> usize {
+        /// The longest head of a caller before the configuration is known.
+        const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
+        const ADDED_BYTES: usize = 4 * 1024;
+        let state = self.state.borrow();
+        let config = state.config.as_ref();
+        let stated = config.map_or(0, |config| config.limits.max_header_bytes);
+        stated.max(DEFAULT_HEADER_BYTES) + ADDED_BYTES
+    }
+
     /// Returns the longest request body that is accepted, in bytes.
     pub fn max_body_bytes(&self) -> usize {
         let state = self.state.borrow();
--- a/crates/alderglade-serve/src/peer/copy.rs
+++ b/crates/alderglade-serve/src/peer/copy.rs
@@ -40,7 +40,9 @@
 
 /// Serves other hosts' copy requests, and carries their requests to servers, until the process ends.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    listen::peers(listener, move |from, request| {
+    let sizing_node = node.clone();
+    let buffer_bytes = move || sizing_node.peer_buffer_bytes();
+    let answer = move |from, request| {
         let node = node.clone();
         async move {
             match proxy::serve(&node, from, request).await {
@@ -48,8 +50,8 @@
                 Err(request) => copy(&node, request.uri().path()).map(PeerBody::from),
             }
         }
-    })
-    .await;
+    };
+    listen::peers(listener, buffer_bytes, answer).await;
 }
 
 /// Answers another host's copy request.
--- a/crates/alderglade-serve/src/proxy/head.rs
+++ b/crates/alderglade-serve/src/proxy/head.rs
@@ -85,16 +85,19 @@
     /// The connection was lost after the request, or a part of it, was sent.
     Lost,
     /// The proxy doesn't send to this server now; nothing was sent.
+    Declined,
+    /// The proxy carries nothing now; nothing was sent.
     Unavailable,
 }
 
 impl Outcome {
     /// All outcomes.
-    const ALL: [Outcome; 5] = [
+    const ALL: [Outcome; 6] = [
         Outcome::Answered,
         Outcome::Refused,
         Outcome::Unreachable,
         Outcome::Lost,
+        Outcome::Declined,
         Outcome::Unavailable,
     ];
 
@@ -105,6 +108,7 @@
             Outcome::Refused => "refused",
             Outcome::Unreachable => "unreachable",
             Outcome::Lost => "lost",
+            Outcome::Declined => "declined",
             Outcome::Unavailable => "unavailable",
         }
     }
@@ -113,7 +117,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Outcome::Answered => StatusCode::NO_CONTENT,
-            Outcome::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::Declined | Outcome::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
             Outcome::Refused | Outcome::Unreachable | Outcome::Lost => StatusCode::BAD_GATEWAY,
         }
     }
--- a/crates/alderglade-serve/src/proxy/send.rs
+++ b/crates/alderglade-serve/src/proxy/send.rs
@@ -6,7 +6,6 @@
 use crate::event::{self, Record};
 use crate::node::{Node, Proxy};
 use crate::transport::Outgoing;
-use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::reachability::Finding;
@@ -38,13 +37,12 @@
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<Exchange, Error> {
     let server = outgoing.server;
-    let mut tried: Vec<Name> = Vec::new();
+    let mut tried: Vec<Proxy> = Vec::new();
     let mut last_error = Error::NotSent;
     while tried.len() < MAX_PROXIES {
         let Some(proxy) = node.choose_proxy(server, outgoing.homes, &tried) else {
             break;
         };
-        tried.push(proxy.host.clone());
         let target = Target {
             server: server.key(),
             purpose: outgoing.purpose,
@@ -61,23 +59,29 @@
             host: &proxy.host,
             outcome: label,
         });
-        last_error = match result {
+        let Proxy { host, .. } = &proxy;
+        match result {
             Ok((exchange, Outcome::Answered)) => return Ok(exchange),
             Ok((_, Outcome::Lost)) => {
-                let reason = format!("between {} and the server", proxy.host);
+                let reason = format!("between {host} and the server");
                 return Err(Error::Lost { reason });
             }
             Ok((_, Outcome::Refused)) => {
-                let reason = format!("refused to {}", proxy.host);
+                let reason = format!("refused to {host}");
                 return Err(Error::Closed { reason });
             }
-            Ok((_, Outcome::Unreachable)) => Error::Unreachable {
-                reason: format!("none from {}", proxy.host),
-            },
-            Ok((_, Outcome::Unavailable)) => last_error,
+            Ok((_, Outcome::Unreachable)) => {
+                let reason = format!("none from {host}");
+                last_error = Error::Unreachable { reason };
+                // A host that reaches other servers is not at fault.
+                if node.has_proxy_helped(host) {
+                    return Err(last_error);
+                }
+            }
             Err(Error::Lost { reason }) => return Err(Error::ProxyLost { reason }),
-            Err(_) => last_error,
-        };
+            Ok((_, Outcome::Declined | Outcome::Unavailable)) | Err(_) => {}
+        }
+        tried.push(proxy);
     }
     Err(last_error)
 }
@@ -91,17 +95,17 @@
 
 /// Asks other hosts whether they connect to a server that this host can't connect to.
 pub async fn check(node: &Rc<Node>, server: &Server) -> Finding {
-    let mut asked: Vec<Name> = Vec::new();
-    let mut finding = Finding::Unknown;
+    let mut asked: Vec<Proxy> = Vec::new();
     for _ in 0..CHECK_ROUNDS {
         let mut checks = tokio::task::JoinSet::new();
         for _ in 0..CHECKS_AT_ONCE {
             let Some(proxy) = node.choose_proxy(server, &Homes::default(), &asked) else {
                 break;
             };
-            asked.push(proxy.host.clone());
-            checks.spawn_local(check_at(node.clone(), server.clone(), proxy));
+            checks.spawn_local(check_at(node.clone(), server.clone(), proxy.clone()));
+            asked.push(proxy);
         }
+        let mut finding = Finding::Unknown;
         while let Some(checked) = checks.join_next().await {
             match checked {
                 Ok(Finding::Reached) => return Finding::Reached,
@@ -110,10 +114,10 @@
             }
         }
         if finding == Finding::Down {
-            break;
+            return finding;
         }
     }
-    finding
+    Finding::Unknown
 }
 
 /// Asks one host whether it connects to a server.
@@ -134,8 +138,8 @@
             exchange.connection.recycle();
             Finding::Reached
         }
-        Outcome::Refused => Finding::Down,
-        Outcome::Unreachable | Outcome::Lost | Outcome::Unavailable => Finding::Unknown,
+        Outcome::Refused | Outcome::Unreachable => Finding::Down,
+        Outcome::Lost | Outcome::Declined | Outcome::Unavailable => Finding::Unknown,
     }
 }
 
@@ -161,8 +165,11 @@
         (exchange, outcome.unwrap_or(Outcome::Unavailable))
     });
     let helped = match &result {
-        Ok((_, Outcome::Answered | Outcome::Refused | Outcome::Lost)) => true,
-        Ok((_, Outcome::Unreachable | Outcome::Unavailable)) | Err(_) => false,
+        Ok((_, Outcome::Answered | Outcome::Refused | Outcome::Lost)) => Some(true),
+        // The server may be down.
+        Ok((_, Outcome::Unreachable)) if node.has_proxy_helped(&proxy.host) => None,
+        Ok((_, Outcome::Declined)) => None,
+        Ok((_, Outcome::Unreachable | Outcome::Unavailable)) | Err(_) => Some(false),
     };
     node.record_proxy(&proxy.host, helped);
     result.map(|(mut exchange, outcome)| {
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -23,8 +23,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Memory that a proxied exchange uses besides its request body: the buffers of two connections, in bytes.
-const EXCHANGE_BYTES: usize = 16 * 1024;
+/// Memory that a proxied exchange uses besides its request body and the buffers of the connection to the other host: the
+/// buffers of the connection to the server, in bytes.
+const EXCHANGE_BYTES: usize = 8 * 1024;
 /// How long another host may take to send the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -96,7 +97,7 @@
 ) -> Result<Response<PeerBody>, Outcome> {
     let server = node
         .proxy_target(target.server, target.purpose)
-        .ok_or(Outcome::Unavailable)?;
+        .ok_or(Outcome::Declined)?;
     // This host's own path may be cut, too. A third host is never asked.
     if node.path_to(server.key()) != Path::Direct {
         return Err(Outcome::Unavailable);
@@ -109,7 +110,10 @@
         proxied: node.track_proxied().ok_or(Outcome::Unavailable)?,
         memory: Portion::without_free_bytes(&node.memory),
     };
-    if !resources.memory.grow(EXCHANGE_BYTES) {
+    if !resources
+        .memory
+        .grow(EXCHANGE_BYTES + node.peer_buffer_bytes())
+    {
         return Err(Outcome::Unavailable);
     }
     let (head, body) = request.into_parts();
@@ -157,7 +161,7 @@
     match error {
         Error::Closed { .. } => Outcome::Refused,
         Error::Unreachable { .. } => Outcome::Unreachable,
-        Error::NotSent => Outcome::Unavailable,
+        Error::NotSent => Outcome::Declined,
         Error::Lost { .. } | Error::ProxyLost { .. } => Outcome::Lost,
     }
 }
