Fetch keys of hosts that no watcher has sent

A host that follows others' word of the store learns the keys of later hosts from one message of a watcher. If that datagram is lost, it could not send requests through these hosts until its next start. A follower that lacks keys of live hosts for three seconds now asks the store, at most every 30 s, as entries of earlier versions have no keys. The gauge alderglade_proxy_hosts tells how many hosts can be asked.

--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -89,6 +89,8 @@
     pub last_call_failed: bool,
     /// Whether the store has listed the hosts. From then on they receive this host's notices.
     pub hosts_listed: bool,
+    /// Whether the host has the proxy keys of all live hosts.
+    pub knows_proxy_keys: bool,
 }
 
 impl LocalStatus<'_> {
@@ -208,6 +210,10 @@
     last_fetch: Option<Time>,
     /// When it was last queried outside of watches for the evacuations.
     last_evacuations_fetch: Option<Time>,
+    /// Since when keys of live hosts are missing.
+    keys_missing_since: Option<Time>,
+    /// When the store was last queried outside of watches for the entries of hosts.
+    last_hosts_fetch: Option<Time>,
     /// The newer configuration version for which the store was last queried, and when.
     last_config_fetch: Option<(u64, Time)>,
 }
@@ -281,7 +287,8 @@
             Topic::Config => self.config_due(own, neighbours, now),
             Topic::Servers => self.servers_due(own, neighbours, now),
             Topic::Evacuations => self.evacuations_due(own, now),
-            Topic::Hosts | Topic::Quarantine => None,
+            Topic::Hosts => self.hosts_due(own, now),
+            Topic::Quarantine => None,
         };
         spread.map(|spread| StoreQuery::Fetch(spread.mul_f64(random)))
     }
@@ -317,6 +324,25 @@
         is_due.then_some(SPREAD)
     }
 
+    /// Returns the time over which the hosts' calls for the entries of hosts are spread, if one is due: keys of live hosts
+    /// are missing, and no watcher has sent them.
+    fn hosts_due(&mut self, own: &LocalStatus<'_>, now: Time) -> Option<Duration> {
+        /// Nothing depends on the keys of single hosts.
+        const SPREAD: Duration = Duration::from_millis(2_000);
+        /// Long enough for the watchers' message to arrive first.
+        const MISSING_TIME: Duration = Duration::from_millis(3_000);
+        /// An entry of an earlier version has no key, so that the calls may be in vain.
+        const FETCH_INTERVAL: Duration = Duration::from_secs(30);
+        if own.knows_proxy_keys {
+            self.keys_missing_since = None;
+            return None;
+        }
+        let since = *self.keys_missing_since.get_or_insert(now);
+        let is_due = now.since(since) >= MISSING_TIME
+            && try_begin_fetch(&mut self.last_hosts_fetch, FETCH_INTERVAL, now);
+        is_due.then_some(SPREAD)
+    }
+
     /// Returns the time over which the hosts' calls for the servers are spread, if one is due.
     fn servers_due(
         &mut self,
--- a/crates/alderglade-core/tests/testsuite/fleet/group.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/group.rs
@@ -153,6 +153,7 @@
         revocation_bound: Some(Duration::from_secs(5)),
         last_call_failed: false,
         hosts_listed: true,
+        knows_proxy_keys: true,
     }
 }
 
--- a/crates/alderglade-core/tests/testsuite/fleet/relay.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/relay.rs
@@ -21,6 +21,7 @@
         revocation_bound: Some(BOUND),
         last_call_failed: false,
         hosts_listed: true,
+        knows_proxy_keys: true,
     }
 }
 
@@ -117,6 +118,26 @@
     }
 }
 
+/// Guards against hosts that can't send requests through others because the watchers' message with the keys was lost.
+#[test]
+fn a_follower_that_lacks_keys_of_hosts_queries_the_store_now_and_then() {
+    let neighbours = Neighbours::reporting(&[status(true), status(true)]);
+    let (mut relay, now) = relay_with_role(&own("h5"), &neighbours);
+    let lacking = LocalStatus {
+        knows_proxy_keys: false,
+        ..own("h5")
+    };
+    let ticks = (0..400).map(|tick| now + Duration::from_millis(250 * tick));
+    let queries: Vec<Time> = ticks
+        .filter(|at| query(&mut relay, Topic::Hosts, &lacking, &neighbours, *at).is_some())
+        .collect();
+    assert_eq!(queries.len(), 4, "in 100 seconds: {queries:?}");
+    assert!(queries[0].since(now) >= Duration::from_secs(3));
+    let later = now + Duration::from_secs(200);
+    let known = query(&mut relay, Topic::Hosts, &own("h5"), &neighbours, later);
+    assert_eq!(known, None);
+}
+
 #[test]
 fn hosts_of_other_domains_dont_count_as_watchers() {
     let neighbours = Neighbours::reporting(&[status(true), status(true)]);
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -62,6 +62,8 @@
     pub proxied_served: IntCounterVec,
     /// Requests that this host carries for other hosts now.
     pub proxied: IntGauge,
+    /// Live hosts through which requests can be sent.
+    pub proxies: IntGauge,
     /// Restarts of backend servers under the same id.
     pub restarts: IntCounter,
     /// Entries of the store that could not be parsed, counted once for each change of them.
@@ -164,6 +166,10 @@
                 "alderglade_proxied",
                 "Requests that are being carried for other hosts.",
             )?,
+            proxies: IntGauge::new(
+                "alderglade_proxy_hosts",
+                "Live hosts through which requests can be sent.",
+            )?,
             restarts: IntCounter::new(
                 "alderglade_server_restarts_total",
                 "Servers that have started again under their id.",
@@ -213,7 +219,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 36] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 37] = [
             Box::new(self.answers.clone()),
             Box::new(self.objectives.clone()),
             Box::new(self.by_requester.held.clone()),
@@ -238,6 +244,7 @@
             Box::new(self.proxied_sent.clone()),
             Box::new(self.proxied_served.clone()),
             Box::new(self.proxied.clone()),
+            Box::new(self.proxies.clone()),
             Box::new(self.restarts.clone()),
             Box::new(self.unreadable.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -56,9 +56,14 @@
         let now = clock::now();
         let random = rand::rng().random::<f64>();
         let state = &mut *self.state.borrow_mut();
-        let local_status = self.local_status(state, now);
+        let mut local_status = self.local_status(state, now);
         let peers: Vec<Neighbour<'_>> =
             state.loads.live_hosts(&self.settings.domain, now).collect();
+        // Only queries for the hosts depend on it.
+        local_status.knows_proxy_keys = topic != Topic::Hosts
+            || peers
+                .iter()
+                .all(|host| state.hosts.proxy_key(host.name).is_some());
         let previous_role = state.relay.role();
         let query = state
             .relay
@@ -86,6 +91,7 @@
             revocation_bound: self.settings.revocation,
             last_call_failed: self.store_contact.get().is_lost(),
             hosts_listed: self.startup_sync.knows_hosts(),
+            knows_proxy_keys: true,
         }
     }
 
