Keep questions about a server from spreading over all hosts

A host that was asked whether it connects to a server, and couldn't, asked two others itself: one failed connection to a server that is down led to a question through all hosts. Bounded by one a second for each host and server, but without end where connections hang, as a round over 300 hosts takes longer than that. A host that is asked now only answers.

--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -132,10 +132,12 @@
     Ok(relay(exchange, resources))
 }
 
-/// Connects to a server and keeps the connection for the request that is likely to follow.
+/// Connects to a server and keeps the connection for the request that is likely to follow. If that fails, no other hosts
+/// are asked: the question would pass through all of them.
 async fn check(node: &Rc<Node>, server: &Server) -> Result<Response<PeerBody>, Outcome> {
-    let connected = transport::connect(node, server).await;
+    let connected = node.client.connect(server.address).await;
     let link = connected.map_err(|error| outcome(&error))?;
+    node.record_connection(server);
     node.client.keep(link);
     Ok(response(Outcome::Answered))
 }
