--- a/crates/alderglade-core/src/fleet/reachability.rs
+++ b/crates/alderglade-core/src/fleet/reachability.rs
@@ -2,8 +2,8 @@
 //!
 //! If a connection to a server can't be opened, either the server is down or the host's path to it is cut. Other hosts
 //! tell these apart: a server that another host connects to is *blocked* here, and requests reach it through another
-//! host. A host to which several servers are blocked counts as *partitioned*: it uses other hosts for every server to
-//! which it has not connected itself since.
+//! host. A host to which several servers are blocked has probably *lost its path* to all of them: it uses other hosts for
+//! every server to which it has not connected itself since.
 //!
 //! Only new connections count, because open ones may live on for a while.
 
@@ -12,7 +12,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// Blocked servers from which on the host counts as partitioned.
+/// Blocked servers from which on the host counts as having lost its path to all of them.
 const MIN_BLOCKED_SERVERS: usize = 2;
 /// How long after a check of a server that found it down, or was inconclusive, the next one may begin.
 const RECHECK_DELAY: Duration = Duration::from_millis(1_000);
@@ -54,14 +54,14 @@
     Unknown,
 }
 
-/// A change of whether the host counts as partitioned.
+/// A change of whether the host has a path to the servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
     /// It has lost its path to the servers.
     Lost,
     /// It has connected to all blocked servers again.
     Regained {
-        /// How long it was partitioned.
+        /// How long the path was lost.
         after: Duration,
     },
 }
@@ -83,9 +83,9 @@
     probed_at: Time,
 }
 
-/// The time in which the host has no path to the servers.
+/// The loss of the path to the servers.
 #[derive(Debug, Clone, Copy)]
-struct Partition {
+struct PathLoss {
     since: Time,
     /// Whether open connections have probably stopped working: no new one was refused.
     silent: bool,
@@ -95,8 +95,8 @@
 #[derive(Debug, Default)]
 pub struct Reachability {
     servers: HashMap<Key, Record>,
-    /// The partition, while there is one.
-    partition: Option<Partition>,
+    /// The loss of the path, while it lasts.
+    path_loss: Option<PathLoss>,
     /// When the last check that did not reach its server ended.
     check_failed_at: Option<Time>,
     /// When the last probe began; `None` if the next one is due.
@@ -114,8 +114,8 @@
         let blocked = record.is_some_and(|record| record.blocked);
         let connected = record.and_then(|record| record.connected_at);
         let unproven = self
-            .partition
-            .is_some_and(|partition| connected.is_none_or(|at| at < partition.since));
+            .path_loss
+            .is_some_and(|loss| connected.is_none_or(|at| at < loss.since));
         if blocked || unproven {
             Path::Proxied
         } else {
@@ -129,8 +129,8 @@
         let record = self.servers.get(&server).filter(|record| record.blocked);
         let record = record.filter(|record| record.failure == Some(Failure::Silent));
         let blocked_at = record.and_then(|record| record.blocked_at);
-        let partition = self.partition.filter(|partition| partition.silent);
-        let lost_at = blocked_at.max(partition.map(|partition| partition.since));
+        let loss = self.path_loss.filter(|loss| loss.silent);
+        let lost_at = blocked_at.max(loss.map(|loss| loss.since));
         lost_at.is_some_and(|at| at >= sent) && self.path(server) == Path::Proxied
     }
 
@@ -146,7 +146,7 @@
             self.probed_at = None;
             self.probes_others = false;
         }
-        self.update_partition(now)
+        self.update_path_loss(now)
     }
 
     /// Records that no connection to a server could be opened. Returns whether other hosts should be asked about the
@@ -155,9 +155,8 @@
         let checks = self.servers.values().filter(|record| record.checking);
         let has_room = checks.count() < MAX_CHECKS;
         let is_over = |at: Option<Time>, delay| at.is_none_or(|at| now.since(at) >= delay);
-        let is_partitioned = self.partition.is_some();
-        let is_allowed =
-            has_room && !is_partitioned && is_over(self.check_failed_at, FAILED_CHECK_DELAY);
+        let is_lost = self.path_loss.is_some();
+        let is_allowed = has_room && !is_lost && is_over(self.check_failed_at, FAILED_CHECK_DELAY);
         let record = self.servers.entry(server).or_default();
         record.failure = Some(failure);
         record.connected_at = None;
@@ -190,7 +189,7 @@
         }
         record.blocked = true;
         record.blocked_at = Some(now);
-        self.update_partition(now)
+        self.update_path_loss(now)
     }
 
     /// Records that a server was silent on a connection that was open before. Returns whether to find out by a new
@@ -216,7 +215,7 @@
         if !is_due {
             return None;
         }
-        // Every second probe goes to a server that isn't known to be blocked: the host may be partitioned from some only.
+        // Every second probe goes to a server that isn't known to be blocked: the host may have lost its path to some only.
         let wants_blocked = !self.probes_others;
         let candidates = all.filter(|server| self.path(*server) == Path::Proxied);
         let probe = candidates.min_by_key(|server| {
@@ -235,7 +234,7 @@
     pub fn retain(&mut self, is_listed: impl Fn(Key) -> bool, now: Time) -> Option<Change> {
         self.servers.retain(|server, _| is_listed(*server));
         self.silent.retain(|server, _| is_listed(*server));
-        self.update_partition(now)
+        self.update_path_loss(now)
     }
 
     /// Returns the blocked servers.
@@ -250,21 +249,21 @@
         records.filter(|record| record.blocked).count()
     }
 
-    /// Begins or ends the partition, according to the number of blocked servers.
-    fn update_partition(&mut self, now: Time) -> Option<Change> {
+    /// Begins or ends the loss of the path, according to the number of blocked servers.
+    fn update_path_loss(&mut self, now: Time) -> Option<Change> {
         let blocked = self.servers.values().filter(|record| record.blocked);
-        match self.partition {
+        match self.path_loss {
             None if blocked.clone().count() >= MIN_BLOCKED_SERVERS => {
                 let mut failures = blocked.map(|record| record.failure);
-                self.partition = Some(Partition {
+                self.path_loss = Some(PathLoss {
                     since: now,
                     silent: failures.all(|failure| failure == Some(Failure::Silent)),
                 });
                 Some(Change::Lost)
             }
-            Some(partition) if blocked.count() == 0 => {
-                self.partition = None;
-                let after = now.since(partition.since);
+            Some(loss) if blocked.count() == 0 => {
+                self.path_loss = None;
+                let after = now.since(loss.since);
                 Some(Change::Regained { after })
             }
             _ => None,
--- a/crates/alderglade-core/tests/testsuite/fleet/reachability.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/reachability.rs
@@ -23,8 +23,8 @@
     reachability.finish_check(server(id), finding, now)
 }
 
-/// Returns the state of a host that is partitioned from all servers.
-fn partitioned() -> Reachability {
+/// Returns the state of a host that has lost its path to all servers.
+fn without_path() -> Reachability {
     let mut reachability = Reachability::default();
     assert_eq!(fail(&mut reachability, "a", Finding::Reached, NOW), None);
     let change = fail(&mut reachability, "b", Finding::Reached, NOW);
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn one_blocked_server_is_no_partition() {
+fn one_blocked_server_is_no_loss_of_the_path() {
     let mut reachability = Reachability::default();
     fail(&mut reachability, "a", Finding::Reached, NOW);
     assert_eq!(reachability.path(server("a")), Path::Proxied);
@@ -53,8 +53,8 @@
 }
 
 #[test]
-fn a_partitioned_host_uses_others_for_servers_that_it_has_not_tried() {
-    let reachability = partitioned();
+fn a_host_without_a_path_uses_others_for_servers_that_it_has_not_tried() {
+    let reachability = without_path();
     assert!(
         servers()
             .iter()
@@ -62,10 +62,10 @@
     );
 }
 
-/// Guards against a host that is partitioned from most servers and forces others to carry what it can send itself.
+/// Guards against a host that has lost its path to most servers and forces others to carry what it can send itself.
 #[test]
-fn a_partitioned_host_sends_directly_where_it_connects() {
-    let mut reachability = partitioned();
+fn a_host_without_a_path_sends_directly_where_it_connects() {
+    let mut reachability = without_path();
     assert_eq!(reachability.record_connection(server("c"), NOW), None);
     assert_eq!(reachability.path(server("c")), Path::Direct);
     assert_eq!(reachability.path(server("d")), Path::Proxied);
@@ -75,8 +75,8 @@
 }
 
 #[test]
-fn the_partition_ends_when_all_blocked_servers_are_connected_to() {
-    let mut reachability = partitioned();
+fn the_path_is_back_when_all_blocked_servers_are_connected_to() {
+    let mut reachability = without_path();
     let later = NOW + SECOND;
     assert_eq!(reachability.record_connection(server("a"), later), None);
     assert_eq!(reachability.path(server("d")), Path::Proxied);
@@ -89,10 +89,10 @@
     );
 }
 
-/// Guards against a partition that lasts as long as a blocked server that has crashed meanwhile.
+/// Guards against a path that counts as lost as long as a blocked server that has crashed meanwhile.
 #[test]
-fn the_partition_ends_when_the_blocked_servers_are_gone() {
-    let mut reachability = partitioned();
+fn the_path_is_back_when_the_blocked_servers_are_gone() {
+    let mut reachability = without_path();
     let change = reachability.retain(|key| key != server("a") && key != server("b"), NOW);
     assert!(matches!(change, Some(Change::Regained { .. })));
 }
@@ -134,7 +134,7 @@
 
 #[test]
 fn probes_are_rare_and_reach_each_server_in_turn() {
-    let mut reachability = partitioned();
+    let mut reachability = without_path();
     let mut probed = Vec::new();
     for step in 0..2_000 {
         let now = NOW + Duration::from_millis(step);
@@ -147,7 +147,7 @@
 /// Guards against hosts that use others for seconds after their path is back.
 #[test]
 fn after_a_successful_probe_the_next_one_follows_at_once() {
-    let mut reachability = partitioned();
+    let mut reachability = without_path();
     let mut now = NOW + SECOND;
     let began = now;
     while reachability.blocked_count() > 0 {
@@ -177,7 +177,7 @@
 #[test]
 fn only_silent_connections_from_before_the_cut_are_lost() {
     let before = NOW - SECOND;
-    let reachability = partitioned();
+    let reachability = without_path();
     assert!(reachability.has_lost_connection(server("a"), before));
     assert!(reachability.has_lost_connection(server("d"), before));
     assert!(!reachability.has_lost_connection(server("d"), NOW + SECOND));
--- a/crates/alderglade-serve/src/node/reachability.rs
+++ b/crates/alderglade-serve/src/node/reachability.rs
@@ -166,7 +166,7 @@
         self.on_path_changed(change);
     }
 
-    /// Logs the begin and the end of a partition.
+    /// Logs that the path to the servers was lost or regained.
     fn on_path_changed(&self, change: Option<Change>) {
         let state = &mut *self.state.borrow_mut();
         let blocked = state.reachability.blocked_count();
