Keep hosts in use as proxies that can't connect to a dead server either

A host that was asked about a server and couldn't connect counted as one that can't help, and was left out for 250 ms to 4 s. After some seconds beside a dead server, all others were left out when this host's own path was cut. A question now says nothing of the host that is asked, unless it gives no answer at all.

Read once more: a stream that goes through another host isn't moved when the path is lost again; hosts that are gone are forgotten as proxies.

--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -341,6 +341,11 @@
         self.held = Some(Box::new(guard));
     }
 
+    /// Returns whether a guard is held: the exchange goes through another host.
+    pub fn is_proxied(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Keeps the connection for another request, if the other side allows it.
     pub fn recycle(mut self) {
         if !self.reusable {
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -305,6 +305,10 @@
         let expired_servers = state.directory.expire(now);
         let lost = state.loads.expire(now);
         lost.iter().for_each(|host| state.shares.forget(host));
+        if !lost.is_empty() {
+            let State { proxies, hosts, .. } = &mut *state;
+            proxies.retain(|host| hosts.get(host).is_some());
+        }
         state.shares.expire(now);
         let expired_evacuations = state.evacuations.expire(now);
         let joined = std::mem::take(&mut state.newcomers);
--- a/crates/alderglade-serve/src/node/reachability.rs
+++ b/crates/alderglade-serve/src/node/reachability.rs
@@ -265,7 +265,7 @@
                 proxies.record_failure(host, now);
                 "failed"
             }
-            None => "declined",
+            None => "undecided",
         };
         let sent = &self.metrics.proxied_sent;
         sent.with_label_values(&[outcome]).inc();
--- a/crates/alderglade-serve/src/proxy/send.rs
+++ b/crates/alderglade-serve/src/proxy/send.rs
@@ -129,7 +129,11 @@
     };
     let request = Request::new(Full::default());
     let exchange = exchange(&node, &proxy, target, request);
-    let Ok(Ok((exchange, outcome))) = clock::timeout(CHECK_TIMEOUT, exchange).await else {
+    let Ok(answer) = clock::timeout(CHECK_TIMEOUT, exchange).await else {
+        node.record_proxy(&proxy.host, Some(false));
+        return Finding::Unknown;
+    };
+    let Ok((exchange, outcome)) = answer else {
         return Finding::Unknown;
     };
     match outcome {
@@ -166,9 +170,13 @@
     });
     let helped = match &result {
         Ok((_, Outcome::Answered | Outcome::Refused | Outcome::Lost)) => Some(true),
-        // The server may be down.
-        Ok((_, Outcome::Unreachable)) if node.has_proxy_helped(&proxy.host) => None,
         Ok((_, Outcome::Declined)) => None,
+        // The server may be down; only a request shows that this host needs a proxy at all.
+        Ok((_, Outcome::Unreachable))
+            if target.purpose == Purpose::Check || node.has_proxy_helped(&proxy.host) =>
+        {
+            None
+        }
         Ok((_, Outcome::Unreachable | Outcome::Unavailable)) | Err(_) => Some(false),
     };
     node.record_proxy(&proxy.host, helped);
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -41,7 +41,11 @@
     OUTCOME,
 ];
 
-/// Answers a request of another host; `None` if it isn't to be proxied.
+/// Answers a request of another host that is to be carried to a server.
+///
+/// # Errors
+///
+/// Returns the request if it is for this host itself.
 pub async fn serve(
     node: &Rc<Node>,
     from: SocketAddr,
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -275,6 +275,7 @@
         let deadline = self.job.deadline;
         let (silence, may_resume) = (part.silence, self.may_resume());
         let (server, since) = (part.server.key(), clock::now());
+        let is_direct = !part.connection.is_proxied();
         tokio::select! {
             // Data that has arrived takes precedence over any sign of its absence.
             biased;
@@ -282,7 +283,7 @@
                 Interruption::Failed(attempt::RESTARTED.to_string())
             }),
             () = clock::sleep_and_yield(silence), if may_resume => Err(Interruption::Silent),
-            () = self.node.wait_until_path_lost(server, since), if may_resume => {
+            () = self.node.wait_until_path_lost(server, since), if may_resume && is_direct => {
                 Err(Interruption::Silent)
             }
             () = self.body_sender.closed() => Err(Interruption::End(End::CallerLeft)),
