Log why no engine could take a request

The listed failure of the rolling stop tells that a host answered 503 no_capacity, and nothing of why: whether its engines counted as silent or as suspect, whether the load that it knew came from another home, or whether it had no cells at all. No decision has changed.

--- a/crates/alderglade-core/src/engine_state.rs
+++ b/crates/alderglade-core/src/engine_state.rs
@@ -161,6 +161,21 @@
         !self.leaving && now.since(self.reported) < REPORT_TIMEOUT
     }
 
+    /// Describes whether the engine may get new work, and why not.
+    pub fn describe(&self, now: Time) -> String {
+        let silent = now.since(self.reported);
+        let state = if self.leaving {
+            "leaving".to_string()
+        } else if silent >= REPORT_TIMEOUT {
+            format!("without a report for {} ms", silent.as_millis())
+        } else if self.suspect {
+            format!("suspect, last report {} ms ago", silent.as_millis())
+        } else {
+            "open".to_string()
+        };
+        format!("{} {state}", self.name)
+    }
+
     /// Returns the free KV memory in tokens, by the home's own accounting.
     pub fn free(&self) -> u64 {
         self.kv_tokens
--- a/crates/alderglade-operator/src/event.rs
+++ b/crates/alderglade-operator/src/event.rs
@@ -43,6 +43,8 @@
 pub const ENGINE_BACK: Event = event(1302, Level::Info, "engine answers again");
 /// Something couldn't be freed at an engine; the sweep will see to it.
 pub const FREE_FAILED: Event = event(1303, Level::Warn, "holding not freed; left to the sweep");
+/// No engine could take a request.
+pub const NO_CAPACITY: Event = event(1304, Level::Warn, "no engine could take a request");
 /// This host may give orders to the engines of its failure domain.
 pub const LEASE_TAKEN: Event = event(1401, Level::Info, "lease for orders taken");
 /// An order was given.
@@ -51,7 +53,7 @@
 pub const REQUEST_FAILED: &str = "request failed";
 
 /// All events beside those of the error kinds, in the order of their numbers.
-pub const ALL: [Event; 13] = [
+pub const ALL: [Event; 14] = [
     STARTED,
     DRAINING,
     STOPPED,
@@ -63,6 +65,7 @@
     ENGINE_LOST,
     ENGINE_BACK,
     FREE_FAILED,
+    NO_CAPACITY,
     LEASE_TAKEN,
     ORDERED,
 ];
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -5,6 +5,7 @@
 use super::snapshot::{Published, Snapshot};
 use alderglade_clock::Instant;
 use alderglade_core::Name;
+use alderglade_core::error::Kind;
 use alderglade_core::inflight::Submission;
 use alderglade_core::ledger::Outcome;
 use alderglade_core::node::{Action, Event, Node};
@@ -94,6 +95,8 @@
     pub began: Instant,
     /// Threads of requests in hand.
     pub threads: HashMap<Id, Sender<Instruction>>,
+    /// When the last request that no engine could take was logged.
+    pub no_capacity_logged: Option<Instant>,
 }
 
 impl Control {
@@ -223,6 +226,9 @@
                 server,
             } => self.instruct(request, Instruction::Call { attempt, server }),
             Action::Refuse { request, refusal } => {
+                if refusal.kind == Kind::NoCapacity {
+                    self.log_no_capacity(request);
+                }
                 self.instruct(request, Instruction::Refuse(refusal));
                 self.threads.remove(&request);
             }
@@ -242,6 +248,17 @@
         }
     }
 
+    /// Logs why no engine could take a request, at most once a second.
+    fn log_no_capacity(&mut self, request: Id) {
+        const INTERVAL: Duration = Duration::from_secs(1);
+        let recent = self.no_capacity_logged;
+        if recent.is_none_or(|at| at.elapsed() >= INTERVAL) {
+            self.no_capacity_logged = Some(Instant::now());
+            let cells = self.node.describe_cells();
+            event::write(event::NO_CAPACITY, &format!("{request}: {cells}"));
+        }
+    }
+
     fn instruct(&self, request: Id, instruction: Instruction) {
         if let Some(thread) = self.threads.get(&request) {
             // A thread that is gone has said so by an event of its own.
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -124,6 +124,7 @@
         metrics,
         began,
         threads: Default::default(),
+        no_capacity_logged: None,
     }
     .run(host.drain_limit());
     door.close();
