Take the time of failed ways off a proxied request's deadline

The time left that a server is told was computed before the first way was tried. A connection that hangs takes 300 ms, and each further proxy as long, so that a server could be told to work more than a second longer than the caller waits. It is computed for each way now.

The test fails before (the server was told 7,999 ms of the route's 8 s after a connection had hung for 300 ms) and passes now.

--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -85,7 +85,15 @@
         purpose: Purpose::Request,
         fresh: !job.route.kind.is_repeatable(),
     };
-    let request = || build_request(node, job, &dispatch);
+    // The ways that are tried before take time.
+    let request = || {
+        let time_left = job.time_left();
+        let dispatch = Dispatch {
+            time_left,
+            ..dispatch.clone()
+        };
+        build_request(node, job, &dispatch)
+    };
     let sent_at = clock::now();
     let exchange = match transport::send(node, &outgoing, request).await {
         Ok(exchange) => exchange,
