Reuse a proxy's connection to a server after a chunked response

A proxied body counted as read only if its length was stated. A stream has none, so that the proxy closed its connection to the engine after each stream and opened one for the next: 35 connections for 30 streams, and engines accept a bounded number. The end of the body tells now.

--- a/crates/alderglade-core/src/fleet/reachability.rs
+++ b/crates/alderglade-core/src/fleet/reachability.rs
@@ -9,7 +9,7 @@
 
 use super::incarnation::Key;
 use crate::time::Time;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Blocked servers from which on the host counts as having lost its path to all of them.
@@ -237,12 +237,6 @@
         self.update_path_loss(now)
     }
 
-    /// Returns the blocked servers.
-    pub fn blocked(&self) -> BTreeSet<Key> {
-        let blocked = self.servers.iter().filter(|(_, record)| record.blocked);
-        blocked.map(|(server, _)| *server).collect()
-    }
-
     /// Returns the number of blocked servers.
     pub fn blocked_count(&self) -> usize {
         let records = self.servers.values();
--- a/crates/alderglade-serve/src/proxy/body.rs
+++ b/crates/alderglade-serve/src/proxy/body.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 /// What a proxied request uses until it ends.
 pub struct Resources {
@@ -41,18 +41,36 @@
         }
     }
 
-    /// Returns whether all of the body was read.
-    fn has_ended(&self) -> bool {
-        self.body.is_end_stream()
+    /// Waits for the next frame. The connection is free for another request after the last one.
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none() {
+            self.recycle();
+        }
+        Poll::Ready(frame.map(|result| {
+            result.map_err(|error| {
+                log::debug!("a server broke off a proxied response: {error}");
+                self.connection = None;
+                BrokenOff
+            })
+        }))
+    }
+
+    fn recycle(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.recycle();
+        }
     }
 }
 
 impl Drop for ProxiedBody {
     fn drop(&mut self) {
-        if self.has_ended()
-            && let Some(connection) = self.connection.take()
-        {
-            connection.recycle();
+        // A body of a stated length is dropped after its last byte, without being asked for its end.
+        if self.body.is_end_stream() {
+            self.recycle();
         }
     }
 }
@@ -81,21 +99,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut *self {
             PeerBody::Own(content) => Pin::new(content).poll_frame(context),
-            PeerBody::Proxied(proxied) => {
-                let frame = Pin::new(&mut proxied.body).poll_frame(context);
-                frame.map_err(|error| {
-                    log::debug!("a server broke off a proxied response: {error}");
-                    proxied.connection = None;
-                    BrokenOff
-                })
-            }
+            PeerBody::Proxied(proxied) => proxied.poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             PeerBody::Own(content) => content.is_end_stream(),
-            PeerBody::Proxied(proxied) => proxied.has_ended(),
+            PeerBody::Proxied(proxied) => proxied.body.is_end_stream(),
         }
     }
 
