Hold policy of long prompts: drop a check that can't be reached

Cause: two merges each kept resumed streams from being held, so that the second check in long::choose never decided. Change: the match looks at the reason only; hold() keeps its check, which prompts without memory reach.

--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -35,9 +35,8 @@
         return Decision::Send(costed.plan);
     }
     match hold_policy::reason_to_wait(work, &costed, fastest, full_read, state) {
-        // A stream that another server began isn't held behind new work.
-        Some(reason) if !work.resumed => hold(work, reason),
-        _ => Decision::Send(costed.plan),
+        Some(reason) => hold(work, reason),
+        None => Decision::Send(costed.plan),
     }
 }
 
