Look up servers of proxied requests by their key

Cause: next_probe and proxy_target searched all servers for a key that the directory has an index for. Change: Directory::known, which shares its lookup with active. Result: one lookup in place of a pass over all servers for each proxied order, check and probe; behaviour unchanged.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -289,10 +289,15 @@
 
     /// Returns a server if it is listed and not leaving, whether or not its failure domain is evacuated.
     pub fn active(&self, key: Key) -> Option<&Server> {
-        let entry = self.entries.get(self.ids.get(&key)?)?;
+        let entry = self.entry(key)?;
         entry.accepts_work().then_some(&entry.server)
     }
 
+    /// Returns a server if this incarnation is known and current, whether or not it accepts new work.
+    pub fn known(&self, key: Key) -> Option<&Server> {
+        Some(&self.entry(key)?.server)
+    }
+
     /// Returns whether the server's failure domain is not evacuated.
     fn is_domain_open(&self, server: &Server) -> bool {
         !self.evacuated.contains(&server.domain)
@@ -432,6 +437,10 @@
         }
     }
 
+    fn entry(&self, key: Key) -> Option<&Entry> {
+        self.entries.get(self.ids.get(&key)?)
+    }
+
     fn entry_mut(&mut self, key: Key) -> Option<&mut Entry> {
         self.entries.get_mut(self.ids.get(&key)?)
     }
--- a/crates/alderglade-serve/src/node/reachability.rs
+++ b/crates/alderglade-serve/src/node/reachability.rs
@@ -147,10 +147,7 @@
         let directory = &state.directory;
         let all = directory.all().map(Server::key);
         let probe = state.reachability.next_probe(all, clock::now())?;
-        directory
-            .all()
-            .find(|server| server.key() == probe)
-            .cloned()
+        directory.known(probe).cloned()
     }
 
     /// Drops the paths to servers that are no longer listed.
@@ -291,7 +288,7 @@
                 let backoff = state.backoffs.remaining(&key, clock::now());
                 directory.get(key).filter(|_| backoff == Duration::ZERO)
             }
-            Purpose::Order | Purpose::Check => directory.all().find(|server| server.key() == key),
+            Purpose::Order | Purpose::Check => directory.known(key),
         }
         .cloned()
     }
