Build what a server gets with a request once for each way

Cause: attempt::send built it before the first way was tried, and again with a new time left for each way, of which the first copy was dropped. Result: one copy less for each request; behaviour unchanged.

--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -70,14 +70,6 @@
         log_failure(job, server, attempt, "the server takes nothing now");
         return Err(SendFailure::NotSent);
     }
-    let dispatch = Dispatch {
-        server: server.id().clone(),
-        time_left: job.time_left(),
-        workspace: job.workspace.clone(),
-        helpers: addition.helpers,
-        last_event: addition.last_event,
-        urgency: addition.urgency,
-    };
     let outgoing = Outgoing {
         id: &job.info.id,
         server,
@@ -85,12 +77,15 @@
         purpose: Purpose::Request,
         fresh: !job.route.kind.is_repeatable(),
     };
-    // The ways that are tried before take time.
+    // The time left is that of each way that is tried, as those before take time.
     let request = || {
-        let time_left = job.time_left();
         let dispatch = Dispatch {
-            time_left,
-            ..dispatch.clone()
+            server: server.id().clone(),
+            time_left: job.time_left(),
+            workspace: job.workspace.clone(),
+            helpers: addition.helpers.clone(),
+            last_event: addition.last_event.clone(),
+            urgency: addition.urgency,
         };
         build_request(node, job, &dispatch)
     };
