One computation of the age of a caller's first attempt

Cause: the remaining time that a caller states was compared with its route's in three places. Change: Job::time_since_first_attempt, which is_retry, has_waited_to_retry and the placement of prompts use. Result: behaviour unchanged, as a caller that states no time, or more than its route's, has an age of zero in each of them.

--- a/crates/alderglade-serve/src/generate/place.rs
+++ b/crates/alderglade-serve/src/generate/place.rs
@@ -220,12 +220,6 @@
     }
 }
 
-/// Returns how long before this attempt the caller's first one arrived: a caller that retries states its remaining time.
-fn time_since_first_attempt(job: &Job) -> Duration {
-    let limit = job.info.time_limit.unwrap_or(job.route.time_limit);
-    job.route.time_limit.saturating_sub(limit)
-}
-
 /// Returns the properties of a prompt that placement needs.
 fn work(node: &Node, job: &Job, state: &SendState, stride: u32) -> Work {
     let prompt = job.prompt();
@@ -243,7 +237,7 @@
         waited: expectation.waited(clock::now()),
         time_left: job.time_left(),
         is_retry: job.is_retry(),
-        earlier: time_since_first_attempt(job),
+        earlier: job.time_since_first_attempt(),
         resumed: expectation.resumed,
         order_delay: share_delay + job.rank.order_delay(),
         queues_for_slots: job.homes.is_unrestricted() && node.has_single_engine_service(),
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -111,13 +111,18 @@
         )
     }
 
+    /// Returns how long before this attempt the caller's first one arrived: a caller that retries states its remaining time.
+    pub fn time_since_first_attempt(&self) -> Duration {
+        let limit = self.info.time_limit.unwrap_or(self.route.time_limit);
+        self.route.time_limit.saturating_sub(limit)
+    }
+
     /// Returns whether this is probably a retry by the caller: it allows less time than the route does.
     pub fn is_retry(&self) -> bool {
         /// Smallest difference that counts. Callers whose time equals that of their route state it to the
         /// millisecond.
         const MIN_DIFFERENCE: Duration = Duration::from_millis(100);
-        let limit = self.info.time_limit;
-        limit.is_some_and(|limit| limit + MIN_DIFFERENCE < self.route.time_limit)
+        self.time_since_first_attempt() > MIN_DIFFERENCE
     }
 
     /// Returns whether the caller was refused before and has waited for as long as it was told.
@@ -125,8 +130,7 @@
         /// The age of the first attempt from which on a retry counts: 0.9 of the shortest delay that a caller is told
         /// under overload, one second. Retrying earlier gains nothing.
         const MIN_AGE: Duration = Duration::from_millis(900);
-        let limit = self.info.time_limit;
-        limit.is_some_and(|limit| limit + MIN_AGE <= self.route.time_limit)
+        self.time_since_first_attempt() >= MIN_AGE
     }
 
     /// Returns the caller's description of the prompt, or an ordinary short prompt if there is none.
