One conversion of a hash to a fraction

Cause: the jitter of retry delays repeated that of engines. Change: jitter::fraction serves both. Result: the same numbers; behaviour unchanged.

--- a/crates/alderglade-core/src/fleet/placement/jitter.rs
+++ b/crates/alderglade-core/src/fleet/placement/jitter.rs
@@ -14,7 +14,12 @@
     let Some(seed) = work.random else {
         return 0.0;
     };
-    let hash = xxh3_64_with_seed(&engine.id.number().to_le_bytes(), seed);
+    fraction(&engine.id.number().to_le_bytes(), seed)
+}
+
+/// Returns a number from `0.0` to `1.0` that `bytes` and `seed` determine, evenly distributed over the seeds.
+pub(super) fn fraction(bytes: &[u8], seed: u64) -> f64 {
+    let hash = xxh3_64_with_seed(bytes, seed);
     // An f64 holds the upper 32 bits exactly.
     (hash >> 32) as f64 / f64::from(u32::MAX)
 }
--- a/crates/alderglade-core/src/fleet/placement/slot_queue.rs
+++ b/crates/alderglade-core/src/fleet/placement/slot_queue.rs
@@ -11,10 +11,9 @@
 use super::hold_policy::{self, PLANNED_SHARE};
 use super::slots::{self, Slots};
 use super::timing::{self, to_millis};
-use super::{Engine, Reason, Wait, Work};
+use super::{Engine, Reason, Wait, Work, jitter};
 use crate::fleet::pass::EngineProfile;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The shortest retry delay. Within a second half of the running answers end.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(1_000);
@@ -161,11 +160,8 @@
 fn retry_delay(work: &Work, slot_wait: f64) -> Duration {
     let limit = work.time_left.mul_f64(MAX_RETRY_SHARE);
     let expected = MIN_RETRY_DELAY.max(timing::from_millis(slot_wait));
-    let random = work.random.map_or(0.0, |random| {
-        let hash = xxh3_64_with_seed(b"retry", random);
-        // An f64 holds the upper 32 bits exactly.
-        (hash >> 32) as f64 / f64::from(u32::MAX)
-    });
+    let random = work.random;
+    let random = random.map_or(0.0, |random| jitter::fraction(b"retry", random));
     let jitter = MAX_RETRY_JITTER.min(limit.saturating_sub(expected));
     (expected + jitter.mul_f64(random)).min(limit)
 }
