One conversion between durations and milliseconds

Cause: shares, progress of engines and pauses each had a copy of the conversions that placement has. Change: time::to_millis and time::from_millis serve all of them; placement uses them under their old names. Result: behaviour unchanged.

--- a/crates/alderglade-core/src/fleet/load_table/load.rs
+++ b/crates/alderglade-core/src/fleet/load_table/load.rs
@@ -1,5 +1,6 @@
 //! The load at one backend server, in the terms that placement decides by.
 
+use crate::time::to_millis;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -51,7 +52,7 @@
         let mut stated = [false; PAUSE_CLASSES];
         for longest in allowed {
             let class = PauseClass::of(longest) as usize;
-            let millis = longest.as_secs_f64() * 1_000.0;
+            let millis = to_millis(longest);
             if !stated[class] || millis < pauses.0[class] {
                 pauses.0[class] = millis;
             }
--- a/crates/alderglade-core/src/fleet/placement/timing.rs
+++ b/crates/alderglade-core/src/fleet/placement/timing.rs
@@ -2,7 +2,8 @@
 //! tokens.
 
 use super::{Engine, slots};
-use std::time::Duration;
+
+pub(super) use crate::time::{from_millis, to_millis};
 
 /// The share of an engine's memory that placements may fill. The rest is for answers longer than expected.
 const MAX_MEMORY_SHARE: f64 = 0.92;
@@ -37,13 +38,3 @@
     let limit = engine.profile.memory_tokens as f64 * MAX_MEMORY_SHARE;
     limit as i64 - engine.load.memory
 }
-
-/// Converts a duration to milliseconds.
-pub(super) fn to_millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
-
-/// Converts milliseconds to a duration.
-pub(super) fn from_millis(millis: f64) -> Duration {
-    Duration::from_secs_f64(millis / 1_000.0)
-}
--- a/crates/alderglade-core/src/fleet/progress.rs
+++ b/crates/alderglade-core/src/fleet/progress.rs
@@ -5,7 +5,7 @@
 //! the time. But every host knows of every placement, and the length of a pass follows from the placements.
 
 use super::pass::EngineProfile;
-use crate::time::Time;
+use crate::time::{Time, from_millis, to_millis};
 use std::time::Duration;
 
 /// The work that an engine finishes before it starts on a prompt placed now, in milliseconds.
@@ -77,7 +77,7 @@
     pub fn backlog(&mut self, pace: Pace, now: Time) -> Backlog {
         self.advance(pace, now);
         Backlog {
-            pass_remaining: self.pass_ends.left(now).as_secs_f64() * 1_000.0,
+            pass_remaining: to_millis(self.pass_ends.left(now)),
             queued: self.queued,
         }
     }
@@ -115,7 +115,3 @@
         self.pass_ends = self.pass_ends + Duration::from_micros(passes * idle);
     }
 }
-
-fn from_millis(millis: f64) -> Duration {
-    Duration::from_secs_f64(millis / 1_000.0)
-}
--- a/crates/alderglade-core/src/fleet/share.rs
+++ b/crates/alderglade-core/src/fleet/share.rs
@@ -14,7 +14,7 @@
 use crate::Name;
 use crate::fleet::heartbeat;
 use crate::fleet::position::Position;
-use crate::time::Time;
+use crate::time::{Time, to_millis};
 use claims::Claims;
 use report::Received;
 use std::collections::HashMap;
@@ -98,16 +98,17 @@
         let slots = slots.max(1);
         let expected = self.answer_time.unwrap_or_default();
         let charge = Charge { slots, expected };
+        let added = to_millis(reading) + to_millis(expected) / f64::from(slots);
         self.own
             .entry(workspace.clone())
             .or_default()
-            .add(millis(reading) + millis(expected) / f64::from(slots), now);
+            .add(added, now);
         charge
     }
 
     /// Records that an answer ended which held its slot for a time; zero if it never began.
     pub fn settle(&mut self, workspace: &Name, charge: Charge, held: Duration, now: Time) {
-        let correction = (millis(held) - millis(charge.expected)) / f64::from(charge.slots);
+        let correction = (to_millis(held) - to_millis(charge.expected)) / f64::from(charge.slots);
         self.own
             .entry(workspace.clone())
             .or_default()
@@ -249,8 +250,3 @@
     let part = (ratio - FREE_RATIO) / (FULL_RATIO - FREE_RATIO);
     MAX_DELAY.mul_f64(part.clamp(0.0, 1.0))
 }
-
-/// Returns a duration in milliseconds.
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
--- a/crates/alderglade-core/src/time.rs
+++ b/crates/alderglade-core/src/time.rs
@@ -35,6 +35,20 @@
     }
 }
 
+/// Converts a duration to milliseconds.
+pub fn to_millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+/// Converts milliseconds to a duration.
+///
+/// # Panics
+///
+/// Panics if the number is negative, infinite or not a number.
+pub fn from_millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis / 1_000.0)
+}
+
 impl Add<Duration> for Time {
     type Output = Time;
 
