One rule for what is a short prompt in the wait queue

Cause: the gauge of the queue repeated the comparison of reading times that the load table makes, with its rounding. Change: Demand::is_short, which the load table uses too. Result: behaviour unchanged; each caller keeps its own limit.

--- a/crates/alderglade-core/src/fleet/load_table/queue.rs
+++ b/crates/alderglade-core/src/fleet/load_table/queue.rs
@@ -32,6 +32,18 @@
     pub reading_ms: u32,
 }
 
+impl Demand {
+    /// Returns whether the prompt is short, if short ones are read in less than `limit` milliseconds.
+    pub fn is_short(&self, limit: f64) -> bool {
+        is_short(self.reading_ms, limit)
+    }
+}
+
+fn is_short(reading_ms: u32, limit: f64) -> bool {
+    // The reading time was rounded down.
+    f64::from(reading_ms) < limit.floor()
+}
+
 /// The numbers of prompts in the wait queue.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct QueueLengths {
@@ -71,8 +83,7 @@
 
     /// Returns whether the prompt is short, if short ones are read in less than `limit` milliseconds.
     pub(super) fn is_short(&self, limit: f64) -> bool {
-        // The reading time was rounded down.
-        f64::from(self.reading_ms) < limit.floor()
+        is_short(self.reading_ms, limit)
     }
 
     /// Returns the prompt as it ranks at its own host, given that its demand arrived from there in a notice. Demands state
--- a/crates/alderglade-serve/src/node/capacity.rs
+++ b/crates/alderglade-serve/src/node/capacity.rs
@@ -38,8 +38,8 @@
     /// queue don't state their service, so the fastest engines decide if there are several kinds.
     fn observe_queue(&self, short_reading_ms: f64) {
         let queued = self.state.borrow().loads.queued_demands(clock::now());
-        let is_short = |reading_ms: u32| f64::from(reading_ms) < short_reading_ms.floor();
-        let short = queued.iter().filter(|demand| is_short(demand.reading_ms));
+        let short = queued.iter();
+        let short = short.filter(|demand| demand.is_short(short_reading_ms));
         let short = short.count();
         let lengths = &self.metrics.queue_length;
         for (kind, length) in [("short", short), ("long", queued.len() - short)] {
