Count hosts that can be used as proxies when metrics are read

Cause: the gauge was set in each tick, several times a second, by a pass over all live hosts that nobody reads in between. Change: it is set where the gauges of capacity are. Result: no such pass in a tick; the metric has the same value at each read.

--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -337,9 +337,6 @@
         let age = state.freshness.age(now);
         let age = age.map_or(-1, |age| age.as_millis() as i64);
         metrics.store_age.set(age);
-        let live = state.loads.live_hosts(&self.settings.domain, now);
-        let proxies = live.filter(|host| state.hosts.proxy_key(host.name).is_some());
-        metrics.proxies.set(proxies.count() as i64);
         let opened = self.client.opened().cast_signed();
         metrics.connections.set(opened);
     }
--- a/crates/alderglade-serve/src/node/capacity.rs
+++ b/crates/alderglade-serve/src/node/capacity.rs
@@ -1,4 +1,5 @@
-//! Gauges of the capacity that this host sees and of its wait queue.
+//! Gauges that are updated when the metrics are read: of the capacity that this host sees, of its wait queue, and of the
+//! hosts that requests can be sent through.
 
 use super::Node;
 use crate::clock;
@@ -6,13 +7,23 @@
 use alderglade_core::fleet::placement::{SHORT_PROMPT_TOKENS, Slots};
 
 impl Node {
-    /// Returns all metrics in the Prometheus text format. The gauges of capacity are updated only when they are read:
-    /// they take a pass over all engines, which would be several passes a second in [`Node::tick`].
+    /// Returns all metrics in the Prometheus text format. Some gauges are updated only when they are read: they take a pass
+    /// over all engines or hosts, which would be several passes a second in [`Node::tick`].
     pub fn encode_metrics(&self) -> Vec<u8> {
         self.observe_capacity();
+        self.observe_proxies();
         self.metrics.encode()
     }
 
+    /// Updates the gauge of the live hosts through which requests can be sent.
+    fn observe_proxies(&self) {
+        let state = self.state.borrow();
+        let now = clock::now();
+        let live = state.loads.live_hosts(&self.settings.domain, now);
+        let proxies = live.filter(|host| state.hosts.proxy_key(host.name).is_some());
+        self.metrics.proxies.set(proxies.count() as i64);
+    }
+
     /// Updates the gauges of free slots and of the wait queue.
     fn observe_capacity(&self) {
         let Some(config) = self.state.borrow().config.clone() else {
