Proxied bodies: use the library's type for one of two bodies

Cause: PeerBody forwarded each method of Body to one of two bodies by hand. Change: ProxiedBody is a Body itself; PeerBody is http_body_util's Either; listeners take any body whose error can be boxed. Result: the enum and its three methods are gone; behaviour unchanged.

--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -1,6 +1,6 @@
 //! Listeners for callers, for the balancer's readiness check and for operators.
 
-use crate::answer::{BrokenOff, Content};
+use crate::answer::Content;
 use crate::client;
 use crate::clock;
 use crate::event::{self, Record};
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -166,7 +167,7 @@
     answer: impl Fn(SocketAddr, Request<Incoming>) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<B>> + 'static,
-    B: Body<Data = Bytes, Error = BrokenOff> + 'static,
+    B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + 'static,
 {
     loop {
         let (stream, from) = match listener.accept().await {
--- a/crates/alderglade-serve/src/peer/copy.rs
+++ b/crates/alderglade-serve/src/peer/copy.rs
@@ -47,7 +47,7 @@
         async move {
             match proxy::serve(&node, from, request).await {
                 Ok(response) => response,
-                Err(request) => copy(&node, request.uri().path()).map(PeerBody::from),
+                Err(request) => copy(&node, request.uri().path()).map(PeerBody::Left),
             }
         }
     };
--- a/crates/alderglade-serve/src/proxy/body.rs
+++ b/crates/alderglade-serve/src/proxy/body.rs
@@ -5,6 +5,7 @@
 use crate::memory::Portion;
 use crate::node::{ProxiedGuard, RequestGuard};
 use bytes::Bytes;
+use http_body_util::Either;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -41,24 +42,6 @@
         }
     }
 
-    /// Waits for the next frame. The connection is free for another request after the last one.
-    fn poll_frame(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        if frame.is_none() {
-            self.recycle();
-        }
-        Poll::Ready(frame.map(|result| {
-            result.map_err(|error| {
-                log::debug!("a server broke off a proxied response: {error}");
-                self.connection = None;
-                BrokenOff
-            })
-        }))
-    }
-
     fn recycle(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.recycle();
@@ -75,45 +58,36 @@
     }
 }
 
-/// The body of a response to another host.
-pub enum PeerBody {
-    /// A body of this host.
-    Own(Content),
-    /// The body of a server's response.
-    Proxied(Box<ProxiedBody>),
-}
-
-impl From<Content> for PeerBody {
-    fn from(content: Content) -> PeerBody {
-        PeerBody::Own(content)
-    }
-}
-
-impl Body for PeerBody {
+impl Body for ProxiedBody {
     type Data = Bytes;
     type Error = BrokenOff;
 
+    /// Waits for the next frame. The connection is free for another request after the last one.
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match &mut *self {
-            PeerBody::Own(content) => Pin::new(content).poll_frame(context),
-            PeerBody::Proxied(proxied) => proxied.poll_frame(context),
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        if frame.is_none() {
+            self.recycle();
         }
+        Poll::Ready(frame.map(|result| {
+            result.map_err(|error| {
+                log::debug!("a server broke off a proxied response: {error}");
+                self.connection = None;
+                BrokenOff
+            })
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            PeerBody::Own(content) => content.is_end_stream(),
-            PeerBody::Proxied(proxied) => proxied.body.is_end_stream(),
-        }
+        self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            PeerBody::Own(content) => content.size_hint(),
-            PeerBody::Proxied(proxied) => proxied.body.size_hint(),
-        }
+        self.body.size_hint()
     }
 }
+
+/// The body of a response to another host: one of this host's own, or that of a server's response.
+pub type PeerBody = Either<Content, Box<ProxiedBody>>;
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -79,7 +79,7 @@
 }
 
 fn empty(status: StatusCode) -> Response<PeerBody> {
-    listen::plain(status, Vec::new()).map(PeerBody::from)
+    listen::plain(status, Vec::new()).map(PeerBody::Left)
 }
 
 /// Builds a response that no server has produced.
@@ -181,7 +181,7 @@
         connection,
     } = exchange;
     let body = ProxiedBody::new(body, connection, resources);
-    let mut response = Response::new(PeerBody::Proxied(Box::new(body)));
+    let mut response = Response::new(PeerBody::Right(Box::new(body)));
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end(head.headers);
     Outcome::Answered.set(response.headers_mut());
