Tests of slots use the short prompt of the placement tests

Cause: both spelled out the same prompt, field by field. Change: the tests of slots take the other's and set its random number. Result: the same prompt; all assertions unchanged.

--- a/crates/alderglade-core/tests/testsuite/fleet/placement.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/placement.rs
@@ -42,7 +42,7 @@
         .expect("a known engine")
 }
 
-fn short() -> Work {
+pub(super) fn short() -> Work {
     Work {
         prompt: 5_000,
         memory: 6_400,
--- a/crates/alderglade-core/tests/testsuite/fleet/slots.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/slots.rs
@@ -1,6 +1,6 @@
 //! Slots of engines in the forecast and in the spreading of short prompts.
 
-use super::{empty_notice, key, profile, reservation};
+use super::{empty_notice, key, placement, profile, reservation};
 use crate::each_seed;
 use alderglade_core::fleet::load_table::{Load, LoadTable, Notice, Pauses};
 use alderglade_core::fleet::pass::EngineProfile;
@@ -37,22 +37,8 @@
 
 pub(super) fn short(random: Option<u64>) -> Work {
     Work {
-        prompt: 5_000,
-        memory: 6_400,
-        objective: Duration::from_millis(300),
-        caller_timeout: Duration::from_millis(2_000),
-        waited: Duration::ZERO,
-        time_left: Duration::from_secs(10),
-        is_retry: false,
-        earlier: Duration::ZERO,
-        resumed: false,
-        order_delay: Duration::ZERO,
-        queues_for_slots: true,
-        over_share: false,
-        value: value(5_000),
-        avoid: Vec::new(),
-        stalled: Vec::new(),
         random,
+        ..placement::short()
     }
 }
 
