Log and count how responses without a length end

The logs can't tell the hypotheses of the incident apart: they lack how a response was framed, how it ended and whether bytes followed the last complete event. 3415 response_ended and alderglade_unframed_responses_total tell it, for responses that end with their connection and for streams that end inside an event; others are neither logged nor counted.

No change of what callers get. Tests of alderglade-serve and of the documents pass.

--- a/crates/alderglade-core/src/fleet/mod.rs
+++ b/crates/alderglade-core/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod connectivity;
 pub mod directory;
+pub mod ending;
 pub mod evacuation;
 pub mod fanout;
 pub mod faults;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Error, Exchange};
 use crate::clock;
-use crate::event::{self, Record};
+use crate::event::{self, Record, ResponseEnd};
 use crate::job::Job;
 use crate::node::{Node, Permit};
 use crate::proxy::Purpose;
@@ -10,6 +10,7 @@
 use crate::transport::{self, Outgoing};
 use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::ending::Framing;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::time::Time;
@@ -230,6 +231,17 @@
     }
 }
 
+/// Counts and logs the end of a server's response, unless the server marked it and it lies between two events.
+pub fn record_end(node: &Node, end: &ResponseEnd<'_>) {
+    if end.framing == Framing::Close {
+        let unframed = &node.metrics.unframed;
+        unframed.with_label_values(&[end.outcome]).inc();
+    } else if end.partial_bytes == 0 {
+        return;
+    }
+    event::write(&Record::ResponseEnded(*end));
+}
+
 /// Logs that an attempt failed.
 pub fn log_failure(job: &Job, server: &Server, attempt: u32, problem: &str) {
     event::write(&Record::AttemptFailed {
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -247,6 +247,7 @@
         connection.idle_timeout = idle_timeout(&head.headers);
         connection.sender = Some(sender);
         Ok(Exchange {
+            framing: exchange::framing(&head.headers, &body),
             head,
             body,
             connection,
--- a/crates/alderglade-serve/src/client/exchange.rs
+++ b/crates/alderglade-serve/src/client/exchange.rs
@@ -2,9 +2,11 @@
 
 use super::{Connection, Error};
 use crate::body;
+use alderglade_core::fleet::ending::Framing;
 use bytes::{Bytes, BytesMut};
-use http::Response;
-use hyper::body::Incoming;
+use http::header::TRANSFER_ENCODING;
+use http::{HeaderMap, Response};
+use hyper::body::{Body, Incoming};
 
 /// Maximum length of a response that is buffered as a whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -15,6 +17,8 @@
     pub head: http::response::Parts,
     /// The body that is still to come.
     pub body: Incoming,
+    /// How the server marks the end of the body.
+    pub framing: Framing,
     /// The connection, to be recycled after the last byte.
     pub connection: Connection,
 }
@@ -95,3 +99,18 @@
         })
     }
 }
+
+/// Returns how a server marks the end of a response's body.
+pub(super) fn framing(head: &HeaderMap, body: &Incoming) -> Framing {
+    if body.is_end_stream() || body.size_hint().exact().is_some() {
+        return Framing::Length;
+    }
+    let mut codings = head.get_all(TRANSFER_ENCODING).iter();
+    let last = codings.next_back();
+    let last = last.and_then(|value| value.to_str().ok());
+    let last = last.and_then(|codings| codings.rsplit(',').next());
+    match last {
+        Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Framing::Chunked,
+        _ => Framing::Close,
+    }
+}
--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -8,11 +8,13 @@
 mod queue;
 mod record;
 mod requester;
+mod response_end;
 
 pub use kind::{ALL, Kind};
 pub use queue::{Pending, Queue};
 pub use record::Record;
 pub use requester::Requester;
+pub use response_end::ResponseEnd;
 
 use log4rs::config::{Appender, Config, Root};
 use serde::Serialize;
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -127,13 +127,15 @@
 const QUARANTINE_NOT_KEPT: Kind = warn(3413, "quarantine_not_kept");
 /// A request was sent to a server through another host.
 const PROXIED: Kind = info(3414, "proxied");
+/// A response ended with its connection, or inside an event.
+const RESPONSE_ENDED: Kind = info(3415, "response_ended");
 /// Memory could not be reserved for a prompt.
 const MEMORY_REFUSED: Kind = info(3501, "memory_refused");
 /// Reserved memory was not released; it expires by itself.
 const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 51] = [
+pub const ALL: [Kind; 52] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -183,6 +185,7 @@
     QUARANTINE_RELEASED,
     QUARANTINE_NOT_KEPT,
     PROXIED,
+    RESPONSE_ENDED,
     MEMORY_REFUSED,
     MEMORY_NOT_RELEASED,
 ];
@@ -240,6 +243,7 @@
             Record::QuarantineReleased { .. } => &QUARANTINE_RELEASED,
             Record::QuarantineNotKept { .. } => &QUARANTINE_NOT_KEPT,
             Record::Proxied { .. } => &PROXIED,
+            Record::ResponseEnded(_) => &RESPONSE_ENDED,
             Record::MemoryRefused { .. } => &MEMORY_REFUSED,
             Record::MemoryNotReleased { .. } => &MEMORY_NOT_RELEASED,
         }
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -1,6 +1,6 @@
 //! The fields of each log line apart from its number, level and name.
 
-use super::Requester;
+use super::{Requester, ResponseEnd};
 use crate::daemon::Addresses;
 use alderglade_core::Name;
 use alderglade_core::fleet::fingerprint::Fingerprint;
@@ -446,6 +446,8 @@
         /// `answered`, or why the server has not answered.
         outcome: &'a str,
     },
+    /// A response ended with its connection, or inside an event.
+    ResponseEnded(ResponseEnd<'a>),
     /// Something that was not sent by a host of this system asked for a request to be carried.
     ProxyRefused {
         /// Where it came from.
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -56,6 +56,8 @@
     pub limited: IntGauge,
     /// Servers that other hosts reach and this one doesn't.
     pub blocked: IntGauge,
+    /// Responses without a length or chunks by how they ended.
+    pub unframed: IntCounterVec,
     /// Requests and checks that were sent through other hosts, by whether these could help.
     pub proxied_sent: IntCounterVec,
     /// Requests and checks that were carried for other hosts by outcome.
@@ -152,6 +154,11 @@
                 "alderglade_blocked_servers",
                 "Servers that other hosts reach and this one doesn't.",
             )?,
+            unframed: counter_vec(
+                "alderglade_unframed_responses_total",
+                "Server responses without a length or chunks, by how they ended.",
+                "outcome",
+            )?,
             proxied_sent: counter_vec(
                 "alderglade_proxied_sent_total",
                 "Requests sent through other hosts.",
@@ -219,7 +226,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 37] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 38] = [
             Box::new(self.answers.clone()),
             Box::new(self.objectives.clone()),
             Box::new(self.by_requester.held.clone()),
@@ -241,6 +248,7 @@
             Box::new(self.passed_over.clone()),
             Box::new(self.limited.clone()),
             Box::new(self.blocked.clone()),
+            Box::new(self.unframed.clone()),
             Box::new(self.proxied_sent.clone()),
             Box::new(self.proxied_served.clone()),
             Box::new(self.proxied.clone()),
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -179,6 +179,7 @@
         head,
         body,
         connection,
+        ..
     } = exchange;
     let body = ProxiedBody::new(body, connection, resources);
     let mut response = Response::new(PeerBody::Right(Box::new(body)));
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -116,6 +116,7 @@
         loop {
             match self.relay_events(&mut part).await {
                 Ok(()) => {
+                    self.record_end(&part, false);
                     self.node
                         .record_outcome(part.server.key(), Outcome::Success);
                     self.node.record_success(self.job.fingerprint);
@@ -132,6 +133,7 @@
                     Err(end) => return end,
                 },
                 Err(Interruption::Failed(problem)) => {
+                    self.record_end(&part, true);
                     self.record_failure(&part, &problem);
                     attempt::handle_broken_off(
                         &self.node,
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -6,6 +6,7 @@
 use crate::slowdown::Reading;
 use crate::ticket::Tickets;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::ending::Framing;
 use alderglade_core::fleet::slowdown::PauseMonitor;
 use alderglade_core::fleet::sse::Splitter;
 use alderglade_core::time::Time;
@@ -21,6 +22,8 @@
 pub(super) struct ServerPart {
     pub server: Server,
     body: Incoming,
+    /// How the server marks the end of its response.
+    pub framing: Framing,
     /// The connection, to be recycled after the last byte.
     pub connection: Connection,
     pub splitter: Splitter,
@@ -48,6 +51,7 @@
         ServerPart {
             server: open.server,
             body: open.exchange.body,
+            framing: open.exchange.framing,
             connection: open.exchange.connection,
             splitter: Splitter::default(),
             reservation: open.reservation,
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -5,7 +5,7 @@
 use crate::body_sender::{BodySender, CallerGone};
 use crate::client::{Collected, Exchange, RemainingBody};
 use crate::clock;
-use crate::event::{self, Record};
+use crate::event::{self, Record, ResponseEnd};
 use crate::forward;
 use crate::job::Job;
 use crate::memory::Portion;
@@ -14,6 +14,7 @@
 use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::ending::Framing;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::request_state::{RequestState, Waiting};
@@ -41,6 +42,9 @@
     first_chunk: Chunk,
     /// The remaining body, if any.
     rest: Option<RemainingBody>,
+    server: Server,
+    /// How the server marks the end of its response.
+    framing: Framing,
 }
 
 impl ServerAnswer {
@@ -55,6 +59,8 @@
             node: node.clone(),
             id: job.info.id.clone(),
             deadline: job.deadline,
+            server: self.server,
+            framing: self.framing,
             body_sender,
             rest,
         };
@@ -71,6 +77,8 @@
     node: Rc<Node>,
     id: Name,
     deadline: Time,
+    server: Server,
+    framing: Framing,
     body_sender: BodySender,
     rest: RemainingBody,
 }
@@ -85,6 +93,13 @@
             () = node.wait_for_request_end() => Err("the host stops".to_string()),
             () = clock::sleep_until(deadline) => Err("the time is over".to_string()),
         };
+        record_end(
+            &node,
+            &self.id,
+            &self.server,
+            self.framing,
+            relayed.is_err(),
+        );
         match relayed {
             Ok(()) => self.rest.connection.recycle(),
             Err(problem) => {
@@ -338,8 +353,12 @@
     reply: &Reply,
 ) -> Result<Response<ServerAnswer>, SendFailure> {
     let genuine = reply.genuine;
+    let framing = exchange.framing;
     let mut memory = Portion::new(&node.memory);
     let collected = exchange.collect_while(|bytes| memory.grow(bytes)).await;
+    if !matches!(collected, Ok(Collected::Partial(..))) {
+        record_end(node, &job.info.id, server, framing, collected.is_err());
+    }
     let (response, rest) = match collected {
         Ok(Collected::Whole(response)) => (response, None),
         Ok(Collected::Partial(response, rest)) => (response, Some(rest)),
@@ -371,9 +390,24 @@
     Ok(response.map(|body| ServerAnswer {
         first_chunk: Chunk::new(body, memory),
         rest,
+        server: server.clone(),
+        framing,
     }))
 }
 
+/// Records how a server's response ended.
+fn record_end(node: &Node, id: &str, server: &Server, framing: Framing, failed: bool) {
+    let outcome = if failed { "failed" } else { "closed" };
+    let end = ResponseEnd {
+        id,
+        server: server.id(),
+        framing,
+        partial_bytes: 0,
+        outcome,
+    };
+    attempt::record_end(node, &end);
+}
+
 /// Returns whether a server's failure may be retried elsewhere.
 fn may_retry(job: &Job, response: &Response<ServerAnswer>) -> bool {
     job.route.kind.is_repeatable() && response.status().is_server_error()
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -2,9 +2,10 @@
 //! follows a renamed field, or a number that moves to another kind, would be misread without any error.
 
 use alderglade_core::Name;
+use alderglade_core::fleet::ending::Framing;
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_serve::daemon::Addresses;
-use alderglade_serve::event::{self, ALL, Record, Requester};
+use alderglade_serve::event::{self, ALL, Record, Requester, ResponseEnd};
 use log::{LevelFilter, Log, Metadata};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -103,6 +104,7 @@
 "n":3304,"level":"WARN","event":"listen_fault","problem":"problem-46"}
 "n":3305,"level":"WARN","event":"proxy_refused","from":"10.0.0.7:8006"}
 "n":3414,"level":"INFO","event":"proxied","id":"id-58","server":"server-58","host":"host-58","outcome":"outcome-58"}
+"n":3415,"level":"INFO","event":"response_ended","id":"id-59","server":"server-59","framing":"close","partial_bytes":594,"outcome":"outcome-59"}
 "n":3005,"level":"WARN","event":"lines_dropped","count":471}
 "n":3001,"level":"INFO","event":"started","host":"host-1","domain":"domain-1","callers":"10.0.0.7:8002","ready":"10.0.0.7:8003","peers":"10.0.0.7:8004","metrics":null}
 "n":3003,"level":"INFO","event":"stopped","cut_off":31,"untold":32,"taken_stopping":33,"connections":34}
@@ -231,6 +233,8 @@
         Record::ListenFault { problem: "problem-46" },
         Record::ProxyRefused { from: address(8_006) },
         Record::Proxied { id: "id-58", server: "server-58", host: "host-58", outcome: "outcome-58" },
+        Record::ResponseEnded(ResponseEnd { id: "id-59", server: "server-59", framing: Framing::Close, partial_bytes:
+            594, outcome: "outcome-59" }),
         Record::LinesDropped { count: 471 },
     ]
 }
