A stream that ends inside an event has been broken off

What callers saw: 200 with the engine's stamp, framed as complete, and a part of the stream. The relay took the end of a server's body for the end of the stream and passed on what stood after the last complete event. That holds for bodies with a length or chunks, which tell their end; a response with neither ends with its connection, and a server that closes it in the middle ends it all the same.

Now the part of a server that ends inside an event is a failure of that server, as a broken connection is: it is recorded and reported in the same way, the stream goes on at another server after its last complete event, or is broken off towards its caller. That also holds while a silent server is being replaced. All framings are judged alike, as a proxy sends chunks whatever the server sent. Answers of another content type and blank lines after the last event stay as they are; events whose lines end with LF and CRLF in turn are no longer held back to the end, where they would now count as broken off.

--- a/crates/alderglade-core/src/fleet/sse.rs
+++ b/crates/alderglade-core/src/fleet/sse.rs
@@ -31,22 +31,28 @@
         events
     }
 
+    /// Returns whether the bytes so far end inside an event. A stream that ends there has been broken off.
+    pub fn is_inside_event(&self) -> bool {
+        let only_breaks = self.rest.iter().all(|byte| matches!(byte, b'\r' | b'\n'));
+        !only_breaks && !self.rest.ends_with(b"\r\r")
+    }
+
     /// Returns the bytes after the last complete event.
     pub fn rest(&self) -> &[u8] {
         &self.rest
     }
 }
 
-/// Returns the end of the first complete event, after its blank line.
+/// Returns the end of the first complete event, after its blank line. Each line ends with LF or CRLF.
 fn boundary(bytes: &[u8]) -> Option<usize> {
-    let lf_break = bytes.windows(2).position(|window| window == b"\n\n");
-    let crlf_break = bytes.windows(4).position(|window| window == b"\r\n\r\n");
-    match (lf_break, crlf_break) {
-        (Some(a), Some(b)) if b < a => Some(b + 4),
-        (Some(a), _) => Some(a + 2),
-        (None, Some(b)) => Some(b + 4),
-        (None, None) => None,
-    }
+    let line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    line_ends.map(|(at, _)| at + 1).find_map(|next| {
+        let rest = &bytes[next..];
+        let blank_line = [&b"\n"[..], b"\r\n"]
+            .into_iter()
+            .find(|line| rest.starts_with(line))?;
+        Some(next + blank_line.len())
+    })
 }
 
 fn id_of(event: &[u8]) -> Option<String> {
--- a/crates/alderglade-core/tests/testsuite/fleet/sse.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/sse.rs
@@ -35,3 +35,35 @@
         Ok(())
     });
 }
+
+/// Guards against events that are held back until the end of the stream because their lines end in different ways.
+#[test]
+fn each_line_of_an_event_may_end_in_its_own_way() {
+    for end in ["\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n"] {
+        let event = format!("id: 1\ndata: a{end}");
+        for split in 0..event.len() {
+            let (now, later) = event.as_bytes().split_at(split);
+            let mut splitter = Splitter::default();
+            let mut events = splitter.push(now);
+            events.extend(splitter.push(later));
+            assert_eq!(events.len(), 1, "{event:?} split at {split}");
+            assert_eq!(events[0].bytes, event.as_bytes());
+        }
+    }
+}
+
+/// Guards against streams that count as complete although they end inside an event, and against whole ones that don't.
+#[test]
+fn a_stream_may_end_between_events_only() {
+    let event = "id: 1\r\ndata: a\r\n\r\n";
+    for end in 1..event.len() {
+        let mut splitter = Splitter::default();
+        splitter.push(&event.as_bytes()[..end]);
+        assert!(splitter.is_inside_event(), "after {end} bytes");
+    }
+    for whole in ["", event, "data: a\n\n\n", "data: a\r\r", "\r\n"] {
+        let mut splitter = Splitter::default();
+        splitter.push(whole.as_bytes());
+        assert!(!splitter.is_inside_event(), "{whole:?}");
+    }
+}
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -22,7 +22,7 @@
 use end::End;
 use failover::Failover;
 use http::Response;
-use part::{Frame, ServerPart};
+use part::{Failure, Received, ServerPart};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,7 +57,7 @@
     /// The server exceeded its silence limit, and may still continue.
     Silent,
     /// The server failed.
-    Failed(String),
+    Failed(Failure),
     /// The stream has ended.
     End(End),
 }
@@ -116,7 +116,7 @@
         loop {
             match self.relay_events(&mut part).await {
                 Ok(()) => {
-                    self.record_end(&part, false);
+                    part.record_end(&self.node, &self.job.info.id, "closed");
                     self.node
                         .record_outcome(part.server.key(), Outcome::Success);
                     self.node.record_success(self.job.fingerprint);
@@ -132,8 +132,9 @@
                     Ok(Some(open)) => part = self.continue_with(open),
                     Err(end) => return end,
                 },
-                Err(Interruption::Failed(problem)) => {
-                    self.record_end(&part, true);
+                Err(Interruption::Failed(failure)) => {
+                    let problem = failure.to_string();
+                    part.record_end(&self.node, &self.job.info.id, failure.outcome());
                     self.record_failure(&part, &problem);
                     attempt::handle_broken_off(
                         &self.node,
@@ -208,7 +209,7 @@
             // Otherwise the connection's read buffer stays allocated while the caller does not read.
             drop(data);
             if part.splitter.rest().len() > MAX_EVENT_BYTES {
-                return Err(Interruption::Failed("an event is too long".to_string()));
+                return Err(Interruption::Failed(Failure::EventTooLong));
             }
             if complete.is_empty() {
                 continue;
@@ -253,27 +254,17 @@
         self.next(part).await
     }
 
-    /// Waits for the next bytes of a server; returns `None` after the last ones. The silence limit applies only if
-    /// the stream may be resumed elsewhere.
+    /// Waits for the next bytes of a server; returns `None` after the last ones.
     async fn next(&self, part: &mut ServerPart) -> Result<Option<Bytes>, Interruption> {
-        loop {
-            let frame = match part.pending.take() {
-                Some(frame) => frame,
-                None => self.next_frame(part).await?,
-            };
-            let frame = match frame {
-                None => return Ok(None),
-                Some(Err(error)) => return Err(Interruption::Failed(error.to_string())),
-                Some(Ok(frame)) => frame,
-            };
-            if let Ok(data) = frame.into_data() {
-                return Ok(Some(data));
-            }
-        }
+        let received = match part.pending.take() {
+            Some(received) => received,
+            None => self.receive(part).await?,
+        };
+        received.map_err(Interruption::Failed)
     }
 
-    /// Waits for the next frame of a server.
-    async fn next_frame(&self, part: &mut ServerPart) -> Result<Frame, Interruption> {
+    /// Waits until a server sends something. The silence limit applies only if the stream may be resumed elsewhere.
+    async fn receive(&self, part: &mut ServerPart) -> Result<Received, Interruption> {
         let deadline = self.job.deadline;
         let (silence, may_resume) = (part.silence, self.may_resume());
         let (server, since) = (part.server.key(), clock::now());
@@ -281,9 +272,7 @@
         tokio::select! {
             // Data that has arrived takes precedence over any sign of its absence.
             biased;
-            frame = part.next_unless_restarted(&self.node) => frame.ok_or_else(|| {
-                Interruption::Failed(attempt::RESTARTED.to_string())
-            }),
+            received = part.receive_unless_restarted(&self.node) => Ok(received),
             () = clock::sleep_and_yield(silence), if may_resume => Err(Interruption::Silent),
             () = self.node.wait_until_path_lost(server, since), if may_resume && is_direct => {
                 Err(Interruption::Silent)
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -1,10 +1,8 @@
 //! Ends of streams: what callers receive and what is logged.
 
 use super::Relay;
-use super::part::ServerPart;
-use crate::attempt;
 use crate::clock;
-use crate::event::{self, Record, Requester, ResponseEnd};
+use crate::event::{self, Record, Requester};
 
 /// How a stream ended.
 pub(super) enum End {
@@ -21,24 +19,6 @@
 }
 
 impl Relay {
-    /// Records how a server's part of the stream ended.
-    pub(super) fn record_end(&self, part: &ServerPart, failed: bool) {
-        let partial_bytes = part.splitter.rest().len();
-        let outcome = match partial_bytes {
-            _ if failed => "failed",
-            0 => "closed",
-            _ => "in_event",
-        };
-        let end = ResponseEnd {
-            id: &self.job.info.id,
-            server: part.server.id(),
-            framing: part.framing,
-            partial_bytes,
-            outcome,
-        };
-        attempt::record_end(&self.node, &end);
-    }
-
     /// Logs that the caller disconnected.
     pub(super) fn log_caller_left(&self) {
         let id = &self.job.info.id;
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -1,6 +1,9 @@
 //! The part of a stream that one server sends.
 
+use crate::attempt;
+use crate::body;
 use crate::client::Connection;
+use crate::event::ResponseEnd;
 use crate::generate::OpenStream;
 use crate::node::{Node, ReservationGuard};
 use crate::slowdown::Reading;
@@ -11,19 +14,53 @@
 use alderglade_core::fleet::sse::Splitter;
 use alderglade_core::time::Time;
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
+use snafu::{ResultExt, Snafu};
 use std::time::Duration;
 
-/// The next frame from a server's connection; `None` after the last one.
-pub(super) type Frame = Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>;
+/// What a server sent next: bytes, or `None` at the end of its part.
+pub(super) type Received = Result<Option<Bytes>, Failure>;
+
+/// How a server failed its part of a stream.
+#[derive(Debug, Snafu)]
+pub(super) enum Failure {
+    /// The connection broke.
+    #[snafu(display("{source}"))]
+    Connection {
+        /// The error that was observed.
+        source: hyper::Error,
+    },
+    /// The stream ended before its last event was complete.
+    #[snafu(display("the stream ended inside an event"))]
+    InEvent,
+    /// An event is longer than the host buffers.
+    #[snafu(display("an event is too long"))]
+    EventTooLong,
+    /// The server has restarted, so that nothing more can arrive.
+    #[snafu(display("{}", attempt::RESTARTED))]
+    Restarted,
+}
+
+impl Failure {
+    /// Returns the name of the outcome in logs and metrics.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Failure::InEvent => "in_event",
+            _ => "failed",
+        }
+    }
+}
 
 /// The part of a stream that one server sends, with the resources held there for it.
 pub(super) struct ServerPart {
     pub server: Server,
     body: Incoming,
     /// How the server marks the end of its response.
-    pub framing: Framing,
+    framing: Framing,
+    /// Whether the response is a series of events, as it states or by default.
+    has_events: bool,
     /// The connection, to be recycled after the last byte.
     pub connection: Connection,
     pub splitter: Splitter,
@@ -41,8 +78,8 @@
     pub pause_monitor: PauseMonitor,
     /// Whether the server was recorded as silent since its last frame.
     pub recorded_silent: bool,
-    /// A frame that arrived while another server was looked for.
-    pub pending: Option<Frame>,
+    /// What arrived while another server was looked for.
+    pub pending: Option<Received>,
 }
 
 impl ServerPart {
@@ -52,6 +89,7 @@
             server: open.server,
             body: open.exchange.body,
             framing: open.exchange.framing,
+            has_events: has_events(&open.exchange.head.headers),
             connection: open.exchange.connection,
             splitter: Splitter::default(),
             reservation: open.reservation,
@@ -71,19 +109,52 @@
         self.tickets = None;
     }
 
-    /// Waits for the next frame. Returns `None` if the server has restarted and nothing more can arrive. Cancel safe.
-    pub async fn next_unless_restarted(&mut self, node: &Node) -> Option<Frame> {
-        let ServerPart { body, server, .. } = self;
+    /// Waits for the next bytes. Cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server broke off, or has restarted.
+    pub async fn receive_unless_restarted(&mut self, node: &Node) -> Received {
+        let server = self.server.clone();
         tokio::select! {
             // Data that has arrived takes precedence over the sign that no more will arrive.
             biased;
-            frame = body.frame() => Some(frame),
-            () = node.wait_until_superseded(server) => None,
+            received = self.receive() => received,
+            () = node.wait_until_superseded(&server) => Err(Failure::Restarted),
         }
     }
 
-    /// Waits for the next frame. Cancel safe.
-    pub async fn frame(&mut self) -> Frame {
-        self.body.frame().await
+    /// Waits for the next bytes. All bytes received before must have been added to the splitter. Cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server broke off: the connection broke, or it ended inside an event.
+    pub async fn receive(&mut self) -> Received {
+        match body::next(&mut self.body).await {
+            Ok(None) if self.has_events && self.splitter.is_inside_event() => Err(Failure::InEvent),
+            received => received.context(ConnectionSnafu),
+        }
+    }
+
+    /// Records how this part ended. `id` is that of the request.
+    pub fn record_end(&self, node: &Node, id: &str, outcome: &'static str) {
+        let end = ResponseEnd {
+            id,
+            server: self.server.id(),
+            framing: self.framing,
+            partial_bytes: self.splitter.rest().len(),
+            outcome,
+        };
+        attempt::record_end(node, &end);
     }
 }
+
+/// Returns whether a response is a series of events: it states that type, or none.
+fn has_events(head: &HeaderMap) -> bool {
+    const EVENT_STREAM: &[u8] = b"text/event-stream";
+    let Some(value) = head.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let stated = value.as_bytes().get(..EVENT_STREAM.len());
+    stated.is_some_and(|stated| stated.eq_ignore_ascii_case(EVENT_STREAM))
+}
--- a/crates/alderglade-serve/src/relay/take_over.rs
+++ b/crates/alderglade-serve/src/relay/take_over.rs
@@ -57,9 +57,10 @@
                     Err(refusal) if failed => Err(End::Failed(refusal.kind.label().to_string())),
                     Err(_) => Ok(None),
                 },
-                frame = part.frame(), if !failed => match frame {
-                    Some(Err(error)) => {
-                        log::debug!("silent server {} failed: {error}", part.server.id());
+                received = part.receive(), if !failed => match received {
+                    Err(failure) => {
+                        log::debug!("silent server {} failed: {failure}", part.server.id());
+                        part.record_end(&self.node, &self.job.info.id, failure.outcome());
                         attempt::handle_broken_off(
                             &self.node,
                             &self.job,
@@ -70,8 +71,8 @@
                         part.release_resources();
                         failed = true;
                     }
-                    frame => {
-                        part.pending = Some(frame);
+                    received => {
+                        part.pending = Some(received);
                         part.recorded_silent = false;
                         return Ok(None);
                     }
