Reset callers of HTTP/1.0 under a response that is broken off

What callers saw: the body of a response without a length ends with its connection in HTTP/1.0, and a host that broke such a response off, stopped or was killed closed the connection in order, as after a whole one. HTTP/1.1 has chunks, whose last one was missing.

While such a response is written, the socket of the caller now doesn't linger on close, so that the connection is reset however it ends; it ends in order once the HTTP library has written everything. Both daemons use it.

The test of resets under long request bodies (client) was green before, too: no reset was lost on its way to the relay.

--- a/crates/alderglade-caller/src/listen.rs
+++ b/crates/alderglade-caller/src/listen.rs
@@ -8,6 +8,7 @@
 use crate::ask::{self, Fault};
 use alderglade_core::error::Kind;
 use alderglade_serve::answer::Content;
+use alderglade_serve::socket::{Socket, Unframed};
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderValue, Method, Response};
@@ -212,14 +213,22 @@
     if let Err(cause) = stream.set_nodelay(true) {
         log::debug!("failed to disable Nagle's algorithm on a connection: {cause}");
     }
-    let service = service_fn(move |request| {
+    let unframed = Unframed::default();
+    let socket = Socket::new(stream, unframed.clone());
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
         let dispatcher = dispatcher.clone();
-        async move { dispatcher.answer(request).await }
+        let unframed = unframed.clone();
+        let version = request.version();
+        async move {
+            let response = dispatcher.answer(request).await?;
+            unframed.record(version, &response);
+            Ok::<_, Dropped>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let served = tokio::select! {
         biased;
--- a/crates/alderglade-serve/src/lib.rs
+++ b/crates/alderglade-serve/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod relay;
 pub mod settings;
 pub mod slowdown;
+pub mod socket;
 pub mod ticket;
 pub mod translate;
 pub mod transport;
--- a/crates/alderglade-serve/src/listen.rs
+++ b/crates/alderglade-serve/src/listen.rs
@@ -7,6 +7,7 @@
 use crate::forward;
 use crate::head;
 use crate::node::Node;
+use crate::socket::{Socket, Unframed};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
@@ -74,6 +75,8 @@
         .map(|config| config.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let max_header_bytes = limits.map_or(MIN_BUFFER_BYTES, |limits| limits.max_header_bytes);
+    let unframed = Unframed::default();
+    let socket = Socket::new(stream, unframed.clone());
     let service_node = node.clone();
     let request_received: Rc<Cell<bool>> = Rc::default();
     let mark_received = request_received.clone();
@@ -81,17 +84,23 @@
         let node = service_node.clone();
         mark_received.set(true);
         let (mut head, body) = request.into_parts();
+        let version = head.version;
+        let unframed = unframed.clone();
         // Before the connection reads on, which would otherwise allocate a second buffer.
         head::detach(&mut head);
         // Boxed apart from the connection, which lives much longer: while it is idle, and while a stream is relayed.
         let served = Box::pin(forward::serve(node, head, body));
-        async move { Ok::<_, Infallible>(served.await) }
+        async move {
+            let response = served.await;
+            unframed.record(version, &response);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let result = tokio::select! {
         // A request that has arrived is read and answered before the connection counts as idle.
--- a/crates/alderglade-serve/tests/testsuite/client.rs
+++ b/crates/alderglade-serve/tests/testsuite/client.rs
@@ -113,3 +113,48 @@
         assert_eq!(Rc::strong_count(&client), 1);
     });
 }
+
+/// Starts a server that answers with a part of a response without a length, once it has read this many bytes of a
+/// request, and resets the connection after a delay.
+fn resetting_server(read_bytes: usize, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut bytes = vec![0; read_bytes];
+            stream.read_exact(&mut bytes).expect("a request");
+            let answer = b"HTTP/1.1 200 OK\r\n\r\nthe first part";
+            stream.write_all(answer).expect("an open connection");
+            std::thread::sleep(delay);
+            let socket = socket2::SockRef::from(&stream);
+            let linger = Some(Duration::ZERO);
+            socket.set_linger(linger).expect("a socket option");
+        }
+    });
+    address
+}
+
+/// Guards against a reset that is noticed only by what is still being sent, so that the response seems to end with its
+/// connection.
+#[test]
+fn a_response_that_is_reset_is_never_complete() {
+    run(async {
+        for body_bytes in [0, 100, 100_000, 16_000_000] {
+            for delay_ms in [0, 1, 30] {
+                let client: Rc<Client> = Rc::default();
+                let address = resetting_server(20, Duration::from_millis(delay_ms));
+                let mut request = Request::post("/").body(Full::from(vec![0; body_bytes]));
+                let request = request.as_mut().expect("a request");
+                let host = address.to_string().parse().expect("a header");
+                request.headers_mut().insert(http::header::HOST, host);
+                let sent = client.send(address, request.clone(), false).await;
+                if let Ok(exchange) = sent {
+                    let collected = exchange.collect().await;
+                    assert!(collected.is_err(), "{body_bytes} bytes, {delay_ms} ms");
+                }
+                assert_eq!(client.idle_count(), 0);
+            }
+        }
+    });
+}
