A response that ends without its end is broken off

What callers could see: a body that arrives in chunks was complete when its sender was dropped, and broken off only if it had sent so before. The own daemon's answer sends that without waiting, so that with a full queue to a slow caller an answer without its closing line, as of a thread that panics, got its last chunk. In the adapter a relay that panics would do the same; its slot for the break was reserved.

The end is now what is sent, and whatever drops a sender before breaks the response off: the safe case needs nothing. The slot that was reserved for the break is that of the end.

Evidence: broken_off of alderglade-caller with as many lines as are queued and nobody who reads, red before (a whole body), green now. The adapter's broken_off and the tests of alderglade-caller are green.

--- a/crates/alderglade-caller/src/answer.rs
+++ b/crates/alderglade-caller/src/answer.rs
@@ -2,7 +2,7 @@
 
 use crate::listen::Request;
 use alderglade_core::request::{Id, Refusal};
-use alderglade_serve::answer::{BrokenOff, Chunk, Content};
+use alderglade_serve::answer::{Content, Part};
 use bytes::Bytes;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
@@ -114,7 +114,8 @@
 
 enum State {
     Pending(oneshot::Sender<Response<Content>>),
-    Streaming(mpsc::Sender<Result<Chunk, BrokenOff>>),
+    /// Without its end, which follows the closing line, the answer is broken off.
+    Streaming(mpsc::Sender<Part>),
     Done,
 }
 
@@ -146,7 +147,7 @@
             State::Pending(answer) => answer.send(complete_response(status, closing)).is_ok(),
             State::Streaming(lines) => {
                 self.state = State::Streaming(lines);
-                let sent = self.send_line(closing);
+                let sent = self.send_line(closing) && self.send(Part::End);
                 self.state = State::Done;
                 sent
             }
@@ -185,23 +186,17 @@
     }
 
     fn send_line(&mut self, line: &impl Serialize) -> bool {
-        let State::Streaming(lines) = &self.state else {
-            return false;
-        };
         let Ok(mut text) = serde_json::to_vec(line) else {
             return false;
         };
         text.push(b'\n');
-        lines.blocking_send(Ok(Bytes::from(text).into())).is_ok()
+        self.send(Part::Chunk(Bytes::from(text).into()))
     }
-}
 
-impl Drop for Answer {
-    fn drop(&mut self) {
-        if let State::Streaming(lines) = &self.state {
-            // An answer without its closing line must not look complete, so the connection is broken off.
-            // The send fails if the caller has disconnected.
-            let _ = lines.try_send(Err(BrokenOff));
+    fn send(&self, part: Part) -> bool {
+        match &self.state {
+            State::Streaming(parts) => parts.blocking_send(part).is_ok(),
+            State::Pending(_) | State::Done => false,
         }
     }
 }
--- a/crates/alderglade-caller/tests/testsuite/broken_off.rs
+++ b/crates/alderglade-caller/tests/testsuite/broken_off.rs
@@ -1,11 +1,15 @@
 //! Answers whose writer is dropped before their closing line, as that of a thread that panics.
 
-use alderglade_caller::answer::{Answer, Token};
+use alderglade_caller::answer::{Answer, Fallback, Token};
 use alderglade_caller::listen::{Door, Handler, Request};
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use http_body_util::BodyExt;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// Streams as many lines as the path of the request says, and drops the answer.
 struct Dropper;
@@ -48,3 +52,29 @@
     let text = String::from_utf8_lossy(&received);
     assert!(text.contains("sequence") && end.is_err(), "{text}");
 }
+
+/// Guards against an incomplete answer that looks whole because the queue to a slow caller was full as it was dropped.
+#[test]
+fn an_answer_without_its_closing_line_has_no_end_for_slow_callers() {
+    /// The lines that are queued for a slow caller; one more would block.
+    const QUEUED_LINES: u64 = 64;
+    let (sender, mut receiver) = oneshot::channel();
+    let mut answer = Answer::new(Request {
+        method: Method::POST,
+        target: "/".into(),
+        headers: HeaderMap::new(),
+        body: Ok(Bytes::new()),
+        answer: sender,
+        fallback: Fallback::default(),
+    });
+    for sequence in 0..QUEUED_LINES {
+        let token = "text";
+        assert!(answer.token(&Token { sequence, token }));
+    }
+    drop(answer);
+    let response = receiver.try_recv().expect("the head of the answer");
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let body = response.into_body().collect();
+    let body = runtime.expect("a runtime").block_on(body);
+    assert!(body.is_err(), "{:?}", body.map(|body| body.to_bytes()));
+}
--- a/crates/alderglade-serve/src/answer.rs
+++ b/crates/alderglade-serve/src/answer.rs
@@ -85,12 +85,21 @@
     }
 }
 
+/// A part of a body that arrives in chunks.
+#[derive(Debug)]
+pub enum Part {
+    /// The next bytes.
+    Chunk(Chunk),
+    /// The body is complete. Without this part it is broken off.
+    End,
+}
+
 /// The body of a response.
 pub enum Content {
     /// The whole body; `None` after it was taken.
     Whole(Option<Chunk>),
     /// A body that arrives in chunks.
-    Stream(mpsc::Receiver<Result<Chunk, BrokenOff>>),
+    Stream(mpsc::Receiver<Part>),
 }
 
 impl Body for Content {
@@ -103,9 +112,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut *self {
             Content::Whole(chunk) => Poll::Ready(chunk.take().map(|chunk| Ok(chunk.into_frame()))),
-            Content::Stream(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|result| result.map(Chunk::into_frame))),
+            Content::Stream(parts) => parts.poll_recv(context).map(|part| match part {
+                Some(Part::Chunk(chunk)) => Some(Ok(chunk.into_frame())),
+                Some(Part::End) => None,
+                None => Some(Err(BrokenOff)),
+            }),
         }
     }
 
--- a/crates/alderglade-serve/src/body_sender.rs
+++ b/crates/alderglade-serve/src/body_sender.rs
@@ -2,10 +2,10 @@
 //!
 //! One chunk may always be in flight, so that a stream continues however much memory is used for other callers. More
 //! chunks are sent only if the host's memory pool has room. A chunk is in flight until the caller's connection has
-//! written it. The channel always reserves a slot for the notification that the response is broken off: without it, a
-//! response that ends early would look complete.
+//! written it. A response whose sender is dropped before it is finished is broken off; the channel always reserves a slot
+//! for the end.
 
-use crate::answer::{BrokenOff, Chunk};
+use crate::answer::{Chunk, Part};
 use crate::memory::{Pool, Portion};
 use bytes::Bytes;
 use std::sync::Arc;
@@ -18,8 +18,6 @@
 /// Expected length of a chunk, in bytes: what a connection to a server reads at once.
 const EXPECTED_CHUNK_BYTES: usize = 8 * 1024;
 
-type Item = Result<Chunk, BrokenOff>;
-
 /// The chunks of one response that are in flight.
 #[derive(Debug, Default)]
 struct ChunksInFlight {
@@ -44,10 +42,10 @@
 
 /// The sending half of a response body.
 pub(crate) struct BodySender {
-    chunks: mpsc::Sender<Item>,
+    parts: mpsc::Sender<Part>,
     in_flight: Arc<ChunksInFlight>,
-    /// The reserved slot for the notification that the response is broken off.
-    end_permit: Option<mpsc::OwnedPermit<Item>>,
+    /// The reserved slot for the end.
+    end_permit: Option<mpsc::OwnedPermit<Part>>,
     pool: Arc<Pool>,
 }
 
@@ -56,11 +54,11 @@
 
 impl BodySender {
     /// Creates the two halves of a response body.
-    pub(crate) fn open(pool: &Arc<Pool>) -> (BodySender, mpsc::Receiver<Item>) {
-        let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS + 1);
+    pub(crate) fn open(pool: &Arc<Pool>) -> (BodySender, mpsc::Receiver<Part>) {
+        let (parts, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS + 1);
         let body_sender = BodySender {
-            end_permit: chunks.clone().try_reserve_owned().ok(),
-            chunks,
+            end_permit: parts.clone().try_reserve_owned().ok(),
+            parts,
             in_flight: Arc::default(),
             pool: pool.clone(),
         };
@@ -99,28 +97,32 @@
             _memory: memory,
         };
         let chunk = Chunk::in_flight(bytes, guard);
-        self.chunks.send(Ok(chunk)).await.map_err(|_| CallerGone)
+        let sent = self.parts.send(Part::Chunk(chunk)).await;
+        sent.map_err(|_| CallerGone)
     }
 
     /// Sends the first chunk, whose memory has already been allocated.
     pub(crate) fn send_first(&self, first: Chunk) {
-        if self.chunks.try_send(Ok(first)).is_err() {
+        if self.parts.try_send(Part::Chunk(first)).is_err() {
             log::debug!("a caller disconnected before its response began");
         }
     }
 
     /// Waits until the caller has disconnected.
     pub(crate) async fn closed(&self) {
-        self.chunks.closed().await;
+        self.parts.closed().await;
     }
 
-    /// Marks the response as incomplete; returns whether the caller is still connected.
-    pub(crate) fn break_off(&mut self) -> bool {
-        let is_connected = !self.chunks.is_closed();
+    /// Marks the response as complete.
+    pub(crate) fn finish(&mut self) {
         if let Some(permit) = self.end_permit.take() {
-            permit.send(Err(BrokenOff));
+            permit.send(Part::End);
         }
-        is_connected
+    }
+
+    /// Returns whether the caller is still connected.
+    pub(crate) fn is_connected(&self) -> bool {
+        !self.parts.is_closed()
     }
 
     fn is_empty(&self) -> bool {
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -102,11 +102,14 @@
             () = node.wait_for_request_end() => End::HostStopping,
         };
         match end {
-            End::Complete => self.log_answered(),
+            End::Complete => {
+                self.body_sender.finish();
+                self.log_answered();
+            }
             End::CallerLeft => self.log_caller_left(),
-            End::Expired => self.break_off("the time is over"),
-            End::HostStopping => self.break_off("the host stops"),
-            End::Failed(problem) => self.break_off(&problem),
+            End::Expired => self.log_broken_off("the time is over"),
+            End::HostStopping => self.log_broken_off("the host stops"),
+            End::Failed(problem) => self.log_broken_off(&problem),
         }
     }
 
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -25,8 +25,8 @@
         event::write(&Record::CallerLeft { id });
     }
 
-    /// Breaks the response off without its end marker, so that the caller notices that it is incomplete.
-    pub(super) fn break_off(&mut self, problem: &str) {
+    /// Logs that the response is broken off: it is dropped without its end, so that the caller notices.
+    pub(super) fn log_broken_off(&self, problem: &str) {
         event::write(&Record::BrokenOff {
             id: &self.job.info.id,
             problem,
@@ -35,7 +35,7 @@
         });
         let answers = &self.node.metrics.answers;
         answers.with_label_values(&["broken_off"]).inc();
-        if !self.body_sender.break_off() {
+        if !self.body_sender.is_connected() {
             log::debug!(
                 "the caller of {} disconnected before its response was broken off",
                 self.job.info.id
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -101,10 +101,12 @@
             relayed.is_err(),
         );
         match relayed {
-            Ok(()) => self.rest.connection.recycle(),
+            Ok(()) => {
+                self.body_sender.finish();
+                self.rest.connection.recycle();
+            }
             Err(problem) => {
                 log::info!("response to {} was broken off: {problem}", self.id);
-                self.body_sender.break_off();
             }
         }
     }
