Judge a server that breaks off a large response as any other

What operators saw: a response that is too large to be buffered was logged as answered, and its server recorded as sound, as soon as its first part had come. If the server then broke off, its caller could tell, but nothing was held against the server: no failed attempt, no check whether it has ended, no interruption of the request.

The relay of the rest now records the outcome, and logs answered (3403), broken_off (3405) or caller_left (3406), when it is known. It keeps the request without its body.

--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -107,7 +107,7 @@
 const ANSWERED: Kind = info(3403, "answered");
 /// A request was answered with one of the product's error kinds.
 const REFUSED: Kind = info(3404, "refused");
-/// A stream was broken off before its end.
+/// A response was broken off before its end.
 const BROKEN_OFF: Kind = warn(3405, "broken_off");
 /// The caller disconnected before its response was complete.
 const CALLER_LEFT: Kind = info(3406, "caller_left");
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -335,7 +335,7 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         reason: Option<&'a str>,
     },
-    /// A stream was broken off before its end.
+    /// A response was broken off before its end.
     BrokenOff {
         /// The id of the request.
         id: &'a str,
--- a/crates/alderglade-serve/src/job.rs
+++ b/crates/alderglade-serve/src/job.rs
@@ -1,6 +1,7 @@
 //! An admitted request: what its caller wants and how long it waits.
 
 use crate::clock;
+use crate::event::{self, Record};
 use crate::memory::Portion;
 use crate::node::{Node, Progress};
 use crate::translate::{Prompt, RequestInfo};
@@ -79,6 +80,24 @@
         }
     }
 
+    /// Frees the request body, which will not be sent again.
+    pub fn drop_body(&mut self) {
+        self.body = Bytes::new();
+        self.memory.release();
+    }
+
+    /// Logs and counts that the response was broken off before its end.
+    pub fn log_broken_off(&self, node: &Node, problem: &str) {
+        event::write(&Record::BrokenOff {
+            id: &self.info.id,
+            problem,
+            took_ms: self.waited().as_millis() as u64,
+            stopping_ms: node.stopping_ms(),
+        });
+        let answers = &node.metrics.answers;
+        answers.with_label_values(&["broken_off"]).inc();
+    }
+
     /// Returns the remaining time; zero after the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.left(clock::now())
--- a/crates/alderglade-serve/src/memory.rs
+++ b/crates/alderglade-serve/src/memory.rs
@@ -78,12 +78,17 @@
         }
         has_room
     }
+
+    /// Returns all bytes.
+    pub fn release(&mut self) {
+        self.used = 0;
+        let pooled = std::mem::take(&mut self.pooled);
+        self.pool.available.fetch_add(pooled, Ordering::Relaxed);
+    }
 }
 
 impl Drop for Portion {
     fn drop(&mut self) {
-        self.pool
-            .available
-            .fetch_add(self.pooled, Ordering::Relaxed);
+        self.release();
     }
 }
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -27,14 +27,7 @@
 
     /// Logs that the response is broken off: it is dropped without its end, so that the caller notices.
     pub(super) fn log_broken_off(&self, problem: &str) {
-        event::write(&Record::BrokenOff {
-            id: &self.job.info.id,
-            problem,
-            took_ms: self.job.waited().as_millis() as u64,
-            stopping_ms: self.node.stopping_ms(),
-        });
-        let answers = &self.node.metrics.answers;
-        answers.with_label_values(&["broken_off"]).inc();
+        self.job.log_broken_off(&self.node, problem);
         if !self.body_sender.is_connected() {
             log::debug!(
                 "the caller of {} disconnected before its response was broken off",
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -1,9 +1,10 @@
 //! Serves requests whose response is not a stream, by plain backend servers.
 
+mod body_relay;
+
 use crate::answer::{Chunk, Content};
 use crate::attempt::{self, Addition, SendFailure};
-use crate::body_sender::{BodySender, CallerGone};
-use crate::client::{Collected, Exchange, RemainingBody};
+use crate::client::{Collected, Error, Exchange};
 use crate::clock;
 use crate::event::{self, Record, ResponseEnd};
 use crate::forward;
@@ -11,7 +12,6 @@
 use crate::memory::Portion;
 use crate::node::{Node, Permit, Stage, Unavailability};
 use crate::translate::Reply;
-use alderglade_core::Name;
 use alderglade_core::error::Kind as ErrorKind;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::ending::Framing;
@@ -19,7 +19,7 @@
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::request_state::{RequestState, Waiting};
 use alderglade_core::request::Refusal;
-use alderglade_core::time::Time;
+use body_relay::Rest;
 use http::{Response, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,91 +41,7 @@
 struct ServerAnswer {
     first_chunk: Chunk,
     /// The remaining body, if any.
-    rest: Option<RemainingBody>,
-    server: Server,
-    /// How the server marks the end of its response.
-    framing: Framing,
-}
-
-impl ServerAnswer {
-    /// Returns the body of the caller's response. The rest is relayed as the caller reads it.
-    fn content(self, node: &Rc<Node>, job: &Job) -> Content {
-        let Some(rest) = self.rest else {
-            return Content::Whole(Some(self.first_chunk));
-        };
-        let (body_sender, receiver) = BodySender::open(&node.memory);
-        body_sender.send_first(self.first_chunk);
-        let relay = BodyRelay {
-            node: node.clone(),
-            id: job.info.id.clone(),
-            deadline: job.deadline,
-            server: self.server,
-            framing: self.framing,
-            body_sender,
-            rest,
-        };
-        tokio::task::spawn_local(relay.run());
-        Content::Stream(receiver)
-    }
-}
-
-/// Problem logged when a caller left before its response was complete.
-const CALLER_LEFT: &str = "the caller has left";
-
-/// The relay of the rest of a response that is too large to be buffered.
-struct BodyRelay {
-    node: Rc<Node>,
-    id: Name,
-    deadline: Time,
-    server: Server,
-    framing: Framing,
-    body_sender: BodySender,
-    rest: RemainingBody,
-}
-
-impl BodyRelay {
-    async fn run(mut self) {
-        let node = self.node.clone();
-        let deadline = self.deadline;
-        let relayed = tokio::select! {
-            biased;
-            relayed = self.relay_rest() => relayed,
-            () = node.wait_for_request_end() => Err("the host stops".to_string()),
-            () = clock::sleep_until(deadline) => Err("the time is over".to_string()),
-        };
-        record_end(
-            &node,
-            &self.id,
-            &self.server,
-            self.framing,
-            relayed.is_err(),
-        );
-        match relayed {
-            Ok(()) => {
-                self.body_sender.finish();
-                self.rest.connection.recycle();
-            }
-            Err(problem) => {
-                log::info!("response to {} was broken off: {problem}", self.id);
-            }
-        }
-    }
-
-    async fn relay_rest(&mut self) -> Result<(), String> {
-        loop {
-            self.body_sender.writable().await;
-            let data = tokio::select! {
-                biased;
-                data = self.rest.next() => data.map_err(|error| error.to_string())?,
-                () = self.body_sender.closed() => return Err(CALLER_LEFT.to_string()),
-            };
-            let Some(data) = data else {
-                return Ok(());
-            };
-            let sent = self.body_sender.send(data).await;
-            sent.map_err(|CallerGone| CALLER_LEFT.to_string())?;
-        }
-    }
+    rest: Option<Rest>,
 }
 
 /// The result of one attempt.
@@ -146,7 +62,7 @@
 pub async fn serve(node: &Rc<Node>, job: Job) -> Response<Content> {
     let result = run(node, &job).await;
     match result {
-        Ok(response) => finish(node, &job, response),
+        Ok(response) => finish(node, job, response),
         Err(refusal) => forward::refuse_job(node, &job, &refusal),
     }
 }
@@ -358,16 +274,22 @@
     let framing = exchange.framing;
     let mut memory = Portion::new(&node.memory);
     let collected = exchange.collect_while(|bytes| memory.grow(bytes)).await;
-    if !matches!(collected, Ok(Collected::Partial(..))) {
-        record_end(node, &job.info.id, server, framing, collected.is_err());
-    }
     let (response, rest) = match collected {
-        Ok(Collected::Whole(response)) => (response, None),
-        Ok(Collected::Partial(response, rest)) => (response, Some(rest)),
+        Ok(Collected::Whole(response)) => {
+            record_end(node, job, server, framing, "closed");
+            (response, None)
+        }
+        Ok(Collected::Partial(response, body)) => {
+            let rest = Rest {
+                body,
+                server: server.clone(),
+                framing,
+                attempt,
+            };
+            (response, Some(rest))
+        }
         Err(error) => {
-            attempt::log_failure(job, server, attempt, &error.to_string());
-            node.record_outcome(server.key(), Outcome::Failed);
-            attempt::handle_broken_off(node, job, server, None).await;
+            record_broken_off(node, job, server, attempt, framing, &error).await;
             return Err(SendFailure::Lost);
         }
     };
@@ -379,29 +301,53 @@
         node.record_outcome(server.key(), Outcome::Failed);
         return Err(SendFailure::Lost);
     }
-    let failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
-    let outcome = if failed {
+    let outcome = outcome(status);
+    // The outcome of a success that is still arriving is not known yet.
+    if outcome == Outcome::Failed || rest.is_none() {
+        record_outcome(node, job, server, outcome);
+    }
+    Ok(response.map(|body| ServerAnswer {
+        first_chunk: Chunk::new(body, memory),
+        rest,
+    }))
+}
+
+/// Returns what a whole response with this status shows of its server.
+fn outcome(status: StatusCode) -> Outcome {
+    if status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT {
         Outcome::Failed
     } else {
         Outcome::Success
-    };
+    }
+}
+
+/// Records what became of a request at its server.
+fn record_outcome(node: &Node, job: &Job, server: &Server, outcome: Outcome) {
     node.record_outcome(server.key(), outcome);
     if outcome == Outcome::Success {
         node.record_success(job.fingerprint);
     }
-    Ok(response.map(|body| ServerAnswer {
-        first_chunk: Chunk::new(body, memory),
-        rest,
-        server: server.clone(),
-        framing,
-    }))
+}
+
+/// Records that a server broke off its response.
+async fn record_broken_off(
+    node: &Rc<Node>,
+    job: &Job,
+    server: &Server,
+    attempt: u32,
+    framing: Framing,
+    error: &Error,
+) {
+    record_end(node, job, server, framing, "failed");
+    attempt::log_failure(job, server, attempt, &error.to_string());
+    node.record_outcome(server.key(), Outcome::Failed);
+    attempt::handle_broken_off(node, job, server, None).await;
 }
 
 /// Records how a server's response ended.
-fn record_end(node: &Node, id: &str, server: &Server, framing: Framing, failed: bool) {
-    let outcome = if failed { "failed" } else { "closed" };
+fn record_end(node: &Node, job: &Job, server: &Server, framing: Framing, outcome: &'static str) {
     let end = ResponseEnd {
-        id,
+        id: &job.info.id,
         server: server.id(),
         framing,
         partial_bytes: 0,
@@ -415,11 +361,17 @@
     job.route.kind.is_repeatable() && response.status().is_server_error()
 }
 
-/// Logs the response and builds what the caller receives.
-fn finish(node: &Rc<Node>, job: &Job, response: Response<ServerAnswer>) -> Response<Content> {
-    log_answered(node, job, response.status());
-    let (head, server_answer) = response.into_parts();
-    let mut answer = Response::new(server_answer.content(node, job));
+/// Builds what the caller receives. The rest of a large response is relayed as the caller reads it.
+fn finish(node: &Rc<Node>, job: Job, response: Response<ServerAnswer>) -> Response<Content> {
+    let (head, ServerAnswer { first_chunk, rest }) = response.into_parts();
+    let content = match rest {
+        None => {
+            log_answered(node, &job, head.status);
+            Content::Whole(Some(first_chunk))
+        }
+        Some(rest) => body_relay::start(node, job, head.status, first_chunk, rest),
+    };
+    let mut answer = Response::new(content);
     *answer.status_mut() = head.status;
     *answer.headers_mut() = node.translator.give_back(&head.headers);
     answer
--- /dev/null
+++ b/crates/alderglade-serve/src/unary/body_relay.rs
@@ -0,0 +1,150 @@
+//! Relays the rest of a response that is too large to be buffered.
+
+use super::{log_answered, outcome, record_broken_off, record_end, record_outcome};
+use crate::answer::{Chunk, Content};
+use crate::body_sender::{BodySender, CallerGone};
+use crate::client::{Error, RemainingBody};
+use crate::clock;
+use crate::event::{self, Record};
+use crate::job::Job;
+use crate::node::Node;
+use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::ending::Framing;
+use alderglade_core::fleet::health::Outcome;
+use http::StatusCode;
+use std::rc::Rc;
+
+/// The rest of a server's response.
+pub(super) struct Rest {
+    /// The body that is still to come.
+    pub body: RemainingBody,
+    /// The server that sends it.
+    pub server: Server,
+    /// How the server marks the end of its response.
+    pub framing: Framing,
+    /// The number of the attempt.
+    pub attempt: u32,
+}
+
+/// The relay of the rest of a response.
+struct BodyRelay {
+    node: Rc<Node>,
+    job: Job,
+    status: StatusCode,
+    body_sender: BodySender,
+    rest: Rest,
+}
+
+/// How a relay ended.
+enum End {
+    /// The whole response was relayed.
+    Complete,
+    /// The server broke off the response.
+    BrokenOff(Error),
+    /// The request's deadline has passed.
+    Expired,
+    /// The host is about to end.
+    HostStopping,
+    /// The caller disconnected.
+    CallerLeft,
+}
+
+/// Starts to relay a response whose first bytes have arrived, and returns its body.
+pub(super) fn start(
+    node: &Rc<Node>,
+    mut job: Job,
+    status: StatusCode,
+    first_chunk: Chunk,
+    rest: Rest,
+) -> Content {
+    let (body_sender, receiver) = BodySender::open(&node.memory);
+    body_sender.send_first(first_chunk);
+    job.drop_body();
+    let relay = BodyRelay {
+        node: node.clone(),
+        job,
+        status,
+        body_sender,
+        rest,
+    };
+    tokio::task::spawn_local(relay.run());
+    Content::Stream(receiver)
+}
+
+impl BodyRelay {
+    async fn run(mut self) {
+        let node = self.node.clone();
+        let deadline = self.job.deadline;
+        let end = tokio::select! {
+            biased;
+            end = self.relay_rest() => end,
+            () = node.wait_for_request_end() => End::HostStopping,
+            () = clock::sleep_until(deadline) => End::Expired,
+        };
+        match end {
+            End::Complete => self.finish(),
+            End::BrokenOff(error) => self.break_off(&error).await,
+            End::Expired => self.log_broken_off("the time is over"),
+            End::HostStopping => self.log_broken_off("the host stops"),
+            End::CallerLeft => {
+                let id = &self.job.info.id;
+                event::write(&Record::CallerLeft { id });
+            }
+        }
+    }
+
+    async fn relay_rest(&mut self) -> End {
+        loop {
+            self.body_sender.writable().await;
+            let next = tokio::select! {
+                biased;
+                next = self.rest.body.next() => next,
+                () = self.body_sender.closed() => return End::CallerLeft,
+            };
+            let data = match next {
+                Ok(Some(data)) => data,
+                Ok(None) => return End::Complete,
+                Err(error) => return End::BrokenOff(error),
+            };
+            if let Err(CallerGone) = self.body_sender.send(data).await {
+                return End::CallerLeft;
+            }
+        }
+    }
+
+    fn finish(mut self) {
+        self.body_sender.finish();
+        let BodyRelay {
+            node,
+            job,
+            status,
+            rest,
+            ..
+        } = self;
+        record_end(&node, &job, &rest.server, rest.framing, "closed");
+        // That of a failure was recorded with its head.
+        if outcome(status) == Outcome::Success {
+            record_outcome(&node, &job, &rest.server, Outcome::Success);
+        }
+        log_answered(&node, &job, status);
+        rest.body.connection.recycle();
+    }
+
+    async fn break_off(self, error: &Error) {
+        self.log_broken_off(&error.to_string());
+        let BodyRelay {
+            node, job, rest, ..
+        } = self;
+        let Rest {
+            server,
+            framing,
+            attempt,
+            ..
+        } = rest;
+        record_broken_off(&node, &job, &server, attempt, framing, error).await;
+    }
+
+    fn log_broken_off(&self, problem: &str) {
+        self.job.log_broken_off(&self.node, problem);
+    }
+}
