A server that has ended did not complete a response without a length

What callers could see: the kernel closes the connections of a process that is gone in order. A response with neither a length nor chunks looked complete then: a stream of which some events were missing, a stream without any, and the first part of a plain answer, or none of it.

Where such a response ends after a complete event, or has none, its end now depends on the server: one that has restarted, or at whose address nothing listens any more, has broken it off, unless it was leaving. A stream that ends with its connection before any event, and continues none, is broken off. The decision is core's (ending), without network or clock.

Other connections that are open to the server outweigh a refused one: a busy server may refuse more of them.

--- a/crates/alderglade-core/src/fleet/ending.rs
+++ b/crates/alderglade-core/src/fleet/ending.rs
@@ -1,4 +1,8 @@
 //! Ends of responses: whether what a server has sent is all that it had to send.
+//!
+//! A length or a last chunk says so. A response with neither ends with its connection, which is also how the kernel ends
+//! the connections of a process that is gone. So its end counts only where it can be one, and as long as its server has
+//! not ended unexpectedly.
 
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,3 +25,54 @@
         }
     }
 }
+
+/// Where a response ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Inside an event.
+    InEvent,
+    /// Before the first event of a stream that continues no other one.
+    BeforeFirstEvent,
+    /// After an event, or anywhere in a body that is no series of events.
+    Boundary,
+}
+
+/// What is known of a server whose response has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerState {
+    /// It serves, or nothing else is known.
+    Serving,
+    /// It ends in order: after its last response.
+    Leaving,
+    /// It has restarted since the request was sent.
+    Restarted,
+    /// Nothing listens at its address.
+    Gone,
+}
+
+/// What the end of a response without an error means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// The response is complete.
+    Complete,
+    /// The server has broken it off.
+    BrokenOff,
+    /// It depends on the server's state.
+    Unconfirmed,
+}
+
+impl Ending {
+    /// Judges an end by how and where it came.
+    pub fn judge(framing: Framing, place: Place) -> Ending {
+        match (framing, place) {
+            (_, Place::InEvent) | (Framing::Close, Place::BeforeFirstEvent) => Ending::BrokenOff,
+            (Framing::Close, Place::Boundary) => Ending::Unconfirmed,
+            (Framing::Length | Framing::Chunked, _) => Ending::Complete,
+        }
+    }
+
+    /// Returns whether a response whose end is unconfirmed has been broken off.
+    pub fn is_broken_off_by(server: ServerState) -> bool {
+        matches!(server, ServerState::Restarted | ServerState::Gone)
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod connectivity;
 mod directory;
+mod ending;
 mod evacuation;
 mod fanout;
 mod faults;
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -10,7 +10,7 @@
 use crate::transport::{self, Outgoing};
 use alderglade_core::Name;
 use alderglade_core::fleet::directory::Server;
-use alderglade_core::fleet::ending::Framing;
+use alderglade_core::fleet::ending::{Ending, Framing, Place, ServerState};
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::health::Outcome;
 use alderglade_core::time::Time;
@@ -154,6 +154,9 @@
 /// Problem logged for a server to which this host's path is cut.
 pub const PATH_LOST: &str = "the path to the server is cut";
 
+/// Problem logged for a server that ended when its response did, which has neither a length nor chunks.
+pub const ENDED: &str = "the server has ended";
+
 /// Problem logged for a server that restarted.
 pub const RESTARTED: &str = "the server has started again";
 
@@ -231,6 +234,33 @@
     }
 }
 
+/// Returns whether a server has broken off a response that ended after a complete event, or that has no events.
+pub async fn has_broken_off(node: &Rc<Node>, server: &Server, framing: Framing) -> bool {
+    match Ending::judge(framing, Place::Boundary) {
+        Ending::Complete => false,
+        Ending::BrokenOff => true,
+        Ending::Unconfirmed => Ending::is_broken_off_by(server_state(node, server).await),
+    }
+}
+
+/// Returns the state of a server whose response has ended with its connection.
+async fn server_state(node: &Rc<Node>, server: &Server) -> ServerState {
+    /// Several round trips between failure domains. A server that ended has refused the connection by then.
+    const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+    if node.is_superseded(server) {
+        return ServerState::Restarted;
+    }
+    if !node.is_active(server.key()) {
+        return ServerState::Leaving;
+    }
+    let ended = clock::timeout(CHECK_TIMEOUT, transport::has_ended(node, server)).await;
+    // A busy server may refuse connections beyond those that it has.
+    if ended.unwrap_or(false) && !node.client.is_connected(server.address) {
+        return ServerState::Gone;
+    }
+    ServerState::Serving
+}
+
 /// Counts and logs the end of a server's response, unless the server marked it and it lies between two events.
 pub fn record_end(node: &Node, end: &ResponseEnd<'_>) {
     if end.framing == Framing::Close {
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -4,6 +4,7 @@
 //! closes its connection, so that no server continues to work for a caller that has left.
 
 mod exchange;
+mod live;
 
 pub use exchange::{Collected, Exchange, RemainingBody};
 
@@ -14,6 +15,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use live::Live;
 use snafu::Snafu;
 use std::any::Any;
 use std::cell::{Cell, RefCell};
@@ -108,6 +110,7 @@
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
+    live: Live,
 }
 
 /// A connection in use. It is closed if it is dropped before it is recycled.
@@ -199,6 +202,11 @@
         });
     }
 
+    /// Returns whether a connection to an address is open.
+    pub fn is_connected(&self, address: SocketAddr) -> bool {
+        self.live.contains(address)
+    }
+
     /// Returns the number of idle connections.
     pub fn idle_count(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
@@ -313,10 +321,12 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| unreachable(error.to_string()))?;
+        let live = self.live.begin(address);
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address}: {error}");
             }
+            drop(live);
         });
         Ok(OpenConnection {
             address,
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -163,7 +163,7 @@
 
     /// Begins with a server's part of the stream.
     fn begin(&self, open: OpenStream) -> ServerPart {
-        let part = ServerPart::new(open);
+        let part = ServerPart::new(open, self.last_event.is_some());
         self.record_stage(&part);
         part
     }
@@ -220,6 +220,9 @@
             self.record_events(part);
             self.send(complete).await?;
         }
+        if part.has_broken_off(&self.node).await {
+            return Err(Interruption::Failed(Failure::Ended));
+        }
         let rest = part.splitter.rest().to_vec();
         if rest.is_empty() {
             return Ok(());
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -9,7 +9,7 @@
 use crate::slowdown::Reading;
 use crate::ticket::Tickets;
 use alderglade_core::fleet::directory::Server;
-use alderglade_core::fleet::ending::Framing;
+use alderglade_core::fleet::ending::{Ending, Framing, Place};
 use alderglade_core::fleet::slowdown::PauseMonitor;
 use alderglade_core::fleet::sse::Splitter;
 use alderglade_core::time::Time;
@@ -18,6 +18,7 @@
 use http::header::CONTENT_TYPE;
 use hyper::body::Incoming;
 use snafu::{ResultExt, Snafu};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// What a server sent next: bytes, or `None` at the end of its part.
@@ -35,6 +36,12 @@
     /// The stream ended before its last event was complete.
     #[snafu(display("the stream ended inside an event"))]
     InEvent,
+    /// The connection ended before the first event.
+    #[snafu(display("the stream ended before its first event"))]
+    NoEvent,
+    /// The server has ended, as did the connection.
+    #[snafu(display("{}", attempt::ENDED))]
+    Ended,
     /// An event is longer than the host buffers.
     #[snafu(display("an event is too long"))]
     EventTooLong,
@@ -61,6 +68,8 @@
     framing: Framing,
     /// Whether the response is a series of events, as it states or by default.
     has_events: bool,
+    /// Whether it continues after an event that the caller has.
+    continues: bool,
     /// The connection, to be recycled after the last byte.
     pub connection: Connection,
     pub splitter: Splitter,
@@ -84,8 +93,11 @@
 
 impl ServerPart {
     /// Begins the part of a server whose response has begun.
-    pub fn new(open: OpenStream) -> ServerPart {
+    ///
+    /// `continues` is whether the caller has an event already.
+    pub fn new(open: OpenStream, continues: bool) -> ServerPart {
         ServerPart {
+            continues,
             server: open.server,
             body: open.exchange.body,
             framing: open.exchange.framing,
@@ -131,11 +143,36 @@
     /// Returns an error if the server broke off: the connection broke, or it ended inside an event.
     pub async fn receive(&mut self) -> Received {
         match body::next(&mut self.body).await {
-            Ok(None) if self.has_events && self.splitter.is_inside_event() => Err(Failure::InEvent),
+            Ok(None) => {
+                let place = self.place();
+                match Ending::judge(self.framing, place) {
+                    Ending::BrokenOff if place == Place::InEvent => Err(Failure::InEvent),
+                    Ending::BrokenOff => Err(Failure::NoEvent),
+                    Ending::Complete | Ending::Unconfirmed => Ok(None),
+                }
+            }
             received => received.context(ConnectionSnafu),
         }
     }
 
+    /// Returns where the response stands.
+    fn place(&self) -> Place {
+        if !self.has_events {
+            Place::Boundary
+        } else if self.splitter.is_inside_event() {
+            Place::InEvent
+        } else if self.first_event_at.is_none() && !self.continues {
+            Place::BeforeFirstEvent
+        } else {
+            Place::Boundary
+        }
+    }
+
+    /// Returns whether the server broke off, although its response has ended after a complete event.
+    pub async fn has_broken_off(&self, node: &Rc<Node>) -> bool {
+        attempt::has_broken_off(node, &self.server, self.framing).await
+    }
+
     /// Records how this part ended. `id` is that of the request.
     pub fn record_end(&self, node: &Node, id: &str, outcome: &'static str) {
         let end = ResponseEnd {
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -4,7 +4,7 @@
 
 use crate::answer::{Chunk, Content};
 use crate::attempt::{self, Addition, SendFailure};
-use crate::client::{Collected, Error, Exchange};
+use crate::client::{Collected, Exchange};
 use crate::clock;
 use crate::event::{self, Record, ResponseEnd};
 use crate::forward;
@@ -275,6 +275,10 @@
     let mut memory = Portion::new(&node.memory);
     let collected = exchange.collect_while(|bytes| memory.grow(bytes)).await;
     let (response, rest) = match collected {
+        Ok(Collected::Whole(_)) if attempt::has_broken_off(node, server, framing).await => {
+            record_broken_off(node, job, server, attempt, framing, attempt::ENDED).await;
+            return Err(SendFailure::Lost);
+        }
         Ok(Collected::Whole(response)) => {
             record_end(node, job, server, framing, "closed");
             (response, None)
@@ -289,7 +293,7 @@
             (response, Some(rest))
         }
         Err(error) => {
-            record_broken_off(node, job, server, attempt, framing, &error).await;
+            record_broken_off(node, job, server, attempt, framing, &error.to_string()).await;
             return Err(SendFailure::Lost);
         }
     };
@@ -336,10 +340,10 @@
     server: &Server,
     attempt: u32,
     framing: Framing,
-    error: &Error,
+    problem: &str,
 ) {
     record_end(node, job, server, framing, "failed");
-    attempt::log_failure(job, server, attempt, &error.to_string());
+    attempt::log_failure(job, server, attempt, problem);
     node.record_outcome(server.key(), Outcome::Failed);
     attempt::handle_broken_off(node, job, server, None).await;
 }
--- a/crates/alderglade-serve/src/unary/body_relay.rs
+++ b/crates/alderglade-serve/src/unary/body_relay.rs
@@ -2,8 +2,9 @@
 
 use super::{log_answered, outcome, record_broken_off, record_end, record_outcome};
 use crate::answer::{Chunk, Content};
+use crate::attempt;
 use crate::body_sender::{BodySender, CallerGone};
-use crate::client::{Error, RemainingBody};
+use crate::client::RemainingBody;
 use crate::clock;
 use crate::event::{self, Record};
 use crate::job::Job;
@@ -40,7 +41,7 @@
     /// The whole response was relayed.
     Complete,
     /// The server broke off the response.
-    BrokenOff(Error),
+    BrokenOff(String),
     /// The request's deadline has passed.
     Expired,
     /// The host is about to end.
@@ -83,7 +84,7 @@
         };
         match end {
             End::Complete => self.finish(),
-            End::BrokenOff(error) => self.break_off(&error).await,
+            End::BrokenOff(problem) => self.break_off(&problem).await,
             End::Expired => self.log_broken_off("the time is over"),
             End::HostStopping => self.log_broken_off("the host stops"),
             End::CallerLeft => {
@@ -103,8 +104,8 @@
             };
             let data = match next {
                 Ok(Some(data)) => data,
-                Ok(None) => return End::Complete,
-                Err(error) => return End::BrokenOff(error),
+                Ok(None) => return self.confirm_end().await,
+                Err(error) => return End::BrokenOff(error.to_string()),
             };
             if let Err(CallerGone) = self.body_sender.send(data).await {
                 return End::CallerLeft;
@@ -112,6 +113,17 @@
         }
     }
 
+    /// Returns how the relay of a response ends that ended without an error.
+    async fn confirm_end(&self) -> End {
+        let Rest {
+            server, framing, ..
+        } = &self.rest;
+        if attempt::has_broken_off(&self.node, server, *framing).await {
+            return End::BrokenOff(attempt::ENDED.to_string());
+        }
+        End::Complete
+    }
+
     fn finish(mut self) {
         self.body_sender.finish();
         let BodyRelay {
@@ -130,8 +142,8 @@
         rest.body.connection.recycle();
     }
 
-    async fn break_off(self, error: &Error) {
-        self.log_broken_off(&error.to_string());
+    async fn break_off(self, problem: &str) {
+        self.log_broken_off(problem);
         let BodyRelay {
             node, job, rest, ..
         } = self;
@@ -141,7 +153,7 @@
             attempt,
             ..
         } = rest;
-        record_broken_off(&node, &job, &server, attempt, framing, error).await;
+        record_broken_off(&node, &job, &server, attempt, framing, problem).await;
     }
 
     fn log_broken_off(&self, problem: &str) {
