Tell the host whose request is carried how its server framed the answer

What callers could see: a host that carries an exchange for another one marks the end of the answer by chunks. So the other host took a stream that ended with its server's connection for complete where it would have asked about the server, or known better, on its own connection: without any event, or whose server had ended.

The proxy now names the framing in alderglade-proxy-framing beside the outcome; hosts of before ignore it. The check of a server that has ended asks other hosts where the own path is cut, as before.

--- a/crates/alderglade-serve/src/proxy/head.rs
+++ b/crates/alderglade-serve/src/proxy/head.rs
@@ -1,5 +1,6 @@
 //! The headers between a host and its proxy.
 
+use alderglade_core::fleet::ending::Framing;
 use alderglade_core::fleet::incarnation::Key;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use std::fmt;
@@ -10,6 +11,23 @@
 /// What became of a request at the proxy. A response without it is not from a proxy.
 pub const OUTCOME: HeaderName = HeaderName::from_static("alderglade-proxy-outcome");
 
+/// How the server marks the end of its response, if the proxy marks it in another way.
+pub const FRAMING: HeaderName = HeaderName::from_static("alderglade-proxy-framing");
+
+/// Notes the server's framing in the head of a response, in place of one that the server sent.
+pub fn set_framing(framing: Framing, head: &mut HeaderMap) {
+    head.remove(FRAMING);
+    if framing == Framing::Close {
+        head.insert(FRAMING, HeaderValue::from_static(framing.label()));
+    }
+}
+
+/// Removes the framing from the head of a proxy's response and returns it, if the proxy has changed it.
+pub fn take_framing(head: &mut HeaderMap) -> Option<Framing> {
+    let value = head.remove(FRAMING)?;
+    (value == Framing::Close.label()).then_some(Framing::Close)
+}
+
 /// What is sent to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
--- a/crates/alderglade-serve/src/proxy/send.rs
+++ b/crates/alderglade-serve/src/proxy/send.rs
@@ -1,6 +1,6 @@
 //! Sends requests through proxies.
 
-use super::head::{Outcome, Purpose, TARGET, Target};
+use super::head::{self, Outcome, Purpose, TARGET, Target};
 use crate::client::{Error, Exchange};
 use crate::clock;
 use crate::event::{self, Record};
@@ -164,7 +164,11 @@
     }
     let sent = node.client.send(proxy.address, request, target.fresh).await;
     let result = sent.map(|mut exchange| {
-        let outcome = Outcome::take(&mut exchange.head.headers);
+        let headers = &mut exchange.head.headers;
+        let outcome = Outcome::take(headers);
+        if let Some(framing) = head::take_framing(headers) {
+            exchange.framing = framing;
+        }
         // Only a proxy states the outcome. Without it the host has not sent the request anywhere.
         (exchange, outcome.unwrap_or(Outcome::Unavailable))
     });
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -1,7 +1,7 @@
 //! Carries exchanges for hosts that have no path to a server.
 
 use super::body::{PeerBody, ProxiedBody, Resources};
-use super::head::{OUTCOME, Outcome, Purpose, TARGET, Target};
+use super::head::{self, OUTCOME, Outcome, Purpose, TARGET, Target};
 use crate::client::{Error, Exchange};
 use crate::clock;
 use crate::event::{self, Record};
@@ -178,13 +178,14 @@
     let Exchange {
         head,
         body,
+        framing,
         connection,
-        ..
     } = exchange;
     let body = ProxiedBody::new(body, connection, resources);
     let mut response = Response::new(PeerBody::Right(Box::new(body)));
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end(head.headers);
+    head::set_framing(framing, response.headers_mut());
     Outcome::Answered.set(response.headers_mut());
     response
 }
