Own daemon: plain services are called with the client of the serving layer

What callers saw: 200 and the first part of an answer of a plain service, where that has neither a length nor chunks and its connection is reset. A service that ended under its answer was as bad.

The calls now go through the client of alderglade-serve, which tells resets, the framing and refused connections apart, and judge the end as the adapter does. Each call has a connection of its own, as before. Redirects are passed on as any status; they used to be followed, and a call may run once only.

Streams of engines need their closing line and were never short.

--- a/crates/alderglade-backend/src/service.rs
+++ b/crates/alderglade-backend/src/service.rs
@@ -1,12 +1,18 @@
 //! HTTP calls to plain services. Bodies pass through unchanged.
 
-use crate::engine::failed_before_send;
+use alderglade_core::fleet::ending::{Ending, Place, ServerState};
+use alderglade_serve::client::{Client, Collected, Error};
+use bytes::Bytes;
+use http::Request;
+use http::header::HOST;
+use http_body_util::Full;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::LocalSet;
 
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Largest response body that is passed on.
-const MAX_RESPONSE_BYTES: u64 = 4 << 20;
+/// Largest response body that is passed on, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Header with the id of the request that a call belongs to.
 pub const REQUEST_HEADER: &str = "x-alderglade-request";
 
@@ -46,40 +52,84 @@
 /// HTTP status by which a server reports that it is leaving and has not run the call.
 const STATUS_LEAVING: u16 = 421;
 
-/// Creates the HTTP agent for calls; one agent serves all servers.
-pub fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_connect(Some(CONNECT_TIMEOUT))
-        // An idle connection may break just as a call is sent on it, and then it is unknown whether
-        // the call ran.
-        .max_idle_connections(0)
-        .build()
-        .into()
+/// Posts a call to its server and waits for the outcome.
+///
+/// # Panics
+///
+/// Panics if called from within an asynchronous runtime.
+pub fn call(call: &Call<'_>) -> End {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(cause) => {
+            log::warn!("failed to start a runtime for a call: {cause}");
+            return End::Unreached;
+        }
+    };
+    let exchange = async {
+        let timeout = tokio::time::timeout(call.limit, exchange(call));
+        timeout.await.unwrap_or(End::Broke)
+    };
+    LocalSet::new().block_on(&runtime, exchange)
 }
 
-/// Posts a call to its server and waits for the outcome.
-pub fn call(agent: &ureq::Agent, call: &Call<'_>) -> End {
-    let url = format!("http://{}{}", call.address, call.path);
-    let response = agent
-        .post(&url)
-        .header(REQUEST_HEADER, &call.request)
-        .config()
-        .timeout_global(Some(call.limit))
-        .build()
-        .send(call.body);
-    let mut response = match response {
-        Ok(response) => response,
-        Err(error) if failed_before_send(&error) => return End::Unreached,
-        Err(_) => return End::Broke,
+/// Sends a call and reads the whole response.
+async fn exchange(call: &Call<'_>) -> End {
+    let Some((address, request)) = request(call) else {
+        return End::Unreached;
+    };
+    let client = Rc::new(Client::default());
+    // An idle connection may break just as a call is sent on it, and then it is unknown whether the call ran.
+    let exchange = match client.send(address, request, true).await {
+        Ok(exchange) => exchange,
+        Err(Error::Unreachable { .. } | Error::Closed { .. } | Error::NotSent) => {
+            return End::Unreached;
+        }
+        Err(Error::Lost { .. } | Error::ProxyLost { .. }) => return End::Broke,
     };
-    let status = response.status().as_u16();
+    let status = exchange.head.status.as_u16();
     if status == STATUS_LEAVING {
         return End::Leaving;
     }
-    let body = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES);
-    match body.read_to_string() {
+    let framing = exchange.framing;
+    let mut length = 0;
+    let is_within_limit = |bytes| {
+        length += bytes;
+        length <= MAX_RESPONSE_BYTES
+    };
+    let Ok(Collected::Whole(response)) = exchange.collect_while(is_within_limit).await else {
+        return End::Broke;
+    };
+    let ending = Ending::judge(framing, Place::Boundary);
+    if ending == Ending::Unconfirmed
+        && Ending::is_broken_off_by(server_state(&client, address).await)
+    {
+        return End::Broke;
+    }
+    match String::from_utf8(response.into_body().into()) {
         Ok(body) => End::Answered { status, body },
         Err(_) => End::Broke,
     }
 }
+
+/// Builds the request of a call. Returns `None` if its address or path is invalid.
+fn request(call: &Call<'_>) -> Option<(SocketAddr, Request<Full<Bytes>>)> {
+    let address = call.address.parse().ok()?;
+    let body = Full::new(Bytes::copy_from_slice(call.body));
+    let request = Request::post(call.path)
+        .header(HOST, call.address)
+        .header(REQUEST_HEADER, &call.request)
+        .body(body)
+        .ok()?;
+    Some((address, request))
+}
+
+/// Returns the state of a server whose response has ended with its connection.
+async fn server_state(client: &Client, address: SocketAddr) -> ServerState {
+    match client.connect(address).await {
+        Err(Error::Closed { .. }) => ServerState::Gone,
+        _ => ServerState::Serving,
+    }
+}
--- /dev/null
+++ b/crates/alderglade-backend/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP client for backend servers, over real sockets.
+
+mod service;
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -96,7 +96,6 @@
         control: control.clone(),
         published: published.clone(),
         engines: engines.clone(),
-        services: traffic::agent(),
         metrics: metrics.clone(),
     });
     let door = traffic::open(host.callers, host.max_requests, traffic)?;
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -10,7 +10,6 @@
 use super::control::{Input, Instruction};
 use super::engines::Engines;
 use super::snapshot::{Published, Snapshot};
-use alderglade_backend::service;
 use alderglade_caller::answer::{Answer, Closing, Usage};
 use alderglade_caller::ask::{self, Fault, Headers};
 use alderglade_caller::listen::{Handler, Request};
@@ -56,8 +55,6 @@
     pub published: Published,
     /// Engines.
     pub engines: Engines,
-    /// For calls to plain services.
-    pub services: ureq::Agent,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -384,8 +381,3 @@
 ) -> Result<alderglade_caller::listen::Door, alderglade_caller::listen::Error> {
     alderglade_caller::listen::Door::open(address, most, traffic)
 }
-
-/// Makes the agent for calls to plain services.
-pub(crate) fn agent() -> ureq::Agent {
-    service::agent()
-}
--- a/src/entry/traffic/call.rs
+++ b/src/entry/traffic/call.rs
@@ -126,16 +126,13 @@
     server: &Name,
 ) -> bool {
     let end = match ask.address(server) {
-        Some(address) => service::call(
-            &traffic.services,
-            &service::Call {
-                address: &address,
-                path: &ask.path,
-                request: pending.id.to_string(),
-                body: &ask.body,
-                limit: pending.left(),
-            },
-        ),
+        Some(address) => service::call(&service::Call {
+            address: &address,
+            path: &ask.path,
+            request: pending.id.to_string(),
+            body: &ask.body,
+            limit: pending.left(),
+        }),
         None => End::Unreached,
     };
     let late = pending.left().is_zero();
