Don't resume a stream after an event that has no id

What callers could get: events twice. A stream goes on at another server after the last event that has an id; data that came after it without one was sent again, the whole stream where none had an id.

Such a stream is broken off towards its caller instead, until its next event with an id. Comments may follow.

--- a/crates/alderglade-core/src/fleet/sse.rs
+++ b/crates/alderglade-core/src/fleet/sse.rs
@@ -8,6 +8,8 @@
     pub bytes: Vec<u8>,
     /// Its id, if it has one.
     pub id: Option<String>,
+    /// Whether it has data, as opposed to comments.
+    pub has_data: bool,
 }
 
 /// Buffers bytes and returns complete events.
@@ -24,7 +26,12 @@
         while let Some(end) = boundary(&self.rest) {
             let bytes: Vec<u8> = self.rest.drain(..end).collect();
             let id = id_of(&bytes);
-            events.push(Event { bytes, id });
+            let has_data = lines(&bytes).any(|line| line.starts_with(b"data"));
+            events.push(Event {
+                bytes,
+                id,
+                has_data,
+            });
         }
         // A stream whose receiver does not read keeps the rest, without room for the bytes that preceded it.
         self.rest.shrink_to_fit();
@@ -56,9 +63,13 @@
 }
 
 fn id_of(event: &[u8]) -> Option<String> {
-    event.split(|byte| *byte == b'\n').find_map(|line| {
+    lines(event).find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         let text = String::from_utf8_lossy(value);
         Some(text.trim().to_string())
     })
 }
+
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|byte| *byte == b'\n')
+}
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -40,6 +40,8 @@
     body_sender: BodySender,
     /// The id of the last event that was relayed.
     last_event: Option<String>,
+    /// Whether the caller has data of events after that one, which another server would send again.
+    has_later_data: bool,
     /// When the first event was relayed.
     first_event_at: Option<Time>,
     /// When the last event was relayed.
@@ -81,6 +83,7 @@
         job,
         state,
         body_sender,
+        has_later_data: false,
         first_event_at: None,
         last_event_at: None,
         events_pending: false,
@@ -202,7 +205,7 @@
                 ..
             }
         );
-        resumable && self.state.sends < self.job.route.max_attempts
+        resumable && !self.has_later_data && self.state.sends < self.job.route.max_attempts
     }
 
     /// Relays each event as soon as it is complete, and the bytes after the last one.
@@ -295,6 +298,9 @@
         for event in splitter.push(data) {
             if event.id.is_some() {
                 self.last_event = event.id;
+                self.has_later_data = false;
+            } else {
+                self.has_later_data |= event.has_data;
             }
             complete.extend_from_slice(&event.bytes);
         }
