Responses of HTTP/1.0 have no chunks, whatever they state

A response of HTTP/1.0 with a Transfer-Encoding counted as one that tells its end, and would not have been confirmed. Found by reading; such a response ends with its connection (RFC 9112, section 6.3).

--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -255,7 +255,7 @@
         connection.idle_timeout = idle_timeout(&head.headers);
         connection.sender = Some(sender);
         Ok(Exchange {
-            framing: exchange::framing(&head.headers, &body),
+            framing: exchange::framing(&head, &body),
             head,
             body,
             connection,
--- a/crates/alderglade-serve/src/client/exchange.rs
+++ b/crates/alderglade-serve/src/client/exchange.rs
@@ -5,7 +5,7 @@
 use alderglade_core::fleet::ending::Framing;
 use bytes::{Bytes, BytesMut};
 use http::header::TRANSFER_ENCODING;
-use http::{HeaderMap, Response};
+use http::{Response, Version};
 use hyper::body::{Body, Incoming};
 
 /// Maximum length of a response that is buffered as a whole, in bytes.
@@ -101,11 +101,15 @@
 }
 
 /// Returns how a server marks the end of a response's body.
-pub(super) fn framing(head: &HeaderMap, body: &Incoming) -> Framing {
+pub(super) fn framing(head: &http::response::Parts, body: &Incoming) -> Framing {
     if body.is_end_stream() || body.size_hint().exact().is_some() {
         return Framing::Length;
     }
-    let mut codings = head.get_all(TRANSFER_ENCODING).iter();
+    // HTTP/1.0 has no transfer codings.
+    if head.version < Version::HTTP_11 {
+        return Framing::Close;
+    }
+    let mut codings = head.headers.get_all(TRANSFER_ENCODING).iter();
     let last = codings.next_back();
     let last = last.and_then(|value| value.to_str().ok());
     let last = last.and_then(|codings| codings.rsplit(',').next());
