Box the check of a server that ended with its response

The future of the check, with a connection and questions to other hosts, would be reserved in each relay. Measured on the test of slow readers (1,000 callers, debug build, beside other load): peaks of 69.5 to 73.4 MB in three runs with the box, 71.2 to 71.5 MB in three without, 64.5 to 72.3 MB in four on: the difference is within what the test varies by.

--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -239,7 +239,8 @@
     match Ending::judge(framing, Place::Boundary) {
         Ending::Complete => false,
         Ending::BrokenOff => true,
-        Ending::Unconfirmed => Ending::is_broken_off_by(server_state(node, server).await),
+        // Boxed: few responses need this future, and each relay would reserve room for it otherwise.
+        Ending::Unconfirmed => Ending::is_broken_off_by(Box::pin(server_state(node, server)).await),
     }
 }
 
