--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -83,6 +83,13 @@
     task: AbortHandle,
 }
 
+impl OpenConnection {
+    /// Returns whether the other side has left the connection open so far.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
+
 /// An idle connection.
 struct IdleConnection {
     link: OpenConnection,
