A server that was leaving did not complete a response by ending

What callers could get: a stream that looked whole although its server had ended between two events, after it had said that it leaves. The platform lets it serve on for some time and then ends it.

Leaving is no evidence any more; a server that is gone has broken off.

Evidence: broken_off, red before (200, whole, two events of four), green now; core's test of the decision; the tests of leaving servers and of stops are green.

--- a/crates/alderglade-core/src/fleet/ending.rs
+++ b/crates/alderglade-core/src/fleet/ending.rs
@@ -2,7 +2,7 @@
 //!
 //! A length or a last chunk says so. A response with neither ends with its connection, which is also how the kernel ends
 //! the connections of a process that is gone. So its end counts only where it can be one, and as long as its server has
-//! not ended unexpectedly.
+//! not ended. That holds for a server that was leaving, too: it need not wait for its last response.
 
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,8 +42,6 @@
 pub enum ServerState {
     /// It serves, or nothing else is known.
     Serving,
-    /// It ends in order: after its last response.
-    Leaving,
     /// It has restarted since the request was sent.
     Restarted,
     /// Nothing listens at its address.
--- a/crates/alderglade-core/tests/testsuite/fleet/ending.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/ending.rs
@@ -30,7 +30,5 @@
     for state in [ServerState::Restarted, ServerState::Gone] {
         assert!(Ending::is_broken_off_by(state), "{state:?}");
     }
-    for state in [ServerState::Serving, ServerState::Leaving] {
-        assert!(!Ending::is_broken_off_by(state), "{state:?}");
-    }
+    assert!(!Ending::is_broken_off_by(ServerState::Serving));
 }
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -251,9 +251,6 @@
     if node.is_superseded(server) {
         return ServerState::Restarted;
     }
-    if !node.is_active(server.key()) {
-        return ServerState::Leaving;
-    }
     let ended = clock::timeout(CHECK_TIMEOUT, transport::has_ended(node, server)).await;
     // A busy server may refuse connections beyond those that it has.
     if ended.unwrap_or(false) && !node.client.is_connected(server.address) {
