--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -154,7 +154,7 @@
 /// Problem logged for a server to which this host's path is cut.
 pub const PATH_LOST: &str = "the path to the server is cut";
 
-/// Problem logged for a server that ended when its response did, which has neither a length nor chunks.
+/// Problem logged for a server that has ended, and whose response has neither a length nor chunks that mark its end.
 pub const ENDED: &str = "the server has ended";
 
 /// Problem logged for a server that restarted.
