Own daemon: share the check whether a server has ended

What callers could see: 200 and the first part of an answer of a plain service without a length, where something still accepts a connection for the service that is gone: its kernel for a moment, or a proxy. The adapter's check was given five milliseconds for that; the own daemon's twin of it, written again beside its call, was not.

Both now call client::settle, which waits and turns a connection that was closed meanwhile into a refused one. The adapter's verdicts stay as they are: a server that accepted the connection has no path check pending.

Evidence: a test of alderglade-backend, red before ("the whol" with 200), green now; broken_off, crash and path_loss (51 tests) are green.

--- a/crates/alderglade-backend/src/service.rs
+++ b/crates/alderglade-backend/src/service.rs
@@ -1,7 +1,7 @@
 //! HTTP calls to plain services. Bodies pass through unchanged.
 
 use alderglade_core::fleet::ending::{Ending, Place, ServerState};
-use alderglade_serve::client::{Client, Collected, Error};
+use alderglade_serve::client::{self, Client, Collected, Error};
 use bytes::Bytes;
 use http::Request;
 use http::header::HOST;
@@ -128,7 +128,7 @@
 
 /// Returns the state of a server whose response has ended with its connection.
 async fn server_state(client: &Client, address: SocketAddr) -> ServerState {
-    match client.connect(address).await {
+    match client::settle(client.connect(address).await).await {
         Err(Error::Closed { .. }) => ServerState::Gone,
         _ => ServerState::Serving,
     }
--- a/crates/alderglade-backend/tests/testsuite/service.rs
+++ b/crates/alderglade-backend/tests/testsuite/service.rs
@@ -17,6 +17,8 @@
     Reset,
     /// The server's process ends: nothing listens any more, and the connection is closed.
     Crash,
+    /// The same, but something still accepts a connection, and closes it at once.
+    CrashBehindProxy,
 }
 
 /// The heads of answers of each framing, with the body as it is written.
@@ -60,7 +62,13 @@
         }
         let open = (ending != Ending::Crash).then_some(listener);
         drop(stream);
-        open
+        match open {
+            Some(listener) if ending == Ending::CrashBehindProxy => {
+                drop(listener.accept());
+                None
+            }
+            open => open,
+        }
     });
     let address = address.to_string();
     let end = service::call(&Call {
@@ -107,3 +115,13 @@
         assert_eq!(call(part, Ending::Crash), End::Broke, "{framing}");
     }
 }
+
+/// Guards against the same where something accepts connections in place of the server: its kernel for a moment, or a proxy.
+#[test]
+fn a_connection_that_is_closed_at_once_is_no_sign_of_a_living_server() {
+    let [_, _, (_, close, body), (_, http10, _)] = framings();
+    for head in [close, http10] {
+        let part = head + &body[..body.len() / 2];
+        assert_eq!(call(part, Ending::CrashBehindProxy), End::Broke);
+    }
+}
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -83,11 +83,23 @@
     task: AbortHandle,
 }
 
-impl OpenConnection {
-    /// Returns whether the other side has left the connection open so far.
-    pub fn is_open(&self) -> bool {
-        !self.sender.is_closed()
+/// How long the connections of a process that ends may outlive each other: its listener may still accept some after
+/// the first ones were closed.
+pub(crate) const EXIT_TIME: Duration = Duration::from_millis(5);
+
+/// Waits until a process that was ending when it was connected to has ended.
+///
+/// # Errors
+///
+/// Returns [`Error::Closed`] if the connection was closed meanwhile, and an error to connect unchanged.
+pub async fn settle(connected: Result<OpenConnection, Error>) -> Result<OpenConnection, Error> {
+    clock::sleep(EXIT_TIME).await;
+    let link = connected?;
+    if link.sender.is_closed() {
+        let reason = "closed right after it was opened".to_string();
+        return Err(Error::Closed { reason });
     }
+    Ok(link)
 }
 
 /// An idle connection.
--- a/crates/alderglade-serve/src/transport.rs
+++ b/crates/alderglade-serve/src/transport.rs
@@ -1,7 +1,7 @@
 //! Sends requests to backend servers: over this host's own connections, or through another host while the own path to
 //! a server is cut.
 
-use crate::client::{Error, Exchange, IdleSend, OpenConnection};
+use crate::client::{self, Error, Exchange, IdleSend, OpenConnection};
 use crate::clock;
 use crate::node::Node;
 use crate::proxy::{self, Purpose};
@@ -121,25 +121,18 @@
     node.path_to(server.key()) == Path::Proxied
 }
 
-/// How long the connections of a process that ends may outlive each other: its listener may still accept some after
-/// the first ones were closed.
-const EXIT_TIME: Duration = Duration::from_millis(5);
-
 /// Returns whether nothing listens at a server's address, as this host and, if it has no path to the server, other
 /// hosts see it. A connection that is closed right after it was opened shows that, too.
 pub async fn has_ended(node: &Rc<Node>, server: &Server) -> bool {
     if node.path_to(server.key()) == Path::Proxied {
-        clock::sleep(EXIT_TIME).await;
+        clock::sleep(client::EXIT_TIME).await;
         return proxy::check(node, server).await == Finding::Down;
     }
-    let connected = connect(node, server).await;
-    clock::sleep(EXIT_TIME).await;
-    match connected {
-        Ok(link) if link.is_open() => {
+    match client::settle(connect(node, server).await).await {
+        Ok(link) => {
             node.client.keep(link);
             false
         }
-        Ok(_) => true,
         Err(Error::Closed { .. }) => !is_blocked(node, server).await,
         Err(_) => false,
     }
