Events tell whether they have data when asked

It was worked out for each event of each stream as it was split, and is needed only for those without an id. The tests of streams, of their ids and of the splitter are green.

--- a/crates/alderglade-core/src/fleet/sse.rs
+++ b/crates/alderglade-core/src/fleet/sse.rs
@@ -8,8 +8,13 @@
     pub bytes: Vec<u8>,
     /// Its id, if it has one.
     pub id: Option<String>,
-    /// Whether it has data, as opposed to comments.
-    pub has_data: bool,
+}
+
+impl Event {
+    /// Returns whether it has data, as opposed to comments.
+    pub fn has_data(&self) -> bool {
+        lines(&self.bytes).any(|line| line.starts_with(b"data"))
+    }
 }
 
 /// Buffers bytes and returns complete events.
@@ -26,12 +31,7 @@
         while let Some(end) = boundary(&self.rest) {
             let bytes: Vec<u8> = self.rest.drain(..end).collect();
             let id = id_of(&bytes);
-            let has_data = lines(&bytes).any(|line| line.starts_with(b"data"));
-            events.push(Event {
-                bytes,
-                id,
-                has_data,
-            });
+            events.push(Event { bytes, id });
         }
         // A stream whose receiver does not read keeps the rest, without room for the bytes that preceded it.
         self.rest.shrink_to_fit();
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -296,13 +296,13 @@
     fn complete_events(&mut self, splitter: &mut Splitter, data: &Bytes) -> Vec<u8> {
         let mut complete = Vec::new();
         for event in splitter.push(data) {
+            complete.extend_from_slice(&event.bytes);
             if event.id.is_some() {
                 self.last_event = event.id;
                 self.has_later_data = false;
             } else {
-                self.has_later_data |= event.has_data;
+                self.has_later_data |= event.has_data();
             }
-            complete.extend_from_slice(&event.bytes);
         }
         complete
     }
