Test of a stopped host: use a port that no other test has

Cause: the port was free on the host's address when the system gave it, which says nothing of 127.0.0.1, where the stand-ins of the tests beside it listen. Measured while two test programs ran: 388 of the 14,115 ports that the system gives to listeners could not be listened at on 127.0.0.1; 0 of them a moment after the programs had ended. TIME_WAIT is not the cause: 8,246 ports were held by connections that were being closed, but the system gives listeners only ports of the other parity.

The test now takes the port while the host still runs, and another host if it is taken. It is stricter than before: it also fails if the request reaches the stand-in without an answer.

--- a/tests/testsuite/faults.rs
+++ b/tests/testsuite/faults.rs
@@ -3,8 +3,8 @@
 use crate::fleet::{Fleet, PATIENCE, Plan, assert_whole, generate_at, get, wait, wall_ms};
 use alderglade_standin::client::{self, Answer, Booking};
 use alderglade_standin::fleet::{self, DESK, REVIEW, token};
-use alderglade_standin::platform::Platform;
 use std::collections::BTreeMap;
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -195,15 +195,22 @@
 #[test]
 fn no_stand_in_answers_for_a_host_that_has_stopped() {
     let mut fleet = Fleet::start(&Plan::default());
-    let stopped = fleet.hosts.remove(0);
-    stopped.process.signal("TERM");
-    let address = stopped.addresses.callers.clone();
-    let mut process = stopped.process;
-    process.wait(PATIENCE).expect("the host stops");
-    // As another test's stand-in may be given it by the system.
-    let stranger = Platform::start(&format!("127.0.0.1:{}", port(&address)));
-    let answer = generate_at(&address, DESK, "to a host that is gone", 1_000, 30);
-    assert_eq!(answer.status, 0, "{answer:?} from {}", stranger.address());
+    // Another test may already use the port on the address of the stand-ins.
+    let (mut host, stranger) = loop {
+        let host = fleet.hosts.remove(0);
+        let port = port(&host.addresses.callers);
+        if let Ok(stranger) = TcpListener::bind(format!("127.0.0.1:{port}")) {
+            break (host, stranger);
+        }
+        fleet.start_host("muc-a-more", "muc-a");
+    };
+    host.process.signal("TERM");
+    host.process.wait(PATIENCE).expect("the host stops");
+    let address = &host.addresses.callers;
+    let answer = generate_at(address, DESK, "to a host that is gone", 1_000, 30);
+    assert_eq!(answer.status, 0, "{answer:?}");
+    stranger.set_nonblocking(true).expect("a listener");
+    assert!(stranger.accept().is_err(), "a stand-in got the request");
 }
 
 #[test]
