Queue the bytes of a response without their resource's fields

Cause: the queue between a relay and its caller's connection has blocks of 32 slots, and a slot was 80 bytes: the bytes of a chunk beside the fields of what the chunk holds. A stream that is not read has two blocks, 5.2 KB. The resource moved into the bytes only when they were written, with an allocation that can as well be made when the chunk is created.

A slot is 32 bytes now.

--- a/crates/alderglade-serve/src/answer.rs
+++ b/crates/alderglade-serve/src/answer.rs
@@ -17,30 +17,17 @@
 #[snafu(display("the answer was broken off"))]
 pub struct BrokenOff;
 
-/// Bytes that are being sent to a caller.
+/// Bytes that are being sent to a caller, and the resource that is released when the caller's connection has written them.
 #[derive(Debug)]
-pub struct Chunk {
-    bytes: Bytes,
-    /// The resource that is released when the caller's connection has written the bytes.
-    resource: Option<Resource>,
-}
-
-/// The resource that a chunk holds.
-#[derive(Debug)]
-enum Resource {
-    /// Memory of the host for a whole response.
-    Memory(#[expect(dead_code, reason = "dropped with the chunk")] Portion),
-    /// A chunk of a stream that is in flight.
-    ChunkInFlight(#[expect(dead_code, reason = "dropped with the chunk")] ChunkGuard),
-}
+pub struct Chunk(Bytes);
 
 /// Bytes with the resource that they hold.
-struct OwnedBytes {
+struct OwnedBytes<R> {
     bytes: Bytes,
-    _resource: Resource,
+    _resource: R,
 }
 
-impl AsRef<[u8]> for OwnedBytes {
+impl<R> AsRef<[u8]> for OwnedBytes<R> {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
@@ -49,39 +36,31 @@
 impl Chunk {
     /// Creates the chunk of a whole response, whose memory is released when it is written.
     pub fn new(bytes: Bytes, memory: Portion) -> Chunk {
-        Chunk {
-            bytes,
-            resource: Some(Resource::Memory(memory)),
-        }
+        Chunk::holding(bytes, memory)
     }
 
     /// Creates a chunk of a stream.
     pub(crate) fn in_flight(bytes: Bytes, guard: ChunkGuard) -> Chunk {
-        Chunk {
+        Chunk::holding(bytes, guard)
+    }
+
+    fn holding(bytes: Bytes, resource: impl Send + 'static) -> Chunk {
+        Chunk(Bytes::from_owner(OwnedBytes {
             bytes,
-            resource: Some(Resource::ChunkInFlight(guard)),
-        }
+            _resource: resource,
+        }))
     }
 
     /// Converts the chunk into the frame that the caller's connection writes.
     fn into_frame(self) -> Frame<Bytes> {
-        Frame::data(match self.resource {
-            None => self.bytes,
-            Some(resource) => Bytes::from_owner(OwnedBytes {
-                bytes: self.bytes,
-                _resource: resource,
-            }),
-        })
+        Frame::data(self.0)
     }
 }
 
 impl From<Bytes> for Chunk {
     /// Creates a small chunk that holds no resource.
     fn from(bytes: Bytes) -> Chunk {
-        Chunk {
-            bytes,
-            resource: None,
-        }
+        Chunk(bytes)
     }
 }
 
@@ -127,7 +106,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Content::Whole(chunk) => {
-                let length = chunk.as_ref().map_or(0, |chunk| chunk.bytes.len());
+                let length = chunk.as_ref().map_or(0, |chunk| chunk.0.len());
                 SizeHint::with_exact(length as u64)
             }
             Content::Stream(_) => SizeHint::default(),
