Hold the future of a send once

Cause: the future of a send was created before the block that awaits it, which holds it as a capture and again while it is polled: 3.3 KB twice for each request that waits for a server's answer. It is created in the block now.

--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -273,8 +273,10 @@
         last_event,
         urgency: urgency(node, job, state),
     };
-    let answer = attempt::send(node, job, server, permit, addition, attempt);
-    let answer = async { check_response(node, job, server, attempt, answer.await) };
+    let answer = async move {
+        let answer = attempt::send(node, job, server, permit, addition, attempt).await;
+        check_response(node, job, server, attempt, answer)
+    };
     tokio::select! {
         // A response that has arrived takes precedence over any sign of its absence.
         biased;
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -182,8 +182,8 @@
     job.progress.set_stage(Stage::Sent(server.id().clone()));
     let may_replace = sends < job.route.max_attempts && job.route.kind.is_repeatable();
     let sent = request_state.send();
-    let exchange = attempt::send(node, job, server, permit, Addition::default(), sends);
-    let whole = async {
+    let whole = async move {
+        let exchange = attempt::send(node, job, server, permit, Addition::default(), sends);
         let (exchange, reply) = exchange.await?;
         collect(node, job, server, sends, exchange, &reply).await
     };
