Hold the state of a relay and of a request once

Cause: what a future is given stays in it beside the variable that it is moved to, at each level of calls. The task of a relayed stream held its state (976 bytes) twice and the server's head (632 bytes) four times, 5.4 KB in all; a request of 632 bytes was held up to six times while its answer was awaited. Requests, relays and servers' parts are boxed where they are passed on.

--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -66,9 +66,9 @@
 
 /// Serves an admitted request. If the host is about to stop before there is a response, the caller is informed that
 /// it is unknown whether the request ran.
-async fn answer(node: &Rc<Node>, job: Job, in_flight: RequestGuard) -> Response<Answer> {
+async fn answer(node: &Rc<Node>, job: Box<Job>, in_flight: RequestGuard) -> Response<Answer> {
     let (id, arrived) = (job.info.id.clone(), job.arrived());
-    let requester = Requester::from(&job);
+    let requester = Requester::from(&*job);
     let tokens = job.info.prompt.map_or(0, |prompt| prompt.tokens);
     node.metrics.by_requester.observe(&requester, tokens);
     let served = async {
@@ -149,7 +149,7 @@
     body: Incoming,
     info: RequestInfo,
     in_flight: &RequestGuard,
-) -> Result<Job, Refusal> {
+) -> Result<Box<Job>, Refusal> {
     let config = node.wait_for_config(STARTUP_TIMEOUT).await;
     let config = config.ok_or_else(|| Refusal::new(ErrorKind::NotReady, RETRY_ELSEWHERE_DELAY))?;
     let ranks = node.state.borrow().ranks.clone();
@@ -173,7 +173,7 @@
     }
     let homes = config.homes(&route, workspace.as_deref());
     let rank = ranks.rank(&service, route.priority, workspace.as_deref());
-    Ok(Job {
+    Ok(Box::new(Job {
         info,
         fingerprint: request_fingerprint,
         method: head.method,
@@ -189,7 +189,7 @@
         config: config.version,
         progress,
         deadline,
-    })
+    }))
 }
 
 /// Returns the request's fingerprint.
--- a/crates/alderglade-serve/src/generate.rs
+++ b/crates/alderglade-serve/src/generate.rs
@@ -92,7 +92,7 @@
 }
 
 /// Serves a generation. `in_flight` counts the request until the stream has ended.
-pub async fn serve(node: &Rc<Node>, job: Job, in_flight: RequestGuard) -> Response<Content> {
+pub async fn serve(node: &Rc<Node>, job: Box<Job>, in_flight: RequestGuard) -> Response<Content> {
     node.record_first_send(&job.service);
     let mut state = SendState::default();
     let last_event = job.info.last_event.clone();
--- a/crates/alderglade-serve/src/relay.rs
+++ b/crates/alderglade-serve/src/relay.rs
@@ -35,7 +35,7 @@
 /// A stream that is being relayed to its caller.
 struct Relay {
     node: Rc<Node>,
-    job: Job,
+    job: Box<Job>,
     state: SendState,
     body_sender: BodySender,
     /// The id of the last event that was relayed.
@@ -67,7 +67,7 @@
 /// Starts to relay a stream and returns the head of the response.
 pub fn start(
     node: &Rc<Node>,
-    job: Job,
+    job: Box<Job>,
     state: SendState,
     open: OpenStream,
     in_flight: RequestGuard,
@@ -77,7 +77,8 @@
     *response.status_mut() = open.exchange.head.status;
     *response.headers_mut() = node.translator.give_back(&open.exchange.head.headers);
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
-    let relay = Relay {
+    // Boxed, as a task holds what it is given more than once, for as long as its caller reads.
+    let relay = Box::new(Relay {
         node: node.clone(),
         last_event: job.info.last_event.clone(),
         job,
@@ -90,18 +91,19 @@
         longest_pause: Duration::ZERO,
         failover: None,
         _in_flight: in_flight,
-    };
-    tokio::task::spawn_local(relay.run(open));
+    });
+    let part = relay.begin(open);
+    tokio::task::spawn_local(relay.run(part));
     response
 }
 
 impl Relay {
     /// Relays the stream until it ends or the host is about to stop.
-    async fn run(mut self, open: OpenStream) {
+    async fn run(mut self: Box<Self>, part: Box<ServerPart>) {
         let node = self.node.clone();
         let end = tokio::select! {
             biased;
-            end = self.relay_stream(open) => end,
+            end = self.relay_stream(part) => end,
             () = node.wait_for_request_end() => End::HostStopping,
         };
         match end {
@@ -117,8 +119,7 @@
     }
 
     /// Relays the stream to its end, and continues it on other servers if the route allows that.
-    async fn relay_stream(&mut self, open: OpenStream) -> End {
-        let mut part = self.begin(open);
+    async fn relay_stream(&mut self, mut part: Box<ServerPart>) -> End {
         loop {
             match self.relay_events(&mut part).await {
                 Ok(()) => {
@@ -165,14 +166,14 @@
     }
 
     /// Begins with a server's part of the stream.
-    fn begin(&self, open: OpenStream) -> ServerPart {
-        let part = ServerPart::new(open, self.last_event.is_some());
+    fn begin(&self, open: OpenStream) -> Box<ServerPart> {
+        let part = Box::new(ServerPart::new(open, self.last_event.is_some()));
         self.record_stage(&part);
         part
     }
 
     /// Begins with the part of a server that continues the stream.
-    fn continue_with(&mut self, open: OpenStream) -> ServerPart {
+    fn continue_with(&mut self, open: OpenStream) -> Box<ServerPart> {
         let now = clock::now();
         if let Some(failover) = &mut self.failover {
             failover.begin(self.state.placed_at.unwrap_or(now), now);
--- a/crates/alderglade-serve/src/relay/end.rs
+++ b/crates/alderglade-serve/src/relay/end.rs
@@ -48,7 +48,7 @@
         metrics.objectives.with_label_values(&[met]).inc();
         metrics.first_event.observe(first.as_secs_f64());
         metrics.answers.with_label_values(&["served"]).inc();
-        let requester = &Requester::from(&self.job);
+        let requester = &Requester::from(&*self.job);
         if !in_time {
             metrics.by_requester.count_late(requester);
         }
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -59,7 +59,7 @@
 }
 
 /// Serves a request that is not a stream.
-pub async fn serve(node: &Rc<Node>, job: Job) -> Response<Content> {
+pub async fn serve(node: &Rc<Node>, job: Box<Job>) -> Response<Content> {
     let result = run(node, &job).await;
     match result {
         Ok(response) => finish(node, job, response),
@@ -366,7 +366,7 @@
 }
 
 /// Builds what the caller receives. The rest of a large response is relayed as the caller reads it.
-fn finish(node: &Rc<Node>, job: Job, response: Response<ServerAnswer>) -> Response<Content> {
+fn finish(node: &Rc<Node>, job: Box<Job>, response: Response<ServerAnswer>) -> Response<Content> {
     let (head, ServerAnswer { first_chunk, rest }) = response.into_parts();
     let content = match rest {
         None => {
--- a/crates/alderglade-serve/src/unary/body_relay.rs
+++ b/crates/alderglade-serve/src/unary/body_relay.rs
@@ -30,7 +30,7 @@
 /// The relay of the rest of a response.
 struct BodyRelay {
     node: Rc<Node>,
-    job: Job,
+    job: Box<Job>,
     status: StatusCode,
     body_sender: BodySender,
     rest: Rest,
@@ -53,7 +53,7 @@
 /// Starts to relay a response whose first bytes have arrived, and returns its body.
 pub(super) fn start(
     node: &Rc<Node>,
-    mut job: Job,
+    mut job: Box<Job>,
     status: StatusCode,
     first_chunk: Chunk,
     rest: Rest,
@@ -61,19 +61,19 @@
     let (body_sender, receiver) = BodySender::open(&node.memory);
     body_sender.send_first(first_chunk);
     job.drop_body();
-    let relay = BodyRelay {
+    let relay = Box::new(BodyRelay {
         node: node.clone(),
         job,
         status,
         body_sender,
         rest,
-    };
+    });
     tokio::task::spawn_local(relay.run());
     Content::Stream(receiver)
 }
 
 impl BodyRelay {
-    async fn run(mut self) {
+    async fn run(mut self: Box<Self>) {
         let node = self.node.clone();
         let deadline = self.job.deadline;
         let end = tokio::select! {
