A server counts as gone once its last connection has ended

Cause: a response without a length or chunks that ends after a complete event is whole unless its server has ended. A server to whose address a connection was still open counted as busy rather than ended. But the connections of a process that ends are closed one after the other, and each check whether it has ended opens one more, which may be accepted and then closed: the response was taken for whole if its check was the first to finish.

The check now waits for the other connections to end, within the 100 ms that it has. A busy server that refuses new connections still counts as serving; its responses of this kind end up to 100 ms later, their events do not.

--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -246,17 +246,26 @@
 
 /// Returns the state of a server whose response has ended with its connection.
 async fn server_state(node: &Rc<Node>, server: &Server) -> ServerState {
-    /// Several round trips between failure domains. A server that ended has refused the connection by then.
+    /// Several round trips between failure domains. A server that ended has refused the connection by then, and its others
+    /// have been closed.
     const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
     if node.is_superseded(server) {
         return ServerState::Restarted;
     }
-    let ended = clock::timeout(CHECK_TIMEOUT, transport::has_ended(node, server)).await;
-    // A busy server may refuse connections beyond those that it has.
-    if ended.unwrap_or(false) && !node.client.is_connected(server.address) {
-        return ServerState::Gone;
+    match clock::timeout(CHECK_TIMEOUT, is_gone(node, server)).await {
+        Ok(true) => ServerState::Gone,
+        _ => ServerState::Serving,
     }
-    ServerState::Serving
+}
+
+/// Returns whether a server has ended. Waits for the end of the other connections to it, without which a server that
+/// refuses new ones may just be busy: those of a process that ends are closed one after the other.
+async fn is_gone(node: &Rc<Node>, server: &Server) -> bool {
+    let ended = transport::has_ended(node, server).await;
+    if ended {
+        node.client.wait_until_disconnected(server.address).await;
+    }
+    ended
 }
 
 /// Counts and logs the end of a server's response, unless the server marked it and it lies between two events.
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -221,9 +221,9 @@
         });
     }
 
-    /// Returns whether a connection to an address is open.
-    pub fn is_connected(&self, address: SocketAddr) -> bool {
-        self.live.contains(address)
+    /// Waits until no connection to an address is open.
+    pub async fn wait_until_disconnected(&self, address: SocketAddr) {
+        self.live.wait_until_none(address).await;
     }
 
     /// Returns the number of idle connections.
