Check a server again that has just broken off another response

Cause: whether a server has ended is asked by one connection and 5 ms, in which a process that ends closes its listener and what it has accepted. On a busy machine that takes longer, and the kernel goes on to accept connections: a short stream without a length counted as complete.

A longer wait would delay the end of every such response. But a process that ends under several requests breaks most of them off in a way that can be told.

Not covered: a process that takes more than 5 ms and has no other request of this host.

--- a/crates/alderglade-core/src/fleet/ending.rs
+++ b/crates/alderglade-core/src/fleet/ending.rs
@@ -4,6 +4,14 @@
 //! the connections of a process that is gone. So its end counts only where it can be one, and as long as its server has
 //! not ended. That holds for a server that was leaving, too: it need not wait for its last response.
 
+use super::incarnation::Key;
+use crate::time::Time;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long a process that ends may take to close its listener after its first connection, on a busy machine.
+const MAX_EXIT_TIME: Duration = Duration::from_millis(50);
+
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -74,3 +82,23 @@
         matches!(server, ServerState::Restarted | ServerState::Gone)
     }
 }
+
+/// The servers that have broken off a response lately: their processes may be ending.
+#[derive(Debug, Default)]
+pub struct Breaks {
+    last: HashMap<Key, Time>,
+}
+
+impl Breaks {
+    /// Records that a server broke off a response.
+    pub fn record(&mut self, server: Key, now: Time) {
+        self.last.retain(|_, at| now.since(*at) < MAX_EXIT_TIME);
+        self.last.insert(server, now);
+    }
+
+    /// Returns whether a server's process may be ending although it still takes connections.
+    pub fn may_be_ending(&self, server: Key, now: Time) -> bool {
+        let last = self.last.get(&server);
+        last.is_some_and(|at| now.since(*at) < MAX_EXIT_TIME)
+    }
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/ending.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/ending.rs
@@ -1,6 +1,8 @@
 //! Ends of responses, by framing, place and the state of their server.
 
-use alderglade_core::fleet::ending::{Ending, Framing, Place, ServerState};
+use super::key;
+use alderglade_core::fleet::ending::{Breaks, Ending, Framing, Place, ServerState};
+use alderglade_core::time::Time;
 
 const PLACES: [Place; 3] = [Place::InEvent, Place::BeforeFirstEvent, Place::Boundary];
 
@@ -32,3 +34,18 @@
     }
     assert!(!Ending::is_broken_off_by(ServerState::Serving));
 }
+
+/// Guards against a server that counts as serving while its process closes one socket after the other, and against one that
+/// stays under suspicion.
+#[test]
+fn a_server_may_be_ending_for_a_moment_after_each_break() {
+    let at = Time::from_millis;
+    let mut breaks = Breaks::default();
+    assert!(!breaks.may_be_ending(key("s1"), at(1_000)));
+    breaks.record(key("s1"), at(1_000));
+    breaks.record(key("s1"), at(1_040));
+    assert!(breaks.may_be_ending(key("s1"), at(1_080)));
+    assert!(!breaks.may_be_ending(key("s2"), at(1_080)));
+    breaks.record(key("s2"), at(1_080));
+    assert!(!breaks.may_be_ending(key("s1"), at(1_100)));
+}
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -188,6 +188,7 @@
 ) {
     /// Several round trips between failure domains. A server that cannot be reached takes longer, and has not ended.
     const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+    node.record_break(server.key());
     let ran = first_event_at.map(|at| clock::now().since(at));
     // A server that was leaving ended as planned, whatever work it still had.
     if node.is_active(server.key()) {
@@ -258,14 +259,20 @@
     }
 }
 
-/// Returns whether a server has ended. Waits for the end of the other connections to it, without which a server that
-/// refuses new ones may just be busy: those of a process that ends are closed one after the other.
+/// Returns whether a server has ended, as soon as that is certain.
+///
+/// A process that ends closes its sockets one after the other. So a server that has just broken off another response is
+/// checked again, and one that refuses connections has ended only with the last one: until then it may be busy.
 async fn is_gone(node: &Rc<Node>, server: &Server) -> bool {
-    let ended = transport::has_ended(node, server).await;
-    if ended {
-        node.client.wait_until_disconnected(server.address).await;
+    const RETRY_DELAY: Duration = Duration::from_millis(10);
+    while !transport::has_ended(node, server).await {
+        if !node.may_be_ending(server.key()) {
+            return false;
+        }
+        clock::sleep(RETRY_DELAY).await;
     }
-    ended
+    node.client.wait_until_disconnected(server.address).await;
+    true
 }
 
 /// Counts and logs the end of a server's response, unless the server marked it and it lies between two events.
