Relay: don't clone a server's description for each piece it sends

Cause: waiting for the next bytes of a stream borrowed the whole part, so that the server was cloned (112 bytes, several reference counts) each time. The wait borrows the body and the server only; what was received is judged after it.

Behaviour is unchanged.

--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -127,13 +127,14 @@
     ///
     /// Returns an error if the server broke off, or has restarted.
     pub async fn receive_unless_restarted(&mut self, node: &Node) -> Received {
-        let server = self.server.clone();
-        tokio::select! {
+        let ServerPart { body, server, .. } = self;
+        let received = tokio::select! {
             // Data that has arrived takes precedence over the sign that no more will arrive.
             biased;
-            received = self.receive() => received,
-            () = node.wait_until_superseded(&server) => Err(Failure::Restarted),
-        }
+            received = body::next(body) => received,
+            () = node.wait_until_superseded(server) => return Err(Failure::Restarted),
+        };
+        self.judge(received)
     }
 
     /// Waits for the next bytes. All bytes received before must have been added to the splitter. Cancel safe.
@@ -142,7 +143,13 @@
     ///
     /// Returns an error if the server broke off: the connection broke, or it ended inside an event.
     pub async fn receive(&mut self) -> Received {
-        match body::next(&mut self.body).await {
+        let received = body::next(&mut self.body).await;
+        self.judge(received)
+    }
+
+    /// Returns what was received, or how the server failed if that is no end of a whole part.
+    fn judge(&self, received: Result<Option<Bytes>, hyper::Error>) -> Received {
+        match received {
             Ok(None) => {
                 let place = self.place();
                 match Ending::judge(self.framing, place) {
