One constructor for chunks that hold a resource

Cause: since a chunk keeps its resource inside its bytes, two constructors were the same but for the type that they took.

Behaviour is unchanged.

--- a/crates/alderglade-serve/src/answer.rs
+++ b/crates/alderglade-serve/src/answer.rs
@@ -1,7 +1,5 @@
 //! Responses to callers: that of a backend server, or one of the product's error kinds.
 
-use crate::body_sender::ChunkGuard;
-use crate::memory::Portion;
 use alderglade_core::request::Refusal;
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode};
@@ -34,17 +32,8 @@
 }
 
 impl Chunk {
-    /// Creates the chunk of a whole response, whose memory is released when it is written.
-    pub fn new(bytes: Bytes, memory: Portion) -> Chunk {
-        Chunk::holding(bytes, memory)
-    }
-
-    /// Creates a chunk of a stream.
-    pub(crate) fn in_flight(bytes: Bytes, guard: ChunkGuard) -> Chunk {
-        Chunk::holding(bytes, guard)
-    }
-
-    fn holding(bytes: Bytes, resource: impl Send + 'static) -> Chunk {
+    /// Creates a chunk that holds a resource until it is written.
+    pub fn new(bytes: Bytes, resource: impl Send + 'static) -> Chunk {
         Chunk(Bytes::from_owner(OwnedBytes {
             bytes,
             _resource: resource,
--- a/crates/alderglade-serve/src/body_sender.rs
+++ b/crates/alderglade-serve/src/body_sender.rs
@@ -96,7 +96,7 @@
             in_flight: self.in_flight.clone(),
             _memory: memory,
         };
-        let chunk = Chunk::in_flight(bytes, guard);
+        let chunk = Chunk::new(bytes, guard);
         let sent = self.parts.send(Part::Chunk(chunk)).await;
         sent.map_err(|_| CallerGone)
     }
