--- a/crates/alderglade-backend/src/engine.rs
+++ b/crates/alderglade-backend/src/engine.rs
@@ -220,7 +220,7 @@
 type Response = ureq::http::Response<ureq::Body>;
 
 /// Returns whether a call failed before any of it can have reached the server.
-pub(crate) fn failed_before_send(error: &ureq::Error) -> bool {
+fn failed_before_send(error: &ureq::Error) -> bool {
     match error {
         ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
         ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => true,
