--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -36,6 +36,8 @@
     Cancel,
     /// A request that may run once at most.
     Confirm,
+    /// An idempotent request with a long answer.
+    Export,
 }
 
 impl Kind {
@@ -44,6 +46,7 @@
         let line = match self {
             Kind::Cancel => "GET /slot/cancel/1",
             Kind::Confirm => "POST /slot/confirm/1",
+            Kind::Export => "GET /slot/export/1",
         };
         format!(
             "{line} HTTP/1.1\r\nHost: clinic.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 4000\r\nAlderglade-Credential: {key}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -148,9 +151,10 @@
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"booking-api","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"booking-api","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
         route("cancel", "idempotent", max_attempts),
         route("confirm", "non_idempotent", 1),
+        route("export", "idempotent", max_attempts),
         tenants.join(","),
     )
 }
--- a/review/standin/src/host.rs
+++ b/review/standin/src/host.rs
@@ -12,6 +12,17 @@
 /// The processes that were started and have not been waited for.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Notes a process that was started.
+pub fn register(id: u32) {
+    RUNNING.lock().expect("no thread panicked").push(id);
+}
+
+/// Notes that a process has ended.
+pub fn unregister(id: u32) {
+    let mut running = RUNNING.lock().expect("no thread panicked");
+    running.retain(|running| *running != id);
+}
+
 /// Ends the run after a time: kills all processes that it has started, and exits with 2.
 pub fn end_after(limit: Duration) {
     std::thread::spawn(move || {
@@ -159,7 +170,7 @@
             .stderr(log)
             .spawn();
         let child = child.expect("the daemon starts: build it first");
-        RUNNING.lock().expect("no thread panicked").push(child.id());
+        register(child.id());
         self.child = Some(child);
     }
 
@@ -197,8 +208,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
-            let mut running = RUNNING.lock().expect("no thread panicked");
-            running.retain(|id| *id != child.id());
+            unregister(child.id());
         }
     }
 
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -124,7 +124,8 @@
     out
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+/// Reads a request. Returns `None` if the connection ends.
+pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let first = read_line(reader)?;
     let mut words = first.split(' ');
     let (method, target) = (words.next()?.to_string(), words.next()?.to_string());
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,9 +8,11 @@
 mod json;
 mod limits;
 mod links;
+mod process;
 mod record;
 mod revoke;
 mod store;
+mod truncated;
 mod worker;
 
 use std::path::Path;
@@ -33,6 +35,10 @@
         eprintln!("usage: review-standin CASE RECORD FOLDER");
         return ExitCode::from(2);
     };
+    if case == "worker" {
+        process::run(record);
+        return ExitCode::from(2);
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(Path::new(record));
     let folder = Path::new(folder);
@@ -40,6 +46,7 @@
     let verdict = match case.as_str() {
         "drain" => drain::run(&record, folder, trouble),
         "revoke" => revoke::run(&record, folder, trouble),
+        "truncated" => truncated::run(&record, folder, trouble),
         "limits" => limits::run(&record, folder, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
--- /dev/null
+++ b/review/standin/src/process.rs
@@ -0,0 +1,116 @@
+//! A worker as a process of its own, so that it can be killed.
+//!
+//! Its answers have neither a length nor chunks: they end with their connections. An export is long.
+
+use crate::host;
+use crate::http::{self, Request};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Pieces of an ordinary answer, and the pause before each.
+pub const PIECES: usize = 20;
+const PAUSE: Duration = Duration::from_millis(15);
+/// The length of an export, in bytes.
+const EXPORT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Returns a piece of an ordinary answer.
+fn piece(number: usize) -> String {
+    format!("line {number:03} of the answer\n")
+}
+
+/// Returns the whole body of an ordinary answer.
+pub fn whole_body() -> String {
+    (0..PIECES).map(piece).collect()
+}
+
+/// A worker process.
+pub struct Process {
+    pub id: String,
+    pub address: SocketAddr,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a worker process, which tells its address.
+    pub fn start(id: &str) -> Option<Process> {
+        let mut child = Command::new(std::env::current_exe().ok()?)
+            .args(["worker", id, "-"])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .ok()?;
+        host::register(child.id());
+        let mut line = String::new();
+        let mut reader = BufReader::new(child.stdout.take()?);
+        reader.read_line(&mut line).ok()?;
+        Some(Process {
+            id: id.to_string(),
+            address: line.trim().parse().ok()?,
+            child,
+        })
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        host::unregister(self.child.id());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runs the worker until it is killed.
+pub fn run(id: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    println!("{}", listener.local_addr().expect("an address"));
+    for stream in listener.incoming().flatten() {
+        let id = id.to_string();
+        std::thread::spawn(move || serve(stream, &id));
+    }
+}
+
+/// Serves one request. The answer ends with the connection.
+fn serve(stream: TcpStream, id: &str) {
+    let _ = stream.set_nodelay(true);
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
+    let mut reader = BufReader::new(stream);
+    let Some(request) = http::read_request(&mut reader) else {
+        return;
+    };
+    let _ = answer(&mut writer, &request, id);
+    let _ = writer.shutdown(Shutdown::Both);
+}
+
+fn answer(writer: &mut TcpStream, request: &Request, id: &str) -> std::io::Result<()> {
+    let expected = request.header("Alderglade-Expect-Instance");
+    if expected.is_some_and(|expected| expected != id) {
+        let head = "HTTP/1.1 421 -\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        return writer.write_all(head.as_bytes());
+    }
+    let request_id = request.header("Alderglade-Request-Id").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nAlderglade-Request-Id: {request_id}\r\nAlderglade-Server-Stamp: {id}.{request_id}\r\nConnection: close\r\n\r\n"
+    );
+    writer.write_all(head.as_bytes())?;
+    if request.target.starts_with("/slot/export/") {
+        let chunk = [b'x'; 64 * 1024];
+        for _ in 0..EXPORT_BYTES / chunk.len() {
+            writer.write_all(&chunk)?;
+        }
+        return Ok(());
+    }
+    for number in 0..PIECES {
+        std::thread::sleep(PAUSE);
+        writer.write_all(piece(number).as_bytes())?;
+    }
+    Ok(())
+}
