--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -11,4 +11,4 @@
 }
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-"$standin" limits "$folder/record.txt" "$scratch"
+"$standin" drain "$folder/record.txt" "$scratch"
