Review: ports that no outgoing connection takes

Cause: a run of case 3 couldn't start a host beside other runs: its port was taken between the choice and the daemon's start. Change: ports below those of outgoing connections, others for each run.

--- a/review/standin/src/host.rs
+++ b/review/standin/src/host.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// The processes that were started and have not been waited for.
@@ -52,12 +53,20 @@
     child: Option<Child>,
 }
 
-/// Returns a port that is free for TCP and UDP.
+/// Returns a port that is free for TCP and UDP, below those that the system gives to outgoing connections: one of these
+/// could take it before the daemon does.
 fn free_port() -> u16 {
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = listener.local_addr().expect("an address").port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        // Runs at the same time begin at different ports.
+        let start = std::process::id().wrapping_mul(97);
+        let number = start.wrapping_add(NEXT.fetch_add(1, Ordering::SeqCst));
+        let port = (FIRST + number % COUNT) as u16;
+        let tcp = TcpListener::bind(("127.0.0.1", port));
+        let udp = UdpSocket::bind(("127.0.0.1", port));
+        if tcp.is_ok() && udp.is_ok() {
             return port;
         }
     }
