--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -38,6 +38,8 @@
     Confirm,
     /// An idempotent request with a long answer.
     Export,
+    /// A stream that may be resumed.
+    Draft,
 }
 
 impl Kind {
@@ -47,6 +49,7 @@
             Kind::Cancel => "GET /slot/cancel/1",
             Kind::Confirm => "POST /slot/confirm/1",
             Kind::Export => "GET /slot/export/1",
+            Kind::Draft => "POST /slot/draft/1",
         };
         format!(
             "{line} HTTP/1.1\r\nHost: clinic.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 4000\r\nAlderglade-Credential: {key}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -147,14 +150,16 @@
         .collect();
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
-            r#"{{"name":"r-{name}","host":"clinic.example","path_prefix":"/slot/{name}/","kind":"{kind}","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"booking-api","max_attempts":{attempts},"public":false,"sticky":false}}"#
+            r#"{{"name":"r-{name}","host":"clinic.example","path_prefix":"/slot/{name}/","kind":"{kind}","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"booking-api","max_attempts":{attempts},"public":false,"sticky":false,"resumable":{}}}"#,
+            kind == "stream"
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"booking-api","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{},{}],"services":[{{"name":"booking-api","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
         route("cancel", "idempotent", max_attempts),
         route("confirm", "non_idempotent", 1),
         route("export", "idempotent", max_attempts),
+        route("draft", "stream", max_attempts),
         tenants.join(","),
     )
 }
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -25,6 +25,16 @@
     (0..PIECES).map(piece).collect()
 }
 
+/// Returns the same as an event of a stream.
+fn event(number: usize) -> String {
+    format!("id: {number}\ndata: {}\n\n", piece(number).trim_end())
+}
+
+/// Returns the whole body of a stream.
+pub fn whole_stream() -> String {
+    (0..PIECES).map(event).collect()
+}
+
 /// A worker process.
 pub struct Process {
     pub id: String,
@@ -97,8 +107,14 @@
         return writer.write_all(head.as_bytes());
     }
     let request_id = request.header("Alderglade-Request-Id").unwrap_or_default();
+    let is_stream = request.target.starts_with("/slot/draft/");
+    let content_type = if is_stream {
+        "text/event-stream"
+    } else {
+        "text/plain"
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nAlderglade-Request-Id: {request_id}\r\nAlderglade-Server-Stamp: {id}.{request_id}\r\nConnection: close\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nAlderglade-Request-Id: {request_id}\r\nAlderglade-Server-Stamp: {id}.{request_id}\r\nConnection: close\r\n\r\n"
     );
     writer.write_all(head.as_bytes())?;
     if request.target.starts_with("/slot/export/") {
@@ -108,9 +124,17 @@
         }
         return Ok(());
     }
-    for number in 0..PIECES {
+    // A stream that another worker has begun goes on after its last event.
+    let last = request.header("Last-Event-Id");
+    let last: Option<usize> = last.and_then(|id| id.parse().ok());
+    for number in last.map_or(0, |last| last + 1)..PIECES {
         std::thread::sleep(PAUSE);
-        writer.write_all(piece(number).as_bytes())?;
+        let piece = if is_stream {
+            event(number)
+        } else {
+            piece(number)
+        };
+        writer.write_all(piece.as_bytes())?;
     }
     Ok(())
 }
--- a/review/standin/src/truncated.rs
+++ b/review/standin/src/truncated.rs
@@ -81,17 +81,15 @@
             let id = format!("{}-{number}", host.name);
             callers.push(std::thread::spawn(move || {
                 record.line(&format!("client sends {id}"));
-                let request = Kind::Cancel.request(&id, KEY);
+                let request = kind_of(number).request(&id, KEY);
                 let answer = http::exchange(front, &request, Duration::from_secs(6));
                 let told = answer.as_ref().map(|answer| {
                     let length = answer.body.as_ref().map(Vec::len);
                     (answer.status, length)
                 });
                 record.line(&format!("client gets status and length {told:?} for {id}"));
-                answers
-                    .lock()
-                    .expect("no thread panicked")
-                    .push((id, answer));
+                let mut answers = answers.lock().expect("no thread panicked");
+                answers.push((id, kind_of(number), answer));
             }));
         }
     }
@@ -105,9 +103,12 @@
     }
     stop.store(true, Ordering::SeqCst);
     let results = std::mem::take(&mut *answers.lock().expect("no thread panicked"));
-    let whole = process::whole_body();
-    let (mut served, mut truncated) = (0, 0);
-    for (id, answer) in &results {
+    let (mut served, mut truncated, mut truncated_streams) = (0, 0, 0);
+    for (id, kind, answer) in &results {
+        let whole = match kind {
+            Kind::Draft => process::whole_stream(),
+            _ => process::whole_body(),
+        };
         let Some(answer) = answer else { continue };
         let Some(body) = answer.body.as_ref().filter(|_| answer.status == 200) else {
             continue;
@@ -116,8 +117,9 @@
             served += 1;
         } else {
             truncated += 1;
+            truncated_streams += u32::from(*kind == Kind::Draft);
             record.line(&format!(
-                "BREACH {id}: status 200, whole by its framing, {} of {} bytes; stamp {:?}",
+                "BREACH {kind:?} {id}: status 200, whole by its framing, {} of {} bytes; stamp {:?}",
                 body.len(),
                 whole.len(),
                 answer.header("Alderglade-Server-Stamp")
@@ -125,7 +127,7 @@
         }
     }
     record.say(&format!(
-        "{} requests, {served} whole answers, {truncated} beginnings of answers that look whole",
+        "{} requests, {served} whole answers, {truncated} beginnings of answers that look whole, {truncated_streams} of them streams",
         results.len()
     ));
     if results.len() != hosts.len() * BURST || served * 2 < results.len() {
@@ -138,6 +140,15 @@
     }
 }
 
+/// Returns what a caller asks for: every other one a stream.
+fn kind_of(number: usize) -> Kind {
+    if number % 2 == 0 {
+        Kind::Cancel
+    } else {
+        Kind::Draft
+    }
+}
+
 /// Sends a request with a long answer, and reads the answer slowly.
 fn read_slowly(record: &Record, mut stream: TcpStream, id: &str, stop: &AtomicBool) {
     record.line(&format!("client sends {id}, and reads its answer slowly"));
