--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -40,6 +40,8 @@
     Export,
     /// A stream that may be resumed.
     Draft,
+    /// A stream that may run once at most.
+    Farewell,
 }
 
 impl Kind {
@@ -50,6 +52,7 @@
             Kind::Confirm => "POST /slot/confirm/1",
             Kind::Export => "GET /slot/export/1",
             Kind::Draft => "POST /slot/draft/1",
+            Kind::Farewell => "POST /slot/farewell/1",
         };
         format!(
             "{line} HTTP/1.1\r\nHost: clinic.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 4000\r\nAlderglade-Credential: {key}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -151,15 +154,16 @@
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             r#"{{"name":"r-{name}","host":"clinic.example","path_prefix":"/slot/{name}/","kind":"{kind}","timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"booking-api","max_attempts":{attempts},"public":false,"sticky":false,"resumable":{}}}"#,
-            kind == "stream"
+            name == "draft"
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{},{}],"services":[{{"name":"booking-api","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{},{},{}],"services":[{{"name":"booking-api","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{max_header_bytes},"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{}]}}"#,
         route("cancel", "idempotent", max_attempts),
         route("confirm", "non_idempotent", 1),
         route("export", "idempotent", max_attempts),
         route("draft", "stream", max_attempts),
+        route("farewell", "stream", 1),
         tenants.join(","),
     )
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod host;
 mod http;
 mod json;
+mod leaving;
 mod limits;
 mod links;
 mod process;
@@ -47,6 +48,7 @@
         "drain" => drain::run(&record, folder, trouble),
         "revoke" => revoke::run(&record, folder, trouble),
         "truncated" => truncated::run(&record, folder, trouble),
+        "leaving" => leaving::run(&record, folder, trouble),
         "limits" => limits::run(&record, folder, trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
--- a/review/standin/src/process.rs
+++ b/review/standin/src/process.rs
@@ -1,17 +1,20 @@
 //! A worker as a process of its own, so that it can be killed.
 //!
-//! Its answers have neither a length nor chunks: they end with their connections. An export is long.
+//! Its answers have neither a length nor chunks: they end with their connections. An export is long. A farewell is the last
+//! answer of a worker that leaves: it ends right after that.
 
 use crate::host;
 use crate::http::{self, Request};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
 
 /// Pieces of an ordinary answer, and the pause before each.
 pub const PIECES: usize = 20;
 const PAUSE: Duration = Duration::from_millis(15);
+/// The pause before each piece of a farewell, which takes 2.6 s: longer than `drain_ms`.
+const FAREWELL_PAUSE: Duration = Duration::from_millis(130);
 /// The length of an export, in bytes.
 const EXPORT_BYTES: usize = 8 * 1024 * 1024;
 
@@ -39,6 +42,7 @@
 pub struct Process {
     pub id: String,
     pub address: SocketAddr,
+    output: BufReader<ChildStdout>,
     child: Child,
 }
 
@@ -58,10 +62,24 @@
         Some(Process {
             id: id.to_string(),
             address: line.trim().parse().ok()?,
+            output: reader,
             child,
         })
     }
 
+    /// Waits until the worker has begun a farewell.
+    pub fn wait_for_farewell(&mut self) {
+        let _ = self.output.read_line(&mut String::new());
+    }
+
+    /// Returns the worker's entry in the store.
+    pub fn entry(&self, zone: &str, state: &str) -> String {
+        format!(
+            "{{\"service\":\"booking-api\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":24,\"state\":\"{state}\",\"cold_left_ms\":0,\"seq\":1}}",
+            self.address
+        )
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -107,7 +125,8 @@
         return writer.write_all(head.as_bytes());
     }
     let request_id = request.header("Alderglade-Request-Id").unwrap_or_default();
-    let is_stream = request.target.starts_with("/slot/draft/");
+    let is_stream = !request.target.starts_with("/slot/cancel/")
+        && !request.target.starts_with("/slot/export/");
     let content_type = if is_stream {
         "text/event-stream"
     } else {
@@ -124,6 +143,15 @@
         }
         return Ok(());
     }
+    if request.target.starts_with("/slot/farewell/") {
+        println!("a farewell has begun");
+        for number in 0..PIECES {
+            std::thread::sleep(FAREWELL_PAUSE);
+            writer.write_all(event(number).as_bytes())?;
+        }
+        writer.shutdown(Shutdown::Both)?;
+        std::process::exit(0);
+    }
     // A stream that another worker has begun goes on after its last event.
     let last = request.header("Last-Event-Id");
     let last: Option<usize> = last.and_then(|id| id.parse().ok());
--- a/review/standin/src/truncated.rs
+++ b/review/standin/src/truncated.rs
@@ -38,11 +38,7 @@
         let Some(worker) = Process::start(&format!("i-{number}")) else {
             return Verdict::CouldNotRun("a worker doesn't start".to_string());
         };
-        let entry = format!(
-            "{{\"service\":\"booking-api\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":24,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1}}",
-            worker.address,
-            ZONES[number % ZONES.len()]
-        );
+        let entry = worker.entry(ZONES[number % ZONES.len()], "ready");
         store.put("servers", &worker.id, entry);
         workers.push(worker);
     }
