Answers without a length are complete only if their server proves it

Cause: an answer with neither a length nor chunks ends with its connection, and counted as complete unless its server had ended. The check found that nobody listened any more, and then waited 100 ms for all other connections to the server to close. One whose caller reads slowly isn't read, so that its end can't arrive; after 100 ms the server counted as serving. A server that starts again at once accepted the check's connection for its predecessor, without any slow reader.

Change: the host holds a standby connection to the server beside each such answer, and asks on it after the end. Only the process that accepted it can answer; one that has ended has closed it. core ending::ServerState judges by when the connection was opened, lost and answered, and by when the answer itself showed life: a quiet connection does, arriving bytes don't, as the kernel goes on sending what a dead process wrote. A host that carries an answer for another one proves the end itself. The own daemon does the same. The wait for other connections and the repeated checks are gone.

--- a/crates/alderglade-backend/src/service.rs
+++ b/crates/alderglade-backend/src/service.rs
@@ -1,10 +1,10 @@
 //! HTTP calls to plain services. Bodies pass through unchanged.
 
-use alderglade_core::fleet::ending::{Ending, Place, ServerState};
-use alderglade_serve::client::{self, Client, Collected, Error};
+use alderglade_core::fleet::ending::{Ending, Place};
+use alderglade_serve::client::{Client, Collected, Error};
 use bytes::Bytes;
-use http::Request;
 use http::header::HOST;
+use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
@@ -86,7 +86,7 @@
     };
     let client = Rc::new(Client::default());
     // An idle connection may break just as a call is sent on it, and then it is unknown whether the call ran.
-    let exchange = match client.send(address, request, true).await {
+    let mut exchange = match client.send(address, request, true).await {
         Ok(exchange) => exchange,
         Err(Error::Unreachable { .. } | Error::Closed { .. } | Error::NotSent) => {
             return End::Unreached;
@@ -97,18 +97,19 @@
     if status == STATUS_LEAVING {
         return End::Leaving;
     }
-    let framing = exchange.framing;
+    exchange.hold_standby(None, Box::new(move || question(address)));
     let mut length = 0;
     let is_within_limit = |bytes| {
         length += bytes;
         length <= MAX_RESPONSE_BYTES
     };
-    let Ok(Collected::Whole(response)) = exchange.collect_while(is_within_limit).await else {
+    let Ok(Collected::Whole(response, mut body)) = exchange.collect_while(is_within_limit).await
+    else {
         return End::Broke;
     };
-    let ending = Ending::judge(framing, Place::Boundary);
-    if ending == Ending::Unconfirmed
-        && Ending::is_broken_off_by(server_state(&client, address).await)
+    if Ending::judge(body.framing, Place::Boundary) == Ending::Unconfirmed
+        && let Some((state, _)) = body.server_state().await
+        && Ending::is_broken_off_by(state)
     {
         return End::Broke;
     }
@@ -139,10 +140,14 @@
     connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Returns the state of a server whose response has ended with its connection.
-async fn server_state(client: &Client, address: SocketAddr) -> ServerState {
-    match client::settle(client.connect(address).await).await {
-        Err(Error::Closed { .. }) => ServerState::Gone,
-        _ => ServerState::Serving,
-    }
+/// Builds the request that a server is asked with whether it is alive: it does nothing.
+fn question(address: SocketAddr) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = Method::OPTIONS;
+    *request.uri_mut() = Uri::from_static("*");
+    let host = HeaderValue::from_str(&address.to_string());
+    request
+        .headers_mut()
+        .extend(host.ok().map(|host| (HOST, host)));
+    request
 }
--- a/crates/alderglade-backend/tests/testsuite/service.rs
+++ b/crates/alderglade-backend/tests/testsuite/service.rs
@@ -3,7 +3,7 @@
 use alderglade_backend::service::{self, Call, End};
 use socket2::SockRef;
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 const BODY: &str = "the whole answer";
@@ -19,6 +19,8 @@
     Crash,
     /// The same, but something still accepts a connection, and closes it at once.
     CrashBehindProxy,
+    /// The process ends, and the next one already listens and answers.
+    Restart,
 }
 
 /// The heads of answers of each framing, with the body as it is written.
@@ -41,6 +43,13 @@
     ]
 }
 
+/// Accepts a connection that arrives in time.
+fn accept_within(listener: &TcpListener, limit: Duration) -> Option<TcpStream> {
+    let socket = SockRef::from(listener);
+    socket.set_read_timeout(Some(limit)).expect("a time limit");
+    listener.accept().ok().map(|(stream, _)| stream)
+}
+
 /// Calls a server whose connection ends after these bytes.
 fn call(bytes: String, ending: Ending) -> End {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -61,8 +70,27 @@
             linger.expect("a socket option");
         }
         let open = (ending != Ending::Crash).then_some(listener);
+        if let Some(listener) = open.as_ref().filter(|_| ending == Ending::Restart) {
+            // What connected to the process ends with it.
+            let connected = accept_within(listener, Duration::from_millis(100));
+            std::thread::sleep(Duration::from_millis(50));
+            drop(connected);
+        }
         drop(stream);
         match open {
+            Some(listener) if ending == Ending::Restart => {
+                let mut open = Vec::new();
+                let limit = Duration::from_millis(500);
+                while let Some(mut next) = accept_within(&listener, limit) {
+                    next.set_read_timeout(Some(limit)).expect("a time limit");
+                    if next.read(&mut [0; 1_024]).is_ok() {
+                        let head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                        next.write_all(head).expect("a sent answer");
+                    }
+                    open.push(next);
+                }
+                None
+            }
             Some(listener) if ending == Ending::CrashBehindProxy => {
                 drop(listener.accept());
                 None
@@ -125,3 +153,13 @@
         assert_eq!(call(part, Ending::CrashBehindProxy), End::Broke);
     }
 }
+
+/// Guards against the same where the server's next process accepts connections and answers.
+#[test]
+fn the_next_process_is_no_sign_that_the_one_that_answered_lived() {
+    let [_, _, (_, close, body), (_, http10, _)] = framings();
+    for head in [close, http10] {
+        let part = head + &body[..body.len() / 2];
+        assert_eq!(call(part, Ending::Restart), End::Broke);
+    }
+}
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request to a backend server, and the handling of its failure.
 
-use crate::client::{Error, Exchange};
+use crate::client::{Error, Exchange, ResponseBody};
 use crate::clock;
 use crate::event::{self, Record, ResponseEnd, ServerBreak};
 use crate::job::Job;
@@ -193,7 +193,6 @@
 ) {
     /// Several round trips between failure domains. A server that cannot be reached takes longer, and has not ended.
     const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
-    node.record_break(server.key());
     let ran = first_event_at.map(|at| clock::now().since(at));
     // A server that was leaving ended as planned, whatever work it still had.
     if node.is_active(server.key()) {
@@ -241,44 +240,43 @@
     }
 }
 
-/// Returns whether a server has broken off a response that ended after a complete event, or that has no events.
-pub async fn has_broken_off(node: &Rc<Node>, server: &Server, framing: Framing) -> bool {
-    match Ending::judge(framing, Place::Boundary) {
+/// Returns whether a server has broken off a response that ended after a complete event, or that has no events. `body` is
+/// that of the response, at its end.
+pub async fn has_broken_off(node: &Rc<Node>, server: &Server, body: &mut ResponseBody) -> bool {
+    match Ending::judge(body.framing, Place::Boundary) {
         Ending::Complete => false,
         Ending::BrokenOff => true,
         // Boxed: few responses need this future, and each relay would reserve room for it otherwise.
-        Ending::Unconfirmed => Ending::is_broken_off_by(Box::pin(server_state(node, server)).await),
+        Ending::Unconfirmed => {
+            Ending::is_broken_off_by(Box::pin(server_state(node, server, body)).await)
+        }
     }
 }
 
 /// Returns the state of a server whose response has ended with its connection.
-async fn server_state(node: &Rc<Node>, server: &Server) -> ServerState {
-    /// Several round trips between failure domains. A server that ended has refused the connection by then, and its others
-    /// have been closed.
-    const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+async fn server_state(node: &Rc<Node>, server: &Server, body: &mut ResponseBody) -> ServerState {
     if node.is_superseded(server) {
         return ServerState::Restarted;
     }
-    match clock::timeout(CHECK_TIMEOUT, is_gone(node, server)).await {
-        Ok(true) => ServerState::Gone,
-        _ => ServerState::Serving,
+    let Some((state, evidence)) = body.server_state().await else {
+        return proxied_server_state(node, server).await;
+    };
+    let checks = &node.metrics.unframed_checks;
+    checks.with_label_values(&[evidence.label()]).inc();
+    if node.is_superseded(server) {
+        return ServerState::Restarted;
     }
+    state
 }
 
-/// Returns whether a server has ended, as soon as that is certain.
-///
-/// A process that ends closes its sockets one after the other. So a server that has just broken off another response is
-/// checked again, and one that refuses connections has ended only with the last one: until then it may be busy.
-async fn is_gone(node: &Rc<Node>, server: &Server) -> bool {
-    const RETRY_DELAY: Duration = Duration::from_millis(10);
-    while !transport::has_ended(node, server).await {
-        if !node.may_be_ending(server.key()) {
-            return false;
-        }
-        clock::sleep(RETRY_DELAY).await;
+/// Returns the state of a server whose response another host has carried, and confirmed if it can.
+async fn proxied_server_state(node: &Rc<Node>, server: &Server) -> ServerState {
+    /// Several round trips between failure domains.
+    const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+    match clock::timeout(CHECK_TIMEOUT, transport::has_ended(node, server)).await {
+        Ok(true) => ServerState::Gone,
+        _ => ServerState::Unknown,
     }
-    node.client.wait_until_disconnected(server.address).await;
-    true
 }
 
 /// Counts and logs the end of a server's response, unless the server marked it and it lies between two events.
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -4,19 +4,27 @@
 //! closes its connection, so that no server continues to work for a caller that has left.
 
 mod exchange;
-mod live;
+mod open_connection;
+mod socket;
+mod standby;
 
-pub use exchange::{Collected, Exchange, RemainingBody};
+pub use exchange::{Collected, Exchange, RemainingBody, ResponseBody};
+pub use open_connection::OpenConnection;
+pub(crate) use open_connection::{EXIT_TIME, settle};
+pub use standby::Question;
+use standby::Standby;
 
 use crate::clock;
+use alderglade_core::fleet::ending::Framing;
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::{HeaderMap, Request};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use live::Live;
+use open_connection::Driver;
 use snafu::Snafu;
+use socket::{Activity, Socket};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -25,7 +33,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::sync::oneshot;
 
 /// Timeout for opening a connection. A round trip between failure domains takes a few milliseconds. A lost first
 /// packet is retransmitted after a second, too late for short requests.
@@ -40,6 +48,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How much earlier than the other side's stated timeout an idle connection is closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
+/// How long a server whose response ended with its connection is expected to send more of them.
+const UNFRAMED_MEMORY: Duration = Duration::from_secs(10);
 /// Maximum number of bytes that a connection reads ahead of the consumer of its response.
 const MAX_READ_AHEAD_BYTES: usize = 8 * 1024;
 
@@ -75,33 +85,6 @@
     },
 }
 
-/// An open connection on which nothing is being sent.
-pub struct OpenConnection {
-    address: SocketAddr,
-    sender: http1::SendRequest<Full<Bytes>>,
-    /// The task that runs it.
-    task: AbortHandle,
-}
-
-/// How long the connections of a process that ends may outlive each other: its listener may still accept some after
-/// the first ones were closed.
-pub(crate) const EXIT_TIME: Duration = Duration::from_millis(5);
-
-/// Waits until a process that was ending when it was connected to has ended.
-///
-/// # Errors
-///
-/// Returns [`Error::Closed`] if the connection was closed meanwhile, and an error to connect unchanged.
-pub async fn settle(connected: Result<OpenConnection, Error>) -> Result<OpenConnection, Error> {
-    clock::sleep(EXIT_TIME).await;
-    let link = connected?;
-    if link.sender.is_closed() {
-        let reason = "closed right after it was opened".to_string();
-        return Err(Error::Closed { reason });
-    }
-    Ok(link)
-}
-
 /// An idle connection.
 struct IdleConnection {
     link: OpenConnection,
@@ -129,7 +112,8 @@
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
     opened: Cell<u64>,
-    live: Live,
+    /// When a response of the server at each address last ended with its connection.
+    unframed: RefCell<HashMap<SocketAddr, Time>>,
 }
 
 /// A connection in use. It is closed if it is dropped before it is recycled.
@@ -138,7 +122,7 @@
     address: SocketAddr,
     sender: Option<http1::SendRequest<Full<Bytes>>>,
     /// The task that runs the connection, until it becomes idle.
-    task: Option<AbortHandle>,
+    driver: Option<Driver>,
     idle_timeout: Duration,
     reusable: bool,
     /// What is in use until the exchange on the connection has ended.
@@ -206,14 +190,16 @@
         result.map_err(|failure| failure.error)
     }
 
-    /// Closes the connections whose idle timeout has expired.
+    /// Closes the connections whose idle timeout has expired, and forgets which servers sent no framed responses long ago.
     pub fn expire(&self) {
         let now = clock::now();
+        let mut unframed = self.unframed.borrow_mut();
+        unframed.retain(|_, at| now.since(*at) < UNFRAMED_MEMORY);
         self.idle.borrow_mut().retain(|_, list| {
             list.retain(|entry| {
                 let unexpired = entry.until > now;
                 if !unexpired {
-                    entry.link.task.abort();
+                    entry.link.driver.task.abort();
                 }
                 unexpired
             });
@@ -221,11 +207,6 @@
         });
     }
 
-    /// Waits until no connection to an address is open.
-    pub async fn wait_until_disconnected(&self, address: SocketAddr) {
-        self.live.wait_until_none(address).await;
-    }
-
     /// Returns the number of idle connections.
     pub fn idle_count(&self) -> usize {
         self.idle.borrow().values().map(Vec::len).sum()
@@ -239,13 +220,14 @@
         let OpenConnection {
             address,
             mut sender,
-            task,
+            driver,
         } = link;
+        let activity = driver.activity.clone();
         let mut connection = Connection {
             client: self.clone(),
             address,
             sender: None,
-            task: Some(task),
+            driver: Some(driver),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             reusable: false,
             held: None,
@@ -257,6 +239,7 @@
                 unsent: Some(request),
             });
         }
+        let sent_at = clock::now();
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut failed) => {
@@ -270,13 +253,17 @@
             }
         };
         let (head, body) = response.into_parts();
+        let framing = exchange::framing(&head, &body);
+        if framing == Framing::Close {
+            activity.watch(sent_at);
+            self.unframed.borrow_mut().insert(address, sent_at);
+        }
         connection.reusable = !has_close_option(&head.headers);
         connection.idle_timeout = idle_timeout(&head.headers);
         connection.sender = Some(sender);
         Ok(Exchange {
-            framing: exchange::framing(&head, &body),
             head,
-            body,
+            body: ResponseBody::new(body, framing, activity),
             connection,
         })
     }
@@ -300,23 +287,37 @@
     /// Closes the idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
         let entries = self.idle.borrow_mut().remove(&address).unwrap_or_default();
-        entries.iter().for_each(|entry| entry.link.task.abort());
+        entries
+            .iter()
+            .for_each(|entry| entry.link.driver.task.abort());
     }
 
     /// Takes an idle connection that is still usable, and closes unusable ones found before it.
     fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
-        let now = clock::now();
+        self.take_idle_for(address, Duration::ZERO)
+    }
+
+    /// Takes an idle connection that stays usable for a time, and closes unusable ones found before it.
+    fn take_idle_for(&self, address: SocketAddr, span: Duration) -> Option<OpenConnection> {
+        let until = clock::now() + span;
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(entry) = list.pop() {
-            if entry.until > now && entry.link.sender.is_ready() {
+            if entry.until > until && entry.link.sender.is_ready() {
                 return Some(entry.link);
             }
-            entry.link.task.abort();
+            entry.link.driver.task.abort();
         }
         None
     }
 
+    /// Takes an idle connection as the standby connection of a request that is about to be sent, if the response is
+    /// likely to end with its connection.
+    pub fn take_standby(&self, address: SocketAddr) -> Option<OpenConnection> {
+        let is_unframed = self.unframed.borrow().contains_key(&address);
+        is_unframed.then(|| self.take_idle_for(address, standby::REFRESH_INTERVAL))?
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
@@ -335,22 +336,29 @@
             })?;
         set_socket_options(&stream);
         self.opened.set(self.opened.get() + 1);
+        let activity = Activity::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_AHEAD_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Socket::new(stream, activity.clone())))
             .await
             .map_err(|error| unreachable(error.to_string()))?;
-        let live = self.live.begin(address);
+        let (ending, ended) = oneshot::channel();
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {address}: {error}");
             }
-            drop(live);
+            drop(ending);
         });
+        let driver = Driver {
+            task: task.abort_handle(),
+            opened: clock::now(),
+            activity,
+            ended,
+        };
         Ok(OpenConnection {
             address,
             sender,
-            task: task.abort_handle(),
+            driver,
         })
     }
 }
@@ -367,33 +375,37 @@
     }
 
     /// Keeps the connection for another request, if the other side allows it.
-    pub fn recycle(mut self) {
+    pub fn recycle(self) {
         if !self.reusable {
             return;
         }
-        let (Some(mut sender), Some(task)) = (self.sender.take(), self.task.take()) else {
-            return;
-        };
-        let (client, address, idle_timeout) =
-            (self.client.clone(), self.address, self.idle_timeout);
         tokio::task::spawn_local(async move {
-            if sender.ready().await.is_err() {
-                return;
+            let (client, idle_timeout) = (self.client.clone(), self.idle_timeout);
+            if let Some(link) = self.reclaim().await {
+                client.keep_idle(link, idle_timeout);
             }
-            let link = OpenConnection {
-                address,
-                sender,
-                task,
-            };
-            client.keep_idle(link, idle_timeout);
         });
     }
+
+    /// Returns the open connection after the last byte of its response, if the other side leaves it open.
+    async fn reclaim(mut self) -> Option<OpenConnection> {
+        if !self.reusable {
+            return None;
+        }
+        let mut sender = self.sender.take()?;
+        sender.ready().await.ok()?;
+        Some(OpenConnection {
+            address: self.address,
+            sender,
+            driver: self.driver.take()?,
+        })
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if let Some(task) = &self.task {
-            task.abort();
+        if let Some(driver) = &self.driver {
+            driver.task.abort();
         }
     }
 }
--- a/crates/alderglade-serve/src/metrics.rs
+++ b/crates/alderglade-serve/src/metrics.rs
@@ -58,6 +58,8 @@
     pub blocked: IntGauge,
     /// Responses without a length or chunks by how they ended.
     pub unframed: IntCounterVec,
+    /// Checks of servers after such responses by what the standby connection showed.
+    pub unframed_checks: IntCounterVec,
     /// Requests and checks that were sent through other hosts, by whether these could help.
     pub proxied_sent: IntCounterVec,
     /// Requests and checks that were carried for other hosts by outcome.
@@ -159,6 +161,12 @@
                 "Server responses without a length or chunks, by how they ended.",
                 "outcome",
             )?,
+
+            unframed_checks: counter_vec(
+                "alderglade_unframed_checks_total",
+                "Checks of servers after answers without a length or chunks, by the evidence.",
+                "evidence",
+            )?,
             proxied_sent: counter_vec(
                 "alderglade_proxied_sent_total",
                 "Requests sent through other hosts.",
@@ -226,7 +234,7 @@
     }
 
     fn register(&self) -> Result<(), prometheus::Error> {
-        let collectors: [Box<dyn prometheus::core::Collector>; 38] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 39] = [
             Box::new(self.answers.clone()),
             Box::new(self.objectives.clone()),
             Box::new(self.by_requester.held.clone()),
@@ -249,6 +257,7 @@
             Box::new(self.limited.clone()),
             Box::new(self.blocked.clone()),
             Box::new(self.unframed.clone()),
+            Box::new(self.unframed_checks.clone()),
             Box::new(self.proxied_sent.clone()),
             Box::new(self.proxied_served.clone()),
             Box::new(self.proxied.clone()),
--- a/crates/alderglade-serve/src/node/restart.rs
+++ b/crates/alderglade-serve/src/node/restart.rs
@@ -1,12 +1,9 @@
-//! Backend servers that have restarted under the same id: what was sent to a former incarnation ended with it. And servers
-//! that may be ending.
+//! Backend servers that have restarted under the same id: what was sent to a former incarnation ended with it.
 
 use super::Node;
-use crate::clock;
 use crate::event::{self, Record};
 use crate::translate::Status;
 use alderglade_core::fleet::directory::{Restart, Server};
-use alderglade_core::fleet::incarnation::Key;
 
 impl Node {
     /// Returns whether a server has restarted since.
@@ -17,18 +14,6 @@
             .is_superseded(&server.incarnation)
     }
 
-    /// Records that a server broke off a response.
-    pub fn record_break(&self, server: Key) {
-        let now = clock::now();
-        self.state.borrow_mut().breaks.record(server, now);
-    }
-
-    /// Returns whether a server's process may be ending, since it has just broken off a response.
-    pub fn may_be_ending(&self, server: Key) -> bool {
-        let now = clock::now();
-        self.state.borrow().breaks.may_be_ending(server, now)
-    }
-
     /// Waits until a server has restarted.
     pub async fn wait_until_superseded(&self, server: &Server) {
         loop {
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -10,7 +10,6 @@
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::connectivity::Connectivity;
 use alderglade_core::fleet::directory::Directory;
-use alderglade_core::fleet::ending::Breaks;
 use alderglade_core::fleet::evacuation::Evacuations;
 use alderglade_core::fleet::faults::Faults;
 use alderglade_core::fleet::freshness::Freshness;
@@ -92,8 +91,6 @@
     pub(super) loan_requests: LoanRequests,
     /// This host's running calls to plain backend servers.
     pub(super) calls: HashMap<Key, u32>,
-    /// The servers that have broken off a response lately.
-    pub(super) breaks: Breaks,
     /// The engine time that workspaces have used lately.
     pub(super) shares: Shares,
 }
@@ -130,7 +127,6 @@
             silent_owners: Backoffs::default(),
             loan_requests: LoanRequests::new(rand::rng().random()),
             calls: HashMap::new(),
-            breaks: Breaks::default(),
             shares: Shares::default(),
         }
     }
--- a/crates/alderglade-serve/src/proxy/send.rs
+++ b/crates/alderglade-serve/src/proxy/send.rs
@@ -167,7 +167,7 @@
         let headers = &mut exchange.head.headers;
         let outcome = Outcome::take(headers);
         if let Some(framing) = head::take_framing(headers) {
-            exchange.framing = framing;
+            exchange.body.framing = framing;
         }
         // Only a proxy states the outcome. Without it the host has not sent the request anywhere.
         (exchange, outcome.unwrap_or(Outcome::Unavailable))
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -138,7 +138,7 @@
     let stage = Stage::Sent(server.id().clone());
     resources.in_flight.progress.set_stage(stage);
     let exchange = exchange(node, &server, outgoing, target.fresh).await?;
-    Ok(relay(exchange, resources))
+    Ok(relay(node, server, exchange, resources))
 }
 
 /// Connects to a server and keeps the connection for the request that is likely to follow. If that fails, no other hosts
@@ -178,15 +178,20 @@
 }
 
 /// Builds the response of the server as the other host receives it. A body that ends with the server's connection gets
-/// an end of its own, so that it can't be mistaken for a whole one if this host ends.
-fn relay(exchange: Exchange, resources: Resources) -> Response<PeerBody> {
+/// an end of its own, if the server has not ended, so that it can't be mistaken for a whole one.
+fn relay(
+    node: &Rc<Node>,
+    server: Server,
+    exchange: Exchange,
+    resources: Resources,
+) -> Response<PeerBody> {
     let Exchange {
         head,
         body,
-        framing,
         connection,
     } = exchange;
-    let body = ProxiedBody::new(body, connection, resources);
+    let framing = body.framing;
+    let body = ProxiedBody::new(body, connection, resources, node.clone(), server);
     let mut response = Response::new(PeerBody::Right(Box::new(body)));
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end(head.headers);
--- a/crates/alderglade-serve/src/relay/part.rs
+++ b/crates/alderglade-serve/src/relay/part.rs
@@ -1,15 +1,14 @@
 //! The part of a stream that one server sends.
 
 use crate::attempt;
-use crate::body;
-use crate::client::Connection;
+use crate::client::{Connection, ResponseBody};
 use crate::event::ResponseEnd;
 use crate::generate::OpenStream;
 use crate::node::{Node, ReservationGuard};
 use crate::slowdown::Reading;
 use crate::ticket::Tickets;
 use alderglade_core::fleet::directory::Server;
-use alderglade_core::fleet::ending::{Ending, Framing, Place};
+use alderglade_core::fleet::ending::{Ending, Place};
 use alderglade_core::fleet::quarantine::SOUND_AFTER;
 use alderglade_core::fleet::slowdown::PauseMonitor;
 use alderglade_core::fleet::sse::Splitter;
@@ -17,7 +16,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
-use hyper::body::Incoming;
 use snafu::{ResultExt, Snafu};
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,9 +62,7 @@
 /// The part of a stream that one server sends, with the resources held there for it.
 pub(super) struct ServerPart {
     pub server: Server,
-    body: Incoming,
-    /// How the server marks the end of its response.
-    framing: Framing,
+    body: ResponseBody,
     /// Whether the response is a series of events, as it states or by default.
     has_events: bool,
     /// Whether it continues after an event that the caller has.
@@ -103,7 +99,6 @@
             continues,
             server: open.server,
             body: open.exchange.body,
-            framing: open.exchange.framing,
             has_events: has_events(&open.exchange.head.headers),
             connection: open.exchange.connection,
             splitter: Splitter::default(),
@@ -143,7 +138,7 @@
         let received = tokio::select! {
             // Data that has arrived takes precedence over the sign that no more will arrive.
             biased;
-            received = body::next(body) => received,
+            received = body.next() => received,
             () = node.wait_until_superseded(server) => return Err(Failure::Restarted),
         };
         self.judge(received)
@@ -155,7 +150,7 @@
     ///
     /// Returns an error if the server broke off: the connection broke, or it ended inside an event.
     pub async fn receive(&mut self) -> Received {
-        let received = body::next(&mut self.body).await;
+        let received = self.body.next().await;
         self.judge(received)
     }
 
@@ -164,7 +159,7 @@
         match received {
             Ok(None) => {
                 let place = self.place();
-                match Ending::judge(self.framing, place) {
+                match Ending::judge(self.body.framing, place) {
                     Ending::BrokenOff if place == Place::InEvent => Err(Failure::InEvent),
                     Ending::BrokenOff => Err(Failure::NoEvent),
                     Ending::Complete | Ending::Unconfirmed => Ok(None),
@@ -188,8 +183,8 @@
     }
 
     /// Returns whether the server broke off, although its response has ended after a complete event.
-    pub async fn has_broken_off(&self, node: &Rc<Node>) -> bool {
-        attempt::has_broken_off(node, &self.server, self.framing).await
+    pub async fn has_broken_off(&mut self, node: &Rc<Node>) -> bool {
+        attempt::has_broken_off(node, &self.server, &mut self.body).await
     }
 
     /// Records how this part ended. `id` is that of the request.
@@ -197,7 +192,7 @@
         let end = ResponseEnd {
             id,
             server: self.server.id(),
-            framing: self.framing,
+            framing: self.body.framing,
             partial_bytes: self.splitter.rest().len(),
             outcome,
         };
--- a/crates/alderglade-serve/src/transport.rs
+++ b/crates/alderglade-serve/src/transport.rs
@@ -1,15 +1,17 @@
 //! Sends requests to backend servers: over this host's own connections, or through another host while the own path to
 //! a server is cut.
 
-use crate::client::{self, Error, Exchange, IdleSend, OpenConnection};
+use crate::client::{self, Error, Exchange, IdleSend, OpenConnection, Question};
 use crate::clock;
 use crate::node::Node;
 use crate::proxy::{self, Purpose};
+use crate::translate::Dispatch;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::reachability::{Failure, Finding, Path};
 use bytes::Bytes;
-use http::Request;
+use http::header::HOST;
+use http::{HeaderMap, HeaderValue, Request};
 use http_body_util::Full;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,7 +59,8 @@
     proxy::send(node, outgoing, request).await
 }
 
-/// Sends a request over a connection of this host. With `fresh`, no idle connection is used.
+/// Sends a request over a connection of this host. With `fresh`, no idle connection is used. If the response ends with
+/// its connection, a standby connection is held beside it.
 ///
 /// # Errors
 ///
@@ -68,6 +71,7 @@
     request: Request<Full<Bytes>>,
     fresh: bool,
 ) -> Result<Exchange, Error> {
+    let standby = node.client.take_standby(server.address);
     let idle_send = node.client.send_on_idle(server.address, request, fresh);
     let result = match idle_send.await {
         IdleSend::Done(result) => result,
@@ -76,10 +80,40 @@
             node.client.send_on(link, request).await
         }
     };
-    if result.is_ok() {
-        node.record_direct_answer();
-    }
-    result
+    let mut exchange = result?;
+    node.record_direct_answer();
+    exchange.hold_standby(standby, question(node, server));
+    Ok(exchange)
+}
+
+/// Returns what a server is asked on a standby connection: for a report, which only this server may answer.
+fn question(node: &Rc<Node>, server: &Server) -> Question {
+    /// How long the answer is of use.
+    const TIME_LIMIT: Duration = Duration::from_secs(1);
+    let (node, id, address) = (node.clone(), server.id().clone(), server.address);
+    Box::new(move || {
+        let dispatch = Dispatch {
+            server: id.clone(),
+            time_left: TIME_LIMIT,
+            workspace: None,
+            helpers: Vec::new(),
+            last_event: None,
+            urgency: None,
+        };
+        let order = node.translator.report();
+        let mut request = Request::new(Full::new(order.body));
+        *request.method_mut() = order.method;
+        *request.headers_mut() = node.translator.forward(&HeaderMap::new(), &dispatch);
+        let host = HeaderValue::from_str(&address.to_string());
+        request
+            .headers_mut()
+            .extend(host.ok().map(|host| (HOST, host)));
+        match order.path.parse() {
+            Ok(path) => *request.uri_mut() = path,
+            Err(error) => log::debug!("the path of a report is invalid: {error}"),
+        }
+        request
+    })
 }
 
 /// Opens a connection to a server and records whether that succeeded. If not, other hosts are asked about the server.
--- a/crates/alderglade-serve/src/unary.rs
+++ b/crates/alderglade-serve/src/unary.rs
@@ -271,15 +271,15 @@
     reply: &Reply,
 ) -> Result<Response<ServerAnswer>, SendFailure> {
     let genuine = reply.genuine;
-    let framing = exchange.framing;
+    let framing = exchange.body.framing;
     let mut memory = Portion::new(&node.memory);
     let collected = exchange.collect_while(|bytes| memory.grow(bytes)).await;
     let (response, rest) = match collected {
-        Ok(Collected::Whole(_)) if attempt::has_broken_off(node, server, framing).await => {
-            record_broken_off(node, job, server, attempt, framing, attempt::ENDED).await;
-            return Err(SendFailure::Lost);
-        }
-        Ok(Collected::Whole(response)) => {
+        Ok(Collected::Whole(response, mut body)) => {
+            if attempt::has_broken_off(node, server, &mut body).await {
+                record_broken_off(node, job, server, attempt, framing, attempt::ENDED).await;
+                return Err(SendFailure::Lost);
+            }
             record_end(node, job, server, framing, "closed");
             (response, None)
         }
@@ -287,7 +287,6 @@
             let rest = Rest {
                 body,
                 server: server.clone(),
-                framing,
                 attempt,
             };
             (response, Some(rest))
--- a/crates/alderglade-serve/src/unary/body_relay.rs
+++ b/crates/alderglade-serve/src/unary/body_relay.rs
@@ -10,7 +10,6 @@
 use crate::job::Job;
 use crate::node::Node;
 use alderglade_core::fleet::directory::Server;
-use alderglade_core::fleet::ending::Framing;
 use alderglade_core::fleet::health::Outcome;
 use http::StatusCode;
 use std::rc::Rc;
@@ -21,8 +20,6 @@
     pub body: RemainingBody,
     /// The server that sends it.
     pub server: Server,
-    /// How the server marks the end of its response.
-    pub framing: Framing,
     /// The number of the attempt.
     pub attempt: u32,
 }
@@ -114,11 +111,9 @@
     }
 
     /// Returns how the relay of a response ends that ended without an error.
-    async fn confirm_end(&self) -> End {
-        let Rest {
-            server, framing, ..
-        } = &self.rest;
-        if attempt::has_broken_off(&self.node, server, *framing).await {
+    async fn confirm_end(&mut self) -> End {
+        let Rest { body, server, .. } = &mut self.rest;
+        if attempt::has_broken_off(&self.node, server, &mut body.body).await {
             return End::BrokenOff(attempt::ENDED.to_string());
         }
         End::Complete
@@ -133,7 +128,7 @@
             rest,
             ..
         } = self;
-        record_end(&node, &job, &rest.server, rest.framing, "closed");
+        record_end(&node, &job, &rest.server, rest.body.body.framing, "closed");
         // That of a failure was recorded with its head.
         if outcome(status) == Outcome::Success {
             record_outcome(&node, &job, &rest.server, Outcome::Success);
@@ -147,11 +142,9 @@
         let BodyRelay {
             node, job, rest, ..
         } = self;
+        let framing = rest.body.body.framing;
         let Rest {
-            server,
-            framing,
-            attempt,
-            ..
+            server, attempt, ..
         } = rest;
         record_broken_off(&node, &job, &server, attempt, framing, problem).await;
     }
