Confirmations count only for the process that asked for them

Cause: a question for the age of a peer's store data carried the time on the asking process's own clock, and the answer only repeated it. The frozen peer answered, when it woke, what the killed process had asked; the new process took those times for its own and counted its data as confirmed in the future. Evidence, by a line in a trial build: "answer to a request sent at us, own clock 2237783 us, age 4.208981s".

Change: a question carries a number that follows a random one, in the field of the time, so that hosts of both versions understand each other; when it was sent is kept by the process that sent it (core confirmation). An answer to no question of this process is ignored as a whole, with its directory digest and position and with what a starting host asks for, and logged (3306). Freshness refuses a time ahead of the own clock. Loans and grants get their numbers the same way (RequestNumbers).

--- a/crates/alderglade-core/src/fleet/freshness.rs
+++ b/crates/alderglade-core/src/fleet/freshness.rs
@@ -9,6 +9,10 @@
 /// Safety margin for the time between the check of a key and the work for the request.
 const MARGIN: Duration = Duration::from_millis(150);
 
+/// A confirmation of a time that is still to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ahead;
+
 /// The time of the last confirmation by the store.
 #[derive(Debug, Default)]
 pub struct Freshness {
@@ -17,8 +21,16 @@
 
 impl Freshness {
     /// Records that the host knew everything that the store had accepted by `at`.
-    pub fn confirm(&mut self, at: Time) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error and records nothing if that time is still to come.
+    pub fn confirm(&mut self, at: Time, now: Time) -> Result<(), Ahead> {
+        if at > now {
+            return Err(Ahead);
+        }
         self.confirmed = self.confirmed.max(Some(at));
+        Ok(())
     }
 
     /// Returns the time up to which the host knows everything that the store had accepted.
--- a/crates/alderglade-core/src/fleet/loan.rs
+++ b/crates/alderglade-core/src/fleet/loan.rs
@@ -4,6 +4,7 @@
 //! previous incarnation of this host yields nothing, and its loan is lost.
 
 use super::budget::LOAN_LIFETIME;
+use super::request_number::RequestNumbers;
 use crate::Name;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -55,19 +56,17 @@
 /// The open loan requests of one host.
 #[derive(Debug)]
 pub struct LoanRequests {
-    /// The number of the last request.
-    last_number: u64,
+    numbers: RequestNumbers,
     open: BTreeMap<u64, OpenRequest>,
     /// Until when no request is made, by service.
     refused_until: BTreeMap<Name, Time>,
 }
 
 impl LoanRequests {
-    /// Creates a state without open requests. Numbers continue from `first_number`, which is random, so that an
-    /// answer to a previous incarnation isn't taken for one to this.
-    pub fn new(first_number: u64) -> LoanRequests {
+    /// Creates a state without open requests.
+    pub fn new(numbers: RequestNumbers) -> LoanRequests {
         LoanRequests {
-            last_number: first_number,
+            numbers,
             open: BTreeMap::new(),
             refused_until: BTreeMap::new(),
         }
@@ -89,14 +88,14 @@
     /// Creates a request.
     pub fn create(&mut self, service: &Name, missing: u32, now: Time) -> LoanRequest {
         self.open.retain(|_, request| request.until >= now);
-        self.last_number = self.last_number.wrapping_add(1);
+        let number = self.numbers.take();
         let request = OpenRequest {
             service: service.clone(),
             until: now + LOAN_LIFETIME,
         };
-        self.open.insert(self.last_number, request);
+        self.open.insert(number, request);
         LoanRequest {
-            number: self.last_number,
+            number,
             service: service.clone(),
             missing,
         }
--- a/crates/alderglade-core/src/fleet/message.rs
+++ b/crates/alderglade-core/src/fleet/message.rs
@@ -10,7 +10,6 @@
 use super::rate_limit::{self, Grant};
 use super::share;
 use crate::Name;
-use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -94,15 +93,15 @@
 /// Asks for the age of the receiver's store state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfirmationRequest {
-    /// The time of the request on the asking host's clock, in microseconds. The answer repeats it.
-    pub sent_us: u64,
+    /// The number of this request, which the answer repeats.
+    pub number: u64,
 }
 
 /// Reports the age of the sender's store state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Confirmation {
-    /// The time of the request, on the clock of the host that asked.
-    pub sent_us: u64,
+    /// The number of the request.
+    pub number: u64,
     /// The age of the sender's store state at the time of the answer, or `None` if it has no confirmed state yet.
     pub age: Option<Duration>,
     /// The version of the sender's configuration.
@@ -113,15 +112,6 @@
     pub position: Position,
 }
 
-impl Confirmation {
-    /// Returns the time, on the clock of the host that asked, up to which the sender knew all that the store had
-    /// accepted, if known. The transit time of the request is unknown, so the age is subtracted from the time at
-    /// which it was sent.
-    pub fn confirmed_until(&self) -> Option<Time> {
-        self.age.map(|age| Time(self.sent_us) - age)
-    }
-}
-
 /// Changes of backend servers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Servers {
--- a/crates/alderglade-core/tests/testsuite/fleet/loan.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/loan.rs
@@ -5,6 +5,7 @@
 use alderglade_core::Name;
 use alderglade_core::fleet::budget::{Bound, Budget, LOAN_LIFETIME, UNITS_PER_RETRY};
 use alderglade_core::fleet::loan::{Loan, LoanRequest, LoanRequests};
+use alderglade_core::fleet::request_number::RequestNumbers;
 use alderglade_core::time::Time;
 use std::time::Duration;
 
@@ -42,7 +43,7 @@
     fn start(now: Time, incarnation: u64) -> Host {
         Host {
             budget: Budget::new(BOUND, now),
-            loan_requests: LoanRequests::new(incarnation << 32),
+            loan_requests: LoanRequests::new(RequestNumbers::new(incarnation << 32)),
         }
     }
 }
@@ -266,7 +267,7 @@
 
 #[test]
 fn an_answer_counts_once_and_only_in_time() {
-    let mut loan_requests = LoanRequests::new(7);
+    let mut loan_requests = LoanRequests::new(RequestNumbers::new(7));
     let ask = |loan_requests: &mut LoanRequests| {
         loan_requests
             .create(&service(), UNITS_PER_RETRY, Time(0))
@@ -329,7 +330,7 @@
 
 #[test]
 fn no_loan_is_requested_for_a_while_after_a_refusal() {
-    let mut loan_requests = LoanRequests::new(0);
+    let mut loan_requests = LoanRequests::new(RequestNumbers::new(0));
     assert!(loan_requests.may_request("llm", Time(0)));
     loan_requests.record_refusal(&service(), Time(0));
     assert!(!loan_requests.may_request("llm", Time::from_millis(199)));
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -99,6 +99,8 @@
 const LISTEN_FAULT: Kind = warn(3304, "listen_fault");
 /// Something that was not sent by a host of this system asked for a request to be carried.
 const PROXY_REFUSED: Kind = warn(3305, "proxy_refused");
+/// Another host's confirmation is ignored.
+const CONFIRMATION_IGNORED: Kind = info(3306, "confirmation_ignored");
 /// A request is sent to a backend server.
 const PLACED: Kind = info(3401, "placed");
 /// An attempt failed.
@@ -135,7 +137,7 @@
 const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 52] = [
+pub const ALL: [Kind; 53] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -171,6 +173,7 @@
     PEER_FAULT,
     LISTEN_FAULT,
     PROXY_REFUSED,
+    CONFIRMATION_IGNORED,
     PLACED,
     ATTEMPT_FAILED,
     ANSWERED,
@@ -229,6 +232,7 @@
             Record::PeerFault { .. } => &PEER_FAULT,
             Record::ListenFault { .. } => &LISTEN_FAULT,
             Record::ProxyRefused { .. } => &PROXY_REFUSED,
+            Record::ConfirmationIgnored { .. } => &CONFIRMATION_IGNORED,
             Record::Placed { .. } => &PLACED,
             Record::AttemptFailed { .. } => &ATTEMPT_FAILED,
             Record::Answered { .. } => &ANSWERED,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -448,6 +448,13 @@
     },
     /// A response ended with its connection, or inside an event.
     ResponseEnded(ResponseEnd<'a>),
+    /// Another host's confirmation is ignored.
+    ConfirmationIgnored {
+        /// The address of the host that sent it.
+        from: SocketAddr,
+        /// Why: `unknown_request` or `ahead`.
+        reason: &'static str,
+    },
     /// Something that was not sent by a host of this system asked for a request to be carried.
     ProxyRefused {
         /// Where it came from.
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -54,7 +54,7 @@
 }
 
 impl OpenGrantRequests {
-    /// Registers a request under a number that no other request has. Returns the receiver of its answer.
+    /// Registers a request. Returns the receiver of its answer.
     fn register(&mut self, number: u64) -> oneshot::Receiver<Grant> {
         self.open.retain(|_, answer| !answer.is_closed());
         let (sender, receiver) = oneshot::channel();
@@ -199,8 +199,8 @@
         let own = &self.settings.host;
         let now = clock::now();
         let request = {
-            let state = self.state.borrow();
-            let (limits, number) = (&state.limits, rand::random());
+            let state = &mut *self.state.borrow_mut();
+            let (limits, number) = (&state.limits, state.grant_numbers.take());
             if state.groups.has_server(own, server) {
                 limits.request_if_limited(server, own, number, now)
             } else {
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -3,6 +3,7 @@
 use super::{Node, State};
 use crate::clock;
 use crate::event::{self, Record};
+use alderglade_core::fleet::freshness::Ahead;
 use alderglade_core::fleet::heartbeat;
 use alderglade_core::fleet::message::{Confirmation, ConfirmationRequest};
 use alderglade_core::fleet::relay::{
@@ -153,7 +154,7 @@
         let state = self.state.borrow();
         state.config.as_ref()?;
         Some(Confirmation {
-            sent_us: request.sent_us,
+            number: request.number,
             age: state.freshness.age(now),
             config: state.config_version(),
             servers: state.directory.digest(),
@@ -161,15 +162,33 @@
         })
     }
 
+    /// Creates a request for peers' confirmations.
+    pub fn create_confirmation_request(&self) -> ConfirmationRequest {
+        let mut state = self.state.borrow_mut();
+        state.confirmation_requests.create(clock::now())
+    }
+
     /// Applies a peer's confirmation. It covers only what this host knows, too.
     pub fn apply_confirmation(&self, answer: &Confirmation, from: SocketAddr) {
-        self.startup_sync.record_answer(from, answer.config);
         let state = &mut *self.state.borrow_mut();
+        let Ok(confirmed) = state.confirmation_requests.confirmed_until(answer) else {
+            event::write(&Record::ConfirmationIgnored {
+                from,
+                reason: "unknown_request",
+            });
+            return;
+        };
+        self.startup_sync.record_answer(from, answer.config);
         // A peer with an older version may have it from a restored copy of the store.
         if state.config_version() == answer.config
-            && let Some(at) = answer.confirmed_until()
+            && let Some(at) = confirmed
+            && let Err(Ahead) = state.freshness.confirm(at, clock::now())
         {
-            state.freshness.confirm(at);
+            event::write(&Record::ConfirmationIgnored {
+                from,
+                reason: "ahead",
+            });
+            return;
         }
         state.directory.confirm(answer.servers, answer.position);
     }
--- a/crates/alderglade-serve/src/node/startup_sync.rs
+++ b/crates/alderglade-serve/src/node/startup_sync.rs
@@ -1,8 +1,7 @@
 //! Queries to other hosts at startup.
 
 use super::{Envelope, Node};
-use crate::clock;
-use alderglade_core::fleet::message::{ConfirmationRequest, Message};
+use alderglade_core::fleet::message::Message;
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -82,9 +81,9 @@
             .hosts
             .addresses_except(|name| name == own);
         let asked = others.into_iter().sample(&mut rand::rng(), max_hosts);
-        let sent_us = clock::now().0;
+        let request = self.create_confirmation_request();
         for to in &asked {
-            let message = Message::ConfirmationRequest(ConfirmationRequest { sent_us });
+            let message = Message::ConfirmationRequest(request);
             self.queue_envelope(Envelope { to: *to, message });
         }
         asked.len()
--- a/crates/alderglade-serve/src/node/state.rs
+++ b/crates/alderglade-serve/src/node/state.rs
@@ -8,6 +8,7 @@
 use alderglade_core::fleet::backoff::Backoffs;
 use alderglade_core::fleet::budget::Budget;
 use alderglade_core::fleet::config::Config;
+use alderglade_core::fleet::confirmation::ConfirmationRequests;
 use alderglade_core::fleet::connectivity::Connectivity;
 use alderglade_core::fleet::directory::Directory;
 use alderglade_core::fleet::evacuation::Evacuations;
@@ -26,6 +27,7 @@
 use alderglade_core::fleet::reachability::Reachability;
 use alderglade_core::fleet::reassembly::Reassembly;
 use alderglade_core::fleet::relay::{Relay, Role};
+use alderglade_core::fleet::request_number::RequestNumbers;
 use alderglade_core::fleet::share::Shares;
 use alderglade_core::time::Time;
 use rand::RngExt;
@@ -89,6 +91,10 @@
     pub(super) silent_owners: Backoffs<Name>,
     /// This host's requests for loans from other hosts' retry budgets.
     pub(super) loan_requests: LoanRequests,
+    /// This host's requests for the age of other hosts' copies of the store's state.
+    pub(super) confirmation_requests: ConfirmationRequests,
+    /// The numbers of this host's requests for grants.
+    pub(super) grant_numbers: RequestNumbers,
     /// This host's running calls to plain backend servers.
     pub(super) calls: HashMap<Key, u32>,
     /// The engine time that workspaces have used lately.
@@ -125,13 +131,20 @@
             reassembly: Reassembly::default(),
             budgets: HashMap::new(),
             silent_owners: Backoffs::default(),
-            loan_requests: LoanRequests::new(rand::rng().random()),
+            loan_requests: LoanRequests::new(random_numbers()),
+            confirmation_requests: ConfirmationRequests::new(random_numbers()),
+            grant_numbers: random_numbers(),
             calls: HashMap::new(),
             shares: Shares::default(),
         }
     }
 }
 
+/// Returns numbers that no former process of this host has used.
+fn random_numbers() -> RequestNumbers {
+    RequestNumbers::new(rand::rng().random())
+}
+
 impl State {
     /// Returns the version of the configuration in force; `0` if there is none.
     pub(super) fn config_version(&self) -> u64 {
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -9,6 +9,7 @@
 use alderglade_core::fleet::evacuation;
 use alderglade_core::fleet::faults::Fault;
 use alderglade_core::fleet::fingerprint::Fingerprint;
+use alderglade_core::fleet::freshness::Ahead;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::time::Time;
 use std::collections::BTreeSet;
@@ -279,8 +280,10 @@
     fn apply_confirmed(&self, at: Time, held: Option<u64>) {
         let mut state = self.state.borrow_mut();
         let in_force = state.config_version();
-        if held.is_none_or(|held| held >= in_force) {
-            state.freshness.confirm(at);
+        if held.is_none_or(|held| held >= in_force)
+            && let Err(Ahead) = state.freshness.confirm(at, clock::now())
+        {
+            log::warn!("ignored a confirmation of the store that lies ahead");
         }
     }
 
--- a/crates/alderglade-serve/src/peer/send.rs
+++ b/crates/alderglade-serve/src/peer/send.rs
@@ -5,7 +5,7 @@
 use crate::node::{Node, Recipients};
 use alderglade_core::fleet::heartbeat::{Due, Schedule};
 use alderglade_core::fleet::load_table::{Holding, Notice};
-use alderglade_core::fleet::message::{ConfirmationRequest, Message};
+use alderglade_core::fleet::message::Message;
 use alderglade_core::fleet::share::Report;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -87,12 +87,9 @@
         if hosts.is_empty() {
             return;
         }
-        let sent_us = clock::now().0;
-        self.send(
-            &Message::ConfirmationRequest(ConfirmationRequest { sent_us }),
-            &hosts,
-        )
-        .await;
+        let request = self.node.create_confirmation_request();
+        self.send(&Message::ConfirmationRequest(request), &hosts)
+            .await;
     }
 
     /// Sends the queued messages for single hosts.
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -104,6 +104,7 @@
 "n":3303,"level":"WARN","event":"peer_fault","problem":"problem-45"}
 "n":3304,"level":"WARN","event":"listen_fault","problem":"problem-46"}
 "n":3305,"level":"WARN","event":"proxy_refused","from":"10.0.0.7:8006"}
+"n":3306,"level":"INFO","event":"confirmation_ignored","from":"10.0.0.7:8007","reason":"reason-60"}
 "n":3414,"level":"INFO","event":"proxied","id":"id-58","server":"server-58","host":"host-58","outcome":"outcome-58"}
 "n":3415,"level":"INFO","event":"response_ended","id":"id-59","server":"server-59","framing":"close","partial_bytes":594,"outcome":"outcome-59"}
 "n":3005,"level":"WARN","event":"lines_dropped","count":471}
@@ -237,6 +238,7 @@
         Record::PeerFault { problem: "problem-45" },
         Record::ListenFault { problem: "problem-46" },
         Record::ProxyRefused { from: address(8_006) },
+        Record::ConfirmationIgnored { from: address(8_007), reason: "reason-60" },
         Record::Proxied { id: "id-58", server: "server-58", host: "host-58", outcome: "outcome-58" },
         Record::ResponseEnded(ResponseEnd { id: "id-59", server: "server-59", framing: Framing::Close, partial_bytes:
             594, outcome: "outcome-59" }),
--- a/crates/alderglade-serve/tests/testsuite/message.rs
+++ b/crates/alderglade-serve/tests/testsuite/message.rs
@@ -2,6 +2,7 @@
 //! effect of absurd ones.
 
 use alderglade_core::fleet::config::Config;
+use alderglade_core::fleet::confirmation::ConfirmationRequests;
 use alderglade_core::fleet::directory::Directory;
 use alderglade_core::fleet::evacuation::{self, Evacuations};
 use alderglade_core::fleet::fingerprint::Content;
@@ -9,12 +10,13 @@
 use alderglade_core::fleet::incarnation::Incarnation;
 use alderglade_core::fleet::load_table::{Demand, Holding, Load, LoadTable, Notice, Reservation};
 use alderglade_core::fleet::loan::LoanRequests;
-use alderglade_core::fleet::message::{Message, StoreUpdate};
+use alderglade_core::fleet::message::{Confirmation, Message, StoreUpdate};
 use alderglade_core::fleet::pass::EngineProfile;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::quarantine::{Fact, Finding, Quarantine};
 use alderglade_core::fleet::rate_limit::{self, Limits, OwnerView, cold};
 use alderglade_core::fleet::relay::StoreStatus;
+use alderglade_core::fleet::request_number::RequestNumbers;
 use alderglade_core::fleet::share::Shares;
 use alderglade_core::time::Time;
 use arbtest::arbitrary::{Result, Unstructured};
@@ -38,6 +40,7 @@
     directory: Directory,
     health: Health,
     loan_requests: LoanRequests,
+    confirmation_requests: ConfirmationRequests,
     quarantine: Quarantine,
     limits: Limits,
     evacuations: Evacuations,
@@ -53,7 +56,8 @@
             loads,
             directory: Directory::default(),
             health: Health::default(),
-            loan_requests: LoanRequests::new(0),
+            loan_requests: LoanRequests::new(RequestNumbers::new(0)),
+            confirmation_requests: ConfirmationRequests::new(RequestNumbers::new(0)),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             evacuations: Evacuations::default(),
@@ -69,7 +73,13 @@
             }
             Message::ForwardedNotice(forwarded) => self.apply_notice(&forwarded.notice, now),
             Message::Confirmation(confirmation) => {
-                confirmation.confirmed_until();
+                let request = self.confirmation_requests.create(now);
+                let answer = Confirmation {
+                    number: request.number,
+                    ..confirmation
+                };
+                let confirmed = self.confirmation_requests.confirmed_until(&answer);
+                assert!(confirmed.is_ok_and(|at| at <= Some(now)));
             }
             Message::StoreUpdate(update) | Message::StoreUpdateToForward(update) => {
                 self.apply_store_update(update, now)
--- a/crates/alderglade-serve/tests/testsuite/wire_bytes.rs
+++ b/crates/alderglade-serve/tests/testsuite/wire_bytes.rs
@@ -274,11 +274,11 @@
 #[test]
 fn store_confirmations() {
     check(
-        &Message::ConfirmationRequest(ConfirmationRequest { sent_us: 1_001 }),
+        &Message::ConfirmationRequest(ConfirmationRequest { number: 1_001 }),
         "03e907",
     );
     let confirmation = Confirmation {
-        sent_us: 1,
+        number: 1,
         age: Some(Duration::new(2, 3)),
         config: 4,
         servers: 5,
