A server that leaves during a short cut from the store is dropped

Cause: an entry that goes during an outage may only have lapsed, so that its server was kept until Time::NEVER, to be decided at the store's return. The return after a long outage set these times anew; the one after a short outage put the former grace period back and left them, and the position was past the removal.

Change: an entry is missing until a time, or undecided, and only an outage leaves entries undecided; its end decides all of them by one rule (directory/grace.rs). During an outage no server is dropped. A grace period that a peer tells during an outage outlasts it, one that an outage interrupts lasts for a heartbeat after it, and entries may have lapsed over several short outages if these can have prevented three heartbeats in a row.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -15,6 +15,7 @@
 //! that hosts compare to check that they know the same servers leaves it out.
 
 mod departed;
+mod grace;
 mod leavers;
 mod server;
 mod store_sync;
@@ -28,6 +29,7 @@
 use crate::Name;
 use crate::time::Time;
 use departed::Departed;
+use grace::{Absence, Grace, Missing};
 use leavers::Leavers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -48,8 +50,8 @@
     server: Server,
     /// Whether the store lists the server for use: its entry is readable and belongs to this incarnation.
     is_listed: bool,
-    /// Deadline by which an entry that is missing from the store must be written again.
-    missing_until: Option<Time>,
+    /// What the entry's absence means, if it is missing from the store.
+    missing: Option<Missing>,
     /// Until when the server is held back, if it had gone and was listed again by a copy of the store.
     held_until: Option<Time>,
 }
@@ -90,10 +92,7 @@
     /// Whether the store has listed the servers.
     listed: bool,
     /// Until when entries may be missing from the store although their servers are alive.
-    grace_until: Option<Time>,
-    /// `grace_until` as it was when contact to the store was lost. Restored if the outage was too short for entries to
-    /// lapse.
-    grace_before_outage: Option<Time>,
+    grace: Grace,
     /// Sum of the entries' digests, updated with each change because every notice carries it.
     digest: u64,
     /// Servers that have restarted since the last [`Directory::take_restarts`].
@@ -115,37 +114,31 @@
 }
 
 impl Directory {
-    /// Records that the store stopped responding: entries that go missing from now on may only have lapsed.
-    pub fn store_lost(&mut self) {
-        self.grace_before_outage = self.grace_until;
-        self.grace_until = Some(Time::NEVER);
+    /// Records that the store stopped responding: entries that go missing from now on may only have lapsed. `answered` is
+    /// when the store responded last.
+    pub fn store_lost(&mut self, answered: Time) {
+        self.grace.begin_outage(answered);
     }
 
-    /// Records that the store responds again. `lapsed` is whether the outage was long enough for entries to have
-    /// lapsed.
-    pub fn store_returned(&mut self, now: Time, lapsed: bool) {
-        if !lapsed {
-            self.grace_until = self.grace_before_outage.take();
-            return;
-        }
-        let until = now + STORE_RETURN_GRACE;
-        self.grace_until = Some(until);
+    /// Records that the store responds again. Servers whose entries went missing meanwhile are gone if these cannot have
+    /// lapsed; [`Directory::expire`] drops them.
+    pub fn store_returned(&mut self, now: Time) {
+        let until = self.grace.end_outage(now);
         for entry in self.entries.values_mut() {
-            entry.missing_until = entry.missing_until.map(|_| until);
+            entry.missing = entry.missing.map(|_| Missing::Until(until));
         }
     }
 
     /// Extends the grace period at the request of a peer: until then entries may be missing although their servers are
     /// alive.
     pub fn extend_grace(&mut self, until: Time) {
-        self.grace_until = self.grace_until.max(Some(until));
+        self.grace.extend(until);
     }
 
     /// Returns how much longer entries may be missing although their servers are alive. Zero while the store is
     /// unavailable, because the end of the grace period is then unknown.
     pub fn grace_left(&self, now: Time) -> Duration {
-        let until = self.grace_until.filter(|until| *until != Time::NEVER);
-        until.map_or(Duration::ZERO, |until| until.left(now))
+        self.grace.left(now)
     }
 
     /// Replaces the known servers by a full list from the store.
@@ -196,7 +189,7 @@
                 leaving: false,
                 ..entry.server.clone()
             },
-            missing_until: entry.missing_until,
+            missing: entry.missing,
             held_until: None,
         });
     }
@@ -224,7 +217,8 @@
         let ids = &self.ids;
         self.leavers.expire(|key| ids.contains_key(&key), now);
         let is_past = |until: Option<Time>| until.is_some_and(|until| until <= now);
-        let missing = self.ids_where(|entry| is_past(entry.missing_until));
+        let is_gone = |missing| self.grace.is_over(missing, now);
+        let missing = self.ids_where(|entry| entry.missing.is_some_and(is_gone));
         for id in &missing {
             self.remove_departed(id, now);
         }
@@ -397,7 +391,7 @@
         self.insert(Entry {
             server,
             is_listed: true,
-            missing_until: None,
+            missing: None,
             held_until,
         });
     }
@@ -420,7 +414,7 @@
         };
         let before = entry.digest();
         entry.is_listed = false;
-        entry.missing_until = None;
+        entry.missing = None;
         self.digest = self.digest.wrapping_sub(before);
     }
 
@@ -466,12 +460,11 @@
 
     /// Handles an entry that is missing from the store. During a grace period the server is kept until its end.
     fn handle_missing(&mut self, id: &str, now: Time) {
-        let grace_until = self.grace_until.filter(|until| *until > now);
-        match grace_until {
-            None => self.remove_departed(id, now),
-            Some(until) => {
+        match self.grace.judge(now) {
+            Absence::Final => self.remove_departed(id, now),
+            Absence::Temporary(missing) => {
                 if let Some(entry) = self.entries.get_mut(id) {
-                    entry.missing_until.get_or_insert(until);
+                    entry.missing.get_or_insert(missing);
                 }
             }
         }
--- /dev/null
+++ b/crates/alderglade-core/src/fleet/directory/grace.rs
@@ -0,0 +1,144 @@
+//! Until when entries may be missing from the store although their servers are alive.
+
+use super::STORE_RETURN_GRACE;
+use crate::time::Time;
+use std::time::Duration;
+
+/// The number of heartbeats in a row that a server must miss for its entry to lapse.
+const MISSED_HEARTBEATS: usize = 3;
+/// The shortest time between two heartbeats. Servers send one about every 1.2 s.
+const MIN_HEARTBEAT: Duration = Duration::from_millis(1_000);
+/// The longest time between two heartbeats.
+const MAX_HEARTBEAT: Duration = Duration::from_millis(1_400);
+/// How long an outage matters after its end: until then it may have prevented the first heartbeat that was missed.
+const OUTAGE_RETENTION: Duration = Duration::from_millis(2_800);
+
+/// The state of an entry that is missing from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Missing {
+    /// Its server is gone if the entry has not been written again by then.
+    Until(Time),
+    /// The store is unavailable. Its return decides.
+    Undecided,
+}
+
+/// What an entry that goes missing means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Absence {
+    /// Its server is gone.
+    Final,
+    /// It may have lapsed.
+    Temporary(Missing),
+}
+
+/// The present outage of the store.
+#[derive(Debug, Clone, Copy)]
+struct Outage {
+    /// When the store answered last.
+    answered: Time,
+    /// Whether entries could be missing then.
+    in_grace: bool,
+}
+
+/// A time in which heartbeats may have failed.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    start: Time,
+    end: Time,
+}
+
+impl Span {
+    /// Returns when the next heartbeat may be due after one in this span, as far as that lies in `other`.
+    fn next_heartbeat_in(self, other: Span) -> Option<Span> {
+        let start = other.start.max(self.start + MIN_HEARTBEAT);
+        let end = other.end.min(self.end + MAX_HEARTBEAT);
+        (start <= end).then_some(Span { start, end })
+    }
+}
+
+/// Returns whether a server may have missed so many heartbeats in a row that its entry has lapsed.
+fn may_have_lapsed(outages: &[Span]) -> bool {
+    let mut missed = outages.to_vec();
+    for _ in 1..MISSED_HEARTBEATS {
+        let next = missed.iter().flat_map(|span| {
+            let spans = outages.iter();
+            spans.filter_map(|outage| span.next_heartbeat_in(*outage))
+        });
+        missed = next.collect();
+    }
+    !missed.is_empty()
+}
+
+/// The grace period, and the outages that it follows from.
+#[derive(Debug, Default)]
+pub(super) struct Grace {
+    /// Until when entries may be missing, apart from a present outage.
+    until: Option<Time>,
+    outage: Option<Outage>,
+    /// The outages of the last [`OUTAGE_RETENTION`].
+    ended: Vec<Span>,
+}
+
+impl Grace {
+    /// Returns whether the store is unavailable.
+    pub fn is_outage(&self) -> bool {
+        self.outage.is_some()
+    }
+
+    /// Records that the store is unavailable; `answered` is when it answered last.
+    pub fn begin_outage(&mut self, answered: Time) {
+        let in_grace = self.until.is_some_and(|until| until > answered);
+        self.outage.get_or_insert(Outage { answered, in_grace });
+    }
+
+    /// Records that the store is available again. Returns until when the entries that are missing may be written again.
+    ///
+    /// Entries may have lapsed if the store was unavailable for long enough, in one outage or in several. Those that
+    /// had lapsed before could not be written meanwhile, and are with the next heartbeat.
+    pub fn end_outage(&mut self, now: Time) -> Time {
+        if let Some(outage) = self.outage.take() {
+            let oldest = now - OUTAGE_RETENTION;
+            self.ended.retain(|span| span.end >= oldest);
+            self.ended.push(Span {
+                start: outage.answered,
+                end: now,
+            });
+            if may_have_lapsed(&self.ended) {
+                self.extend(now + STORE_RETURN_GRACE);
+            } else if outage.in_grace {
+                self.extend(now + MAX_HEARTBEAT);
+            }
+        }
+        self.until.map_or(now, |until| until.max(now))
+    }
+
+    /// Extends the grace period to `until`. That holds beyond a present outage.
+    pub fn extend(&mut self, until: Time) {
+        self.until = self.until.max(Some(until));
+    }
+
+    /// Returns how much longer the grace period lasts. Zero during an outage, because its end is then unknown.
+    pub fn left(&self, now: Time) -> Duration {
+        match self.until {
+            Some(until) if !self.is_outage() => until.left(now),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Returns what it means that an entry goes missing now.
+    pub fn judge(&self, now: Time) -> Absence {
+        match self.until {
+            _ if self.is_outage() => Absence::Temporary(Missing::Undecided),
+            Some(until) if until > now => Absence::Temporary(Missing::Until(until)),
+            _ => Absence::Final,
+        }
+    }
+
+    /// Returns whether the server of a missing entry is gone.
+    pub fn is_over(&self, missing: Missing, now: Time) -> bool {
+        match missing {
+            Missing::Until(until) => !self.is_outage() && until <= now,
+            Missing::Undecided => false,
+        }
+    }
+}
--- a/crates/alderglade-core/src/fleet/directory/store_sync.rs
+++ b/crates/alderglade-core/src/fleet/directory/store_sync.rs
@@ -102,7 +102,7 @@
         let missing = self
             .entries
             .values()
-            .filter(|entry| entry.missing_until.is_some());
+            .filter(|entry| entry.missing.is_some());
         self.restored = Some(Restored {
             former: self.position,
             position,
--- a/crates/alderglade-core/tests/testsuite/fleet/directory.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/directory.rs
@@ -76,9 +76,9 @@
 #[test]
 fn an_entry_that_lapsed_during_an_outage_is_kept_for_the_grace_period() {
     let mut directory = known(&["a", "b", "c"]);
-    directory.store_lost();
+    directory.store_lost(Time(0));
     let returned = Time::from_millis(9_000);
-    directory.store_returned(returned, true);
+    directory.store_returned(returned);
     directory.replace(listing(vec![server("c", false)]), returned);
     assert_eq!(usable(&directory), ["a", "b", "c"]);
     directory.apply(
@@ -95,9 +95,10 @@
 #[test]
 fn an_entry_removed_after_the_grace_period_is_dropped_at_once() {
     let mut directory = known(&["a", "b"]);
-    directory.store_lost();
-    directory.store_returned(Time::from_millis(1_000), true);
-    let later = Time::from_millis(1_000) + STORE_RETURN_GRACE;
+    directory.store_lost(Time(0));
+    let returned = Time::from_millis(3_000);
+    directory.store_returned(returned);
+    let later = returned + STORE_RETURN_GRACE;
     directory.apply(Change::Gone("a".into()), later);
     assert_eq!(usable(&directory), ["b"]);
 }
@@ -105,8 +106,8 @@
 #[test]
 fn a_short_outage_starts_no_grace_period() {
     let mut directory = known(&["a", "b"]);
-    directory.store_lost();
-    directory.store_returned(Time(5), false);
+    directory.store_lost(Time(0));
+    directory.store_returned(Time(5));
     directory.apply(Change::Gone("a".into()), Time(6));
     assert_eq!(usable(&directory), ["b"]);
 }
@@ -114,12 +115,13 @@
 #[test]
 fn another_outage_restarts_the_grace_period() {
     let mut directory = known(&["a"]);
-    directory.store_lost();
-    directory.store_returned(Time(0), true);
-    directory.apply(Change::Gone("a".into()), Time(1));
-    directory.store_lost();
-    let returned = Time(0) + STORE_RETURN_GRACE * 3;
-    directory.store_returned(returned, true);
+    directory.store_lost(Time(0));
+    let returned = Time::from_millis(3_000);
+    directory.store_returned(returned);
+    directory.apply(Change::Gone("a".into()), returned);
+    directory.store_lost(returned);
+    let returned = returned + STORE_RETURN_GRACE * 3;
+    directory.store_returned(returned);
     assert!(!directory.expire(returned + STORE_RETURN_GRACE / 2));
     assert!(directory.expire(returned + STORE_RETURN_GRACE));
 }
@@ -139,8 +141,8 @@
                 }
                 0 => directory.apply(Change::Gone(id.into()), now),
                 1 => drop(directory.mark_leaving(key(&id), now)),
-                2 => directory.store_lost(),
-                3 => directory.store_returned(now, u.arbitrary()?),
+                2 => directory.store_lost(now),
+                3 => directory.store_returned(now),
                 4 => drop(directory.expire(now)),
                 5 => {
                     let servers = vec![server(&id, false), server("s9", true)];
--- a/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/incarnation.rs
@@ -195,7 +195,7 @@
     let first = born("a", 1);
     let mut directory = after(&[ready(&first), ready(&born("b", 1))]);
     // A grace period applies to missing entries, but not to unreadable ones.
-    directory.store_lost();
+    directory.store_lost(Time(0));
     let listing = Listing {
         servers: vec![server(born("b", 1), false)],
         unreadable: vec![fault("a"), fault("unknown")],
@@ -398,7 +398,7 @@
     each_seed(200, |u| {
         let (first, second) = (born("a", 1), born("a", 2));
         let mut directory = after(&[ready(&first), ready(&born("b", 1))]);
-        directory.store_lost();
+        directory.store_lost(Time(0));
         if u.arbitrary()? {
             directory.apply(Change::Gone("a".into()), Time(1));
         }
@@ -409,7 +409,7 @@
             directory.mark_leaving(first.key(), Time(0));
         }
         let returned = Time::from_millis(9_000);
-        directory.store_returned(returned, true);
+        directory.store_returned(returned);
         let mut changes = vec![ready(&second), leaving(&first), ready(&first)];
         while !changes.is_empty() {
             let next = u.int_in_range(0..=changes.len() - 1)?;
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod incarnation;
 mod load_table;
 mod loan;
+mod outage;
 mod pass;
 mod placement;
 mod progress;
@@ -42,13 +43,14 @@
 mod slowdown;
 mod sse;
 
-use alderglade_core::fleet::directory::Server;
+use alderglade_core::fleet::directory::{Directory, Server};
 use alderglade_core::fleet::evacuation::Snapshot;
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
 use alderglade_core::fleet::load_table::{Load, Notice, Reservation};
 use alderglade_core::fleet::pass::EngineProfile;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::relay::StoreStatus;
+use std::collections::BTreeSet;
 
 /// The profile of the users' engines.
 fn profile() -> EngineProfile {
@@ -120,3 +122,14 @@
         multi_engine: false,
     }
 }
+
+/// Returns the ids of the servers that accept work.
+fn active_ids(directory: &Directory) -> BTreeSet<String> {
+    let servers = directory.of_service("llm");
+    servers.map(|server| server.id().to_string()).collect()
+}
+
+/// Returns a set of server ids.
+fn id_set(ids: &[&str]) -> BTreeSet<String> {
+    ids.iter().map(ToString::to_string).collect()
+}
--- a/crates/alderglade-core/tests/testsuite/fleet/restored.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/restored.rs
@@ -1,7 +1,7 @@
 //! A store that is restored from a copy, followed by hosts at different paces. Revisions go back and are assigned
 //! again, and messages between hosts about a former era arrive late, twice, out of order, or never.
 
-use super::{empty_notice, server};
+use super::{active_ids, empty_notice, id_set, server};
 use crate::each_seed;
 use alderglade_core::fleet::directory::{
     Change, Directory, Listing, STALE_ENTRY_HOLD, STORE_RETURN_GRACE,
@@ -23,15 +23,6 @@
     }
 }
 
-fn active_ids(directory: &Directory) -> BTreeSet<String> {
-    let servers = directory.of_service("llm");
-    servers.map(|server| server.id().to_string()).collect()
-}
-
-fn id_set(ids: &[&str]) -> BTreeSet<String> {
-    ids.iter().map(ToString::to_string).collect()
-}
-
 /// Creates a directory that has listed the given servers in the first era.
 fn listed(ids: &[&str]) -> Directory {
     let mut directory = Directory::default();
@@ -106,8 +97,8 @@
 fn a_short_outage_after_a_restore_does_not_shorten_the_grace_period() {
     let mut directory = listed(&["a"]);
     directory.apply_listing(listing(&["a", "b"]), Position::new(2, 40), Time(0));
-    directory.store_lost();
-    directory.store_returned(Time::from_millis(300), false);
+    directory.store_lost(Time(0));
+    directory.store_returned(Time::from_millis(300));
     directory.apply(Change::Gone("a".into()), Time::from_millis(400));
     assert_eq!(active_ids(&directory), id_set(&["a", "b"]));
     directory.expire(Time::from_millis(2_000));
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -16,10 +16,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// After an outage of this length, entries of servers may have expired. They expire after three missed heartbeats of
-/// 1.2 s, and the first of these may have been due at once.
-const ENTRY_EXPIRY: Duration = Duration::from_millis(2_000);
-
 /// An update from the store.
 #[derive(Debug)]
 pub enum StoreEvent {
@@ -321,7 +317,9 @@
             lost_at: Some(clock::now()),
             ..contact
         });
-        self.state.borrow_mut().directory.store_lost();
+        let mut state = self.state.borrow_mut();
+        state.directory.store_lost(contact.answered);
+        drop(state);
         event::write(&Record::StoreLost { problem });
     }
 
@@ -336,9 +334,7 @@
             return;
         }
         let outage = now.since(answered);
-        let mut state = self.state.borrow_mut();
-        state.directory.store_returned(now, outage >= ENTRY_EXPIRY);
-        drop(state);
+        self.state.borrow_mut().directory.store_returned(now);
         event::write(&Record::StoreBack {
             age_ms: outage.as_millis() as u64,
         });
