A server that does not know the question is not taken for dead

A living server that closes a connection when it is asked for a report, as one may that does not know the request, counted as gone, so that its whole answers without a length were called broken off. Found before any caller met it: the soak's stand-ins did so, as they answer nothing without a request id.

Cause: a standby connection that is closed without an answer was a proof of death by itself. Now the server is asked once more: it is gone if its machine refuses the next connection or closes it before the question, or if the next one answers, which a server that doesn't know the question wouldn't.

--- a/crates/alderglade-serve/src/client/standby.rs
+++ b/crates/alderglade-serve/src/client/standby.rs
@@ -212,45 +212,51 @@
     }
 
     /// Asks on the connection, or on new ones as long as they show nothing, until the evidence is conclusive.
+    ///
+    /// A server may close a connection because it does not understand the question. It does so again, and its machine
+    /// neither refuses the next connection nor closes it before it is asked on.
     async fn collect_evidence(
         &self,
         mut link: Option<OpenConnection>,
         standby: &mut ending::Standby,
     ) {
+        let mut was_closed = false;
         loop {
-            let open = match link.take() {
-                Some(open) => open,
-                None => match self.client.connect(self.address).await {
-                    Ok(open) => open,
-                    Err(Error::Closed { .. }) => {
-                        standby.evidence = Evidence::Refused;
-                        clock::sleep(RETRY_DELAY).await;
-                        continue;
-                    }
-                    Err(error) => {
-                        log::debug!("no standby connection to {}: {error}", self.address);
-                        return;
-                    }
-                },
+            let connected = match link.take() {
+                Some(open) => Ok(open),
+                None if was_closed => super::settle(self.client.connect(self.address).await).await,
+                None => self.client.connect(self.address).await,
             };
-            let opened = open.opened();
-            standby.opened = Some(opened);
-            standby.evidence = Evidence::Silent;
-            match self.ask(open).await {
-                Some(exchange) => {
-                    standby.evidence = match exchange.head.status {
-                        StatusCode::MISDIRECTED_REQUEST => Evidence::Misdirected,
-                        _ => Evidence::Answered,
-                    };
-                    tokio::task::spawn_local(keep(self.client.clone(), exchange));
+            let open = match connected {
+                Ok(open) => open,
+                Err(Error::Closed { .. }) if was_closed => {
+                    standby.evidence = Evidence::Closed;
                     return;
                 }
-                None if has_settled(opened) && standby.closed_at.is_none() => {
-                    standby.evidence = Evidence::Closed;
+                Err(Error::Closed { .. }) => {
+                    standby.evidence = Evidence::Refused;
+                    clock::sleep(RETRY_DELAY).await;
+                    continue;
+                }
+                Err(error) => {
+                    log::debug!("no standby connection to {}: {error}", self.address);
                     return;
                 }
-                None => clock::sleep(RETRY_DELAY).await,
+            };
+            let opened = open.opened();
+            standby.opened = Some(opened);
+            standby.evidence = Evidence::Silent;
+            if let Some(exchange) = self.ask(open).await {
+                standby.evidence = match exchange.head.status {
+                    StatusCode::MISDIRECTED_REQUEST => Evidence::Misdirected,
+                    _ if was_closed => Evidence::Closed,
+                    _ => Evidence::Answered,
+                };
+                tokio::task::spawn_local(keep(self.client.clone(), exchange));
+                return;
             }
+            was_closed |= has_settled(opened) && standby.closed_at.is_none();
+            clock::sleep(RETRY_DELAY).await;
         }
     }
 
