A question that is still open at the end of an answer proves nothing

Read in the diff of the standby connections: what became of a question asked during an answer, and still open at its end, was not part of the evidence. If the server was killed then and its next process answered on the next connection, the beginning of the answer counted as complete.

The losses are now read when that question has ended. A server that does not know the question is told from one that died during an answer, too, in the same way as after one: it closes the next connection as well, once it is asked there; it is then asked no more. A standby connection that was taken for a request whose send failed goes back to the idle ones.

--- a/crates/alderglade-serve/src/client/standby.rs
+++ b/crates/alderglade-serve/src/client/standby.rs
@@ -2,7 +2,7 @@
 //! process that sent the response is still alive.
 
 use super::socket::Activity;
-use super::{Client, Error, Exchange, OpenConnection};
+use super::{Client, Error, Exchange, OpenConnection, settle};
 use crate::clock;
 use alderglade_core::fleet::ending::{self, Evidence, MAX_EXIT_TIME};
 use alderglade_core::time::Time;
@@ -55,6 +55,7 @@
             question,
             closed_at: Cell::new(None),
             refused_at: Cell::new(None),
+            is_uninformed: Cell::new(false),
         };
         tokio::task::spawn_local(holder.run(link, inquiry));
         Standby { inquiries }
@@ -88,6 +89,8 @@
     closed_at: Cell<Option<Time>>,
     /// When the server's machine first refused the connection.
     refused_at: Cell<Option<Time>>,
+    /// Whether the server closes a connection on which it is asked.
+    is_uninformed: Cell<bool>,
 }
 
 impl Holder {
@@ -154,18 +157,41 @@
     /// Asks on a connection so that the server does not close it as idle, and opens another one if it has been closed.
     async fn renew(&self, link: Option<OpenConnection>) -> Option<OpenConnection> {
         let link = link.filter(|link| !link.is_closed());
-        if let Some(link) = link {
-            let opened = link.opened();
-            match self.ask(link).await {
-                Some(exchange) => {
-                    let free = exchange.reclaim(MAX_ANSWER_BYTES).await;
-                    if free.is_some() {
-                        return free;
-                    }
-                }
-                None => self.record_close(opened),
+        let Some(link) = link else {
+            return self.connect().await;
+        };
+        if self.is_uninformed.get() {
+            return Some(link);
+        }
+        let opened = link.opened();
+        if let Some(answer) = self.ask(link).await {
+            return match answer.reclaim(MAX_ANSWER_BYTES).await {
+                Some(link) => Some(link),
+                None => self.connect().await,
+            };
+        }
+        // A server that does not know the question closes the next connection as well, once it is asked there.
+        let next = settle(self.client.connect(self.address).await).await;
+        let answer = match next {
+            Ok(next) => self.ask(next).await,
+            Err(_) => {
+                self.record_close(opened);
+                return None;
+            }
+        };
+        match answer {
+            Some(answer) => {
+                self.record_close(opened);
+                answer.reclaim(MAX_ANSWER_BYTES).await
+            }
+            None => {
+                self.is_uninformed.set(true);
+                self.connect().await
             }
         }
+    }
+
+    async fn connect(&self) -> Option<OpenConnection> {
         let connected = self.client.connect(self.address).await;
         if let Err(error) = &connected {
             log::debug!("no standby connection to {}: {error}", self.address);
@@ -197,7 +223,10 @@
         };
         let needed = reply.is_some();
         let conclusion = async {
-            match renewal.await {
+            let link = renewal.await;
+            // The renewal may have found the connection closed.
+            standby.closed_at = self.closed_at.get();
+            match link {
                 link if needed => self.collect_evidence(link, &mut standby).await,
                 Some(link) => self.client.keep(link),
                 None => {}
@@ -224,7 +253,7 @@
         loop {
             let connected = match link.take() {
                 Some(open) => Ok(open),
-                None if was_closed => super::settle(self.client.connect(self.address).await).await,
+                None if was_closed => settle(self.client.connect(self.address).await).await,
                 None => self.client.connect(self.address).await,
             };
             let open = match connected {
--- a/crates/alderglade-serve/src/transport.rs
+++ b/crates/alderglade-serve/src/transport.rs
@@ -80,10 +80,17 @@
             node.client.send_on(link, request).await
         }
     };
-    let mut exchange = result?;
-    node.record_direct_answer();
-    exchange.hold_standby(standby, question(node, server));
-    Ok(exchange)
+    match result {
+        Ok(mut exchange) => {
+            node.record_direct_answer();
+            exchange.hold_standby(standby, question(node, server));
+            Ok(exchange)
+        }
+        Err(error) => {
+            standby.into_iter().for_each(|link| node.client.keep(link));
+            Err(error)
+        }
+    }
 }
 
 /// Returns what a server is asked on a standby connection: for a report, which only this server may answer.
