A server that is slow to answer after a death is no sign of life

Cause, by reading: when the standby connection is closed without an answer, the server is asked on a second one, to see whether it closes that on the question, too. If the next process was slow to answer there, the state was unknown at the time limit, and the answer counted as complete.

Change: a closed connection counts as the end of its process unless the second one is closed on the question as well; nothing else upgrades it, neither after an answer nor during one.

--- a/crates/alderglade-serve/src/client/standby.rs
+++ b/crates/alderglade-serve/src/client/standby.rs
@@ -163,32 +163,22 @@
         if self.is_uninformed.get() {
             return Some(link);
         }
-        let opened = link.opened();
+        let (opened, closed_before) = (link.opened(), self.closed_at.get());
         if let Some(answer) = self.ask(link).await {
             return match answer.reclaim(MAX_ANSWER_BYTES).await {
                 Some(link) => Some(link),
                 None => self.connect().await,
             };
         }
-        // A server that does not know the question closes the next connection as well, once it is asked there.
+        self.record_close(opened);
         let next = settle(self.client.connect(self.address).await).await;
-        let answer = match next {
-            Ok(next) => self.ask(next).await,
-            Err(_) => {
-                self.record_close(opened);
-                return None;
-            }
-        };
-        match answer {
-            Some(answer) => {
-                self.record_close(opened);
-                answer.reclaim(MAX_ANSWER_BYTES).await
-            }
-            None => {
-                self.is_uninformed.set(true);
-                self.connect().await
-            }
+        if let Some(answer) = self.ask(next.ok()?).await {
+            return answer.reclaim(MAX_ANSWER_BYTES).await;
         }
+        // A server that does not know the question closes the next connection as well, once it is asked there.
+        self.is_uninformed.set(true);
+        self.closed_at.set(closed_before);
+        self.connect().await
     }
 
     async fn connect(&self) -> Option<OpenConnection> {
@@ -234,6 +224,7 @@
         };
         if clock::timeout(ANSWER_TIMEOUT, conclusion).await.is_err() {
             log::debug!("{} is slow to answer: {standby:?}", self.address);
+            standby.closed_at = self.closed_at.get();
         }
         if reply.is_some_and(|reply| reply.send(standby).is_err()) {
             log::debug!("nobody waits for the state of {}", self.address);
@@ -249,46 +240,67 @@
         mut link: Option<OpenConnection>,
         standby: &mut ending::Standby,
     ) {
-        let mut was_closed = false;
         loop {
-            let connected = match link.take() {
-                Some(open) => Ok(open),
-                None if was_closed => settle(self.client.connect(self.address).await).await,
-                None => self.client.connect(self.address).await,
-            };
-            let open = match connected {
-                Ok(open) => open,
-                Err(Error::Closed { .. }) if was_closed => {
-                    standby.evidence = Evidence::Closed;
-                    return;
-                }
-                Err(Error::Closed { .. }) => {
-                    standby.evidence = Evidence::Refused;
-                    clock::sleep(RETRY_DELAY).await;
-                    continue;
-                }
-                Err(error) => {
-                    log::debug!("no standby connection to {}: {error}", self.address);
-                    return;
-                }
+            let open = match link.take() {
+                Some(open) => open,
+                None => match self.client.connect(self.address).await {
+                    Ok(open) => open,
+                    Err(Error::Closed { .. }) => {
+                        standby.evidence = Evidence::Refused;
+                        clock::sleep(RETRY_DELAY).await;
+                        continue;
+                    }
+                    Err(error) => {
+                        log::debug!("no standby connection to {}: {error}", self.address);
+                        return;
+                    }
+                },
             };
             let opened = open.opened();
             standby.opened = Some(opened);
             standby.evidence = Evidence::Silent;
-            if let Some(exchange) = self.ask(open).await {
-                standby.evidence = match exchange.head.status {
-                    StatusCode::MISDIRECTED_REQUEST => Evidence::Misdirected,
-                    _ if was_closed => Evidence::Closed,
-                    _ => Evidence::Answered,
-                };
-                tokio::task::spawn_local(keep(self.client.clone(), exchange));
+            if let Some(answer) = self.ask(open).await {
+                standby.evidence = self.keep_answer(answer);
+                return;
+            }
+            if has_settled(opened) && standby.closed_at.is_none() {
+                standby.evidence = Evidence::Closed;
+                if self.closes_on_question().await {
+                    standby.evidence = Evidence::Silent;
+                }
                 return;
             }
-            was_closed |= has_settled(opened) && standby.closed_at.is_none();
             clock::sleep(RETRY_DELAY).await;
         }
     }
 
+    /// Returns whether the server takes another connection, and closes it only when it is asked there: it does not know the
+    /// question.
+    async fn closes_on_question(&self) -> bool {
+        clock::sleep(RETRY_DELAY).await;
+        let next = settle(self.client.connect(self.address).await).await;
+        match next {
+            Ok(next) => match self.ask(next).await {
+                Some(answer) => {
+                    self.keep_answer(answer);
+                    false
+                }
+                None => true,
+            },
+            Err(_) => false,
+        }
+    }
+
+    /// Keeps the connection of an answer for another request, and returns what the answer shows.
+    fn keep_answer(&self, answer: Exchange) -> Evidence {
+        let evidence = match answer.head.status {
+            StatusCode::MISDIRECTED_REQUEST => Evidence::Misdirected,
+            _ => Evidence::Answered,
+        };
+        tokio::task::spawn_local(keep(self.client.clone(), answer));
+        evidence
+    }
+
     /// Asks the server and waits for the head of its answer. Returns `None` if the connection is closed first.
     async fn ask(&self, link: OpenConnection) -> Option<Exchange> {
         let answer = self.client.send_on(link, (self.question)()).await;
