The question of a standby connection is built only where it is needed

Cause: send_direct built a boxed closure for the question with each request, also for responses that tell their end, and the closure built each time what the calls to engines build already.

Change: the request of a call is built by order::request, for both; a question is a request that is cloned, built once a response is known to end with its connection. A question carries the content type now that other requests for reports have.

--- a/crates/alderglade-backend/src/service.rs
+++ b/crates/alderglade-backend/src/service.rs
@@ -4,7 +4,7 @@
 use alderglade_serve::client::{Client, Collected, Error};
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Method, Request, Uri};
+use http::{Method, Request};
 use http_body_util::Full;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
@@ -97,7 +97,7 @@
     if status == STATUS_LEAVING {
         return End::Leaving;
     }
-    exchange.hold_standby(None, Box::new(move || question(address)));
+    exchange.hold_standby(None, || question(call.address));
     let mut length = 0;
     let is_within_limit = |bytes| {
         length += bytes;
@@ -140,14 +140,9 @@
     connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Builds the request that a server is asked with whether it is alive: it does nothing.
-fn question(address: SocketAddr) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::default());
-    *request.method_mut() = Method::OPTIONS;
-    *request.uri_mut() = Uri::from_static("*");
-    let host = HeaderValue::from_str(&address.to_string());
-    request
-        .headers_mut()
-        .extend(host.ok().map(|host| (HOST, host)));
-    request
+/// Builds what a server is asked to find out whether it is alive: a request without any effect. Returns `None` if the
+/// address is invalid in one.
+fn question(address: &str) -> Option<Request<Full<Bytes>>> {
+    let request = Request::builder().method(Method::OPTIONS).uri("*");
+    request.header(HOST, address).body(Full::default()).ok()
 }
--- a/crates/alderglade-serve/src/client/exchange.rs
+++ b/crates/alderglade-serve/src/client/exchange.rs
@@ -86,12 +86,18 @@
 
 impl Exchange {
     /// Holds a standby connection to the server until the response has ended, if the response ends with its connection.
-    /// `link` is a connection to the server that is already open.
-    pub fn hold_standby(&mut self, link: Option<OpenConnection>, question: Question) {
+    /// `link` is a connection to the server that is already open; `question` is called only if the connection is needed.
+    pub fn hold_standby(
+        &mut self,
+        link: Option<OpenConnection>,
+        question: impl FnOnce() -> Option<Question>,
+    ) {
         let Connection {
             client, address, ..
         } = &self.connection;
-        if self.body.framing == Framing::Close {
+        if self.body.framing == Framing::Close
+            && let Some(question) = question()
+        {
             let response = self.body.activity.clone();
             let standby = Standby::hold(client.clone(), *address, response, link, question);
             self.body.standby = Some(standby);
--- a/crates/alderglade-serve/src/client/standby.rs
+++ b/crates/alderglade-serve/src/client/standby.rs
@@ -30,8 +30,8 @@
 /// Maximum length of an answer whose connection is used again, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
-/// Builds a request that makes a server answer without doing any work, and that other servers refuse as misdirected.
-pub type Question = Box<dyn Fn() -> Request<Full<Bytes>>>;
+/// A request that makes a server answer without doing any work, and that other servers refuse as misdirected.
+pub type Question = Request<Full<Bytes>>;
 
 /// A standby connection. It is closed, or kept for another request, when it is dropped.
 pub struct Standby {
@@ -303,7 +303,7 @@
 
     /// Asks the server and waits for the head of its answer. Returns `None` if the connection is closed first.
     async fn ask(&self, link: OpenConnection) -> Option<Exchange> {
-        let answer = self.client.send_on(link, (self.question)()).await;
+        let answer = self.client.send_on(link, self.question.clone()).await;
         if let Err(error) = &answer {
             log::debug!("no answer from {}: {error}", self.address);
         }
--- a/crates/alderglade-serve/src/order.rs
+++ b/crates/alderglade-serve/src/order.rs
@@ -11,6 +11,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +38,20 @@
     },
 }
 
+/// Builds the request of a call to the server at an address.
+///
+/// # Errors
+///
+/// Returns an error if the path of the call is invalid.
+pub(crate) fn request(order: Order, address: SocketAddr) -> http::Result<Request<Full<Bytes>>> {
+    Request::builder()
+        .method(order.method)
+        .uri(order.path)
+        .header(http::header::CONTENT_TYPE, order.content_type)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(order.body))
+}
+
 /// Sends a call to a server and returns the whole response. Applies the statement that the server makes about itself
 /// in the head.
 ///
@@ -48,13 +63,7 @@
     server: &Server,
     order: Order,
 ) -> Result<Response<Bytes>, Error> {
-    let request = Request::builder()
-        .method(order.method)
-        .uri(order.path)
-        .header(http::header::CONTENT_TYPE, order.content_type)
-        .header(http::header::HOST, server.address.to_string())
-        .body(Full::new(order.body))
-        .context(UnwritableSnafu)?;
+    let request = request(order, server.address).context(UnwritableSnafu)?;
     let outgoing = Outgoing {
         id: "",
         server,
--- a/crates/alderglade-serve/src/transport.rs
+++ b/crates/alderglade-serve/src/transport.rs
@@ -4,14 +4,14 @@
 use crate::client::{self, Error, Exchange, IdleSend, OpenConnection, Question};
 use crate::clock;
 use crate::node::Node;
+use crate::order;
 use crate::proxy::{self, Purpose};
 use crate::translate::Dispatch;
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::reachability::{Failure, Finding, Path};
 use bytes::Bytes;
-use http::header::HOST;
-use http::{HeaderMap, HeaderValue, Request};
+use http::{HeaderMap, Request};
 use http_body_util::Full;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,7 +83,7 @@
     match result {
         Ok(mut exchange) => {
             node.record_direct_answer();
-            exchange.hold_standby(standby, question(node, server));
+            exchange.hold_standby(standby, || question(node, server));
             Ok(exchange)
         }
         Err(error) => {
@@ -93,34 +93,26 @@
     }
 }
 
-/// Returns what a server is asked on a standby connection: for a report, which only this server may answer.
-fn question(node: &Rc<Node>, server: &Server) -> Question {
+/// Builds what a server is asked on a standby connection: for a report, which only this server may answer. Returns `None`
+/// if the path of reports is invalid.
+fn question(node: &Node, server: &Server) -> Option<Question> {
     /// How long the answer is of use.
     const TIME_LIMIT: Duration = Duration::from_secs(1);
-    let (node, id, address) = (node.clone(), server.id().clone(), server.address);
-    Box::new(move || {
-        let dispatch = Dispatch {
-            server: id.clone(),
-            time_left: TIME_LIMIT,
-            workspace: None,
-            helpers: Vec::new(),
-            last_event: None,
-            urgency: None,
-        };
-        let order = node.translator.report();
-        let mut request = Request::new(Full::new(order.body));
-        *request.method_mut() = order.method;
-        *request.headers_mut() = node.translator.forward(&HeaderMap::new(), &dispatch);
-        let host = HeaderValue::from_str(&address.to_string());
-        request
-            .headers_mut()
-            .extend(host.ok().map(|host| (HOST, host)));
-        match order.path.parse() {
-            Ok(path) => *request.uri_mut() = path,
-            Err(error) => log::debug!("the path of a report is invalid: {error}"),
-        }
-        request
-    })
+    let request = order::request(node.translator.report(), server.address);
+    let mut request = request
+        .inspect_err(|error| log::debug!("a server can't be asked for a report: {error}"))
+        .ok()?;
+    let dispatch = Dispatch {
+        server: server.id().clone(),
+        time_left: TIME_LIMIT,
+        workspace: None,
+        helpers: Vec::new(),
+        last_event: None,
+        urgency: None,
+    };
+    let headers = node.translator.forward(&HeaderMap::new(), &dispatch);
+    request.headers_mut().extend(headers);
+    Some(request)
 }
 
 /// Opens a connection to a server and records whether that succeeded. If not, other hosts are asked about the server.
