Standby connections: one place for each question

Cause: reading the whole diff. Whether a server that closed a connection knows the question was found out in two places; the rule that a response outlives a loss stood in the task as well as in core; the history of the connection was kept in two cells and copied into the type that core judges; all kinds of evidence were listed in the product for a test only.

Change: Holder::ask_again serves both places, ending::Standby tells whether its losses are outlived and is what the task keeps, with a default of nothing known. The list of evidence moved to the test.

--- a/crates/alderglade-core/src/fleet/ending.rs
+++ b/crates/alderglade-core/src/fleet/ending.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// How long a process that ends may take to close all its connections, on a busy machine.
-pub const MAX_EXIT_TIME: Duration = Duration::from_millis(100);
+const MAX_EXIT_TIME: Duration = Duration::from_millis(100);
 
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,7 +48,7 @@
 }
 
 /// What a standby connection showed when it was asked on after the end of a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Evidence {
     /// The process at its other end answered.
     Answered,
@@ -61,20 +61,11 @@
     /// The server's machine refuses connections.
     Refused,
     /// No connection could be opened in time, for any other reason.
+    #[default]
     Unreachable,
 }
 
 impl Evidence {
-    /// All kinds of evidence.
-    pub const ALL: [Evidence; 6] = [
-        Evidence::Answered,
-        Evidence::Misdirected,
-        Evidence::Closed,
-        Evidence::Silent,
-        Evidence::Refused,
-        Evidence::Unreachable,
-    ];
-
     /// Returns the name of the evidence in metrics.
     pub fn label(self) -> &'static str {
         match self {
@@ -89,7 +80,7 @@
 }
 
 /// The history of a standby connection, and what it showed after the end of its response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Standby {
     /// When the connection was opened on which the evidence was obtained, if it was on one.
     pub opened: Option<Time>,
@@ -101,6 +92,16 @@
     pub evidence: Evidence,
 }
 
+impl Standby {
+    /// Returns whether a response that was alive at `alive_at` has outlived the losses of the connection. It shows that its
+    /// server closes or refuses connections for other reasons than its end.
+    pub fn is_outlived(&self, alive_at: Time) -> bool {
+        let losses = [self.closed_at, self.refused_at];
+        let mut losses = losses.into_iter().flatten();
+        losses.all(|loss| alive_at >= loss + MAX_EXIT_TIME)
+    }
+}
+
 /// What is known of a server whose response has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerState {
@@ -120,10 +121,7 @@
     /// `alive_at` is the last time at which the response itself showed that its process was alive: when its request was
     /// sent, or later when the host read, nothing arrived for some time, and the response had not ended.
     pub fn judge(standby: &Standby, alive_at: Time) -> ServerState {
-        // A response that went on shows that its server closes or refuses connections for other reasons than its end.
-        let outlived = |loss: Time| alive_at >= loss + MAX_EXIT_TIME;
-        let losses = [standby.closed_at, standby.refused_at];
-        if !losses.into_iter().flatten().all(outlived) {
+        if !standby.is_outlived(alive_at) {
             return ServerState::Gone;
         }
         match standby.evidence {
--- a/crates/alderglade-core/tests/testsuite/fleet/ending.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/ending.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// All kinds of evidence.
+const EVIDENCE: [Evidence; 6] = [
+    Evidence::Answered,
+    Evidence::Misdirected,
+    Evidence::Closed,
+    Evidence::Silent,
+    Evidence::Refused,
+    Evidence::Unreachable,
+];
+
 /// When the responses below were last seen open.
 const ALIVE_AT: Time = Time(1_000_000);
 
@@ -64,7 +74,7 @@
 /// Guards against a server that counts as serving because some connection to it is still open, or was opened.
 #[test]
 fn a_server_serves_only_if_it_answers() {
-    for evidence in Evidence::ALL {
+    for evidence in EVIDENCE {
         let state = ServerState::judge(&opened_at(900, evidence), ALIVE_AT);
         let is_proven = state == ServerState::Serving;
         assert_eq!(is_proven, evidence == Evidence::Answered, "{evidence:?}");
@@ -89,7 +99,7 @@
 #[test]
 fn a_connection_that_was_lost_during_a_response_is_not_made_up_for_by_the_next_one() {
     for lost in [901, 1_000, 1_050] {
-        for evidence in Evidence::ALL {
+        for evidence in EVIDENCE {
             let next = opened_at(lost + 1, evidence);
             let lost = Some(Time::from_millis(lost));
             let closed = Standby {
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -48,7 +48,7 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How much earlier than the other side's stated timeout an idle connection is closed.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
-/// How long a server whose response ended with its connection is expected to send more of them.
+/// How long a server is expected to send more responses that end with their connections after it has sent one.
 const UNFRAMED_MEMORY: Duration = Duration::from_secs(10);
 /// Maximum number of bytes that a connection reads ahead of the consumer of its response.
 const MAX_READ_AHEAD_BYTES: usize = 8 * 1024;
@@ -190,7 +190,8 @@
         result.map_err(|failure| failure.error)
     }
 
-    /// Closes the connections whose idle timeout has expired, and forgets which servers sent no framed responses long ago.
+    /// Closes the connections whose idle timeout has expired, and forgets responses that ended with their connections long
+    /// ago.
     pub fn expire(&self) {
         let now = clock::now();
         let mut unframed = self.unframed.borrow_mut();
@@ -314,8 +315,10 @@
     /// Takes an idle connection as the standby connection of a request that is about to be sent, if the response is
     /// likely to end with its connection.
     pub fn take_standby(&self, address: SocketAddr) -> Option<OpenConnection> {
-        let is_unframed = self.unframed.borrow().contains_key(&address);
-        is_unframed.then(|| self.take_idle_for(address, standby::REFRESH_INTERVAL))?
+        if !self.unframed.borrow().contains_key(&address) {
+            return None;
+        }
+        self.take_idle_for(address, standby::REFRESH_INTERVAL)
     }
 
     /// Opens a connection.
--- a/crates/alderglade-serve/src/client/standby.rs
+++ b/crates/alderglade-serve/src/client/standby.rs
@@ -4,7 +4,7 @@
 use super::socket::Activity;
 use super::{Client, Error, Exchange, OpenConnection, settle};
 use crate::clock;
-use alderglade_core::fleet::ending::{self, Evidence, MAX_EXIT_TIME};
+use alderglade_core::fleet::ending::{self, Evidence};
 use alderglade_core::time::Time;
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -53,8 +53,7 @@
             address,
             response,
             question,
-            closed_at: Cell::new(None),
-            refused_at: Cell::new(None),
+            known: Cell::default(),
             is_uninformed: Cell::new(false),
         };
         tokio::task::spawn_local(holder.run(link, inquiry));
@@ -65,16 +64,10 @@
     /// the response.
     pub async fn inquire(self) -> ending::Standby {
         let (reply, answer) = oneshot::channel();
-        let nothing = ending::Standby {
-            opened: None,
-            closed_at: None,
-            refused_at: None,
-            evidence: Evidence::Unreachable,
-        };
         if self.inquiries.send(reply).is_err() {
-            return nothing;
+            return ending::Standby::default();
         }
-        answer.await.unwrap_or(nothing)
+        answer.await.unwrap_or_default()
     }
 }
 
@@ -85,10 +78,8 @@
     /// The connection of the response.
     response: Activity,
     question: Question,
-    /// When the server first closed the connection.
-    closed_at: Cell<Option<Time>>,
-    /// When the server's machine first refused the connection.
-    refused_at: Cell<Option<Time>>,
+    /// What is known of the connection during the response.
+    known: Cell<ending::Standby>,
     /// Whether the server closes a connection on which it is asked.
     is_uninformed: Cell<bool>,
 }
@@ -127,9 +118,10 @@
         loop {
             self.response.refresh();
             let now = clock::now();
-            let until = match self.needs_sign_of_life() {
-                true => refresh_at.min(now + SIGN_INTERVAL),
-                false => refresh_at,
+            let alive_at = self.response.alive_at().unwrap_or(now);
+            let until = match self.known.get().is_outlived(alive_at) {
+                true => refresh_at,
+                false => refresh_at.min(now + SIGN_INTERVAL),
             };
             match link {
                 Some(link) => tokio::select! {
@@ -147,13 +139,6 @@
         }
     }
 
-    /// Returns whether the response has not yet outlived the loss of a standby connection.
-    fn needs_sign_of_life(&self) -> bool {
-        let losses = [self.closed_at.get(), self.refused_at.get()];
-        let last_loss = losses.into_iter().max().flatten();
-        last_loss.is_some_and(|loss| self.response.alive_at() < Some(loss + MAX_EXIT_TIME))
-    }
-
     /// Asks on a connection so that the server does not close it as idle, and opens another one if it has been closed.
     async fn renew(&self, link: Option<OpenConnection>) -> Option<OpenConnection> {
         let link = link.filter(|link| !link.is_closed());
@@ -163,7 +148,7 @@
         if self.is_uninformed.get() {
             return Some(link);
         }
-        let (opened, closed_before) = (link.opened(), self.closed_at.get());
+        let (opened, known) = (link.opened(), self.known.get());
         if let Some(answer) = self.ask(link).await {
             return match answer.reclaim(MAX_ANSWER_BYTES).await {
                 Some(link) => Some(link),
@@ -171,14 +156,15 @@
             };
         }
         self.record_close(opened);
-        let next = settle(self.client.connect(self.address).await).await;
-        if let Some(answer) = self.ask(next.ok()?).await {
-            return answer.reclaim(MAX_ANSWER_BYTES).await;
+        match self.ask_again().await {
+            Ok(Some(answer)) => answer.reclaim(MAX_ANSWER_BYTES).await,
+            Ok(None) => {
+                self.is_uninformed.set(true);
+                self.known.set(known);
+                self.connect().await
+            }
+            Err(_) => None,
         }
-        // A server that does not know the question closes the next connection as well, once it is asked there.
-        self.is_uninformed.set(true);
-        self.closed_at.set(closed_before);
-        self.connect().await
     }
 
     async fn connect(&self) -> Option<OpenConnection> {
@@ -186,7 +172,9 @@
         if let Err(error) = &connected {
             log::debug!("no standby connection to {}: {error}", self.address);
             if matches!(error, Error::Closed { .. }) {
-                record_first(&self.refused_at);
+                let mut known = self.known.get();
+                known.refused_at.get_or_insert(clock::now());
+                self.known.set(known);
             }
         }
         connected.ok()
@@ -195,7 +183,9 @@
     /// Records that the server closed a connection, if that says something of the server.
     fn record_close(&self, opened: Time) {
         if has_settled(opened) {
-            record_first(&self.closed_at);
+            let mut known = self.known.get();
+            known.closed_at.get_or_insert(clock::now());
+            self.known.set(known);
         }
     }
 
@@ -205,17 +195,12 @@
         reply: Option<oneshot::Sender<ending::Standby>>,
         renewal: impl Future<Output = Option<OpenConnection>>,
     ) {
-        let mut standby = ending::Standby {
-            opened: None,
-            closed_at: self.closed_at.get(),
-            refused_at: self.refused_at.get(),
-            evidence: Evidence::Unreachable,
-        };
+        let mut standby = self.known.get();
         let needed = reply.is_some();
         let conclusion = async {
             let link = renewal.await;
             // The renewal may have found the connection closed.
-            standby.closed_at = self.closed_at.get();
+            standby.closed_at = self.known.get().closed_at;
             match link {
                 link if needed => self.collect_evidence(link, &mut standby).await,
                 Some(link) => self.client.keep(link),
@@ -224,7 +209,7 @@
         };
         if clock::timeout(ANSWER_TIMEOUT, conclusion).await.is_err() {
             log::debug!("{} is slow to answer: {standby:?}", self.address);
-            standby.closed_at = self.closed_at.get();
+            standby.closed_at = self.known.get().closed_at;
         }
         if reply.is_some_and(|reply| reply.send(standby).is_err()) {
             log::debug!("nobody waits for the state of {}", self.address);
@@ -233,8 +218,8 @@
 
     /// Asks on the connection, or on new ones as long as they show nothing, until the evidence is conclusive.
     ///
-    /// A server may close a connection because it does not understand the question. It does so again, and its machine
-    /// neither refuses the next connection nor closes it before it is asked on.
+    /// A connection that is closed without an answer shows that the process has ended, unless the server does not know the
+    /// question.
     async fn collect_evidence(
         &self,
         mut link: Option<OpenConnection>,
@@ -260,13 +245,20 @@
             standby.opened = Some(opened);
             standby.evidence = Evidence::Silent;
             if let Some(answer) = self.ask(open).await {
-                standby.evidence = self.keep_answer(answer);
+                standby.evidence = match answer.head.status {
+                    StatusCode::MISDIRECTED_REQUEST => Evidence::Misdirected,
+                    _ => Evidence::Answered,
+                };
+                self.keep(answer);
                 return;
             }
             if has_settled(opened) && standby.closed_at.is_none() {
                 standby.evidence = Evidence::Closed;
-                if self.closes_on_question().await {
-                    standby.evidence = Evidence::Silent;
+                clock::sleep(RETRY_DELAY).await;
+                match self.ask_again().await {
+                    Ok(Some(answer)) => self.keep(answer),
+                    Ok(None) => standby.evidence = Evidence::Silent,
+                    Err(_) => {}
                 }
                 return;
             }
@@ -274,31 +266,26 @@
         }
     }
 
-    /// Returns whether the server takes another connection, and closes it only when it is asked there: it does not know the
-    /// question.
-    async fn closes_on_question(&self) -> bool {
-        clock::sleep(RETRY_DELAY).await;
+    /// Asks on another connection, after the server has closed one without an answer. Returns `None` if it closes this one,
+    /// too, when it is asked there: it does not know the question.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection can be opened, or if it is closed before the server is asked.
+    async fn ask_again(&self) -> Result<Option<Exchange>, Error> {
         let next = settle(self.client.connect(self.address).await).await;
-        match next {
-            Ok(next) => match self.ask(next).await {
-                Some(answer) => {
-                    self.keep_answer(answer);
-                    false
-                }
-                None => true,
-            },
-            Err(_) => false,
-        }
+        let next = next.inspect_err(|error| log::debug!("{} is gone: {error}", self.address))?;
+        Ok(self.ask(next).await)
     }
 
-    /// Keeps the connection of an answer for another request, and returns what the answer shows.
-    fn keep_answer(&self, answer: Exchange) -> Evidence {
-        let evidence = match answer.head.status {
-            StatusCode::MISDIRECTED_REQUEST => Evidence::Misdirected,
-            _ => Evidence::Answered,
-        };
-        tokio::task::spawn_local(keep(self.client.clone(), answer));
-        evidence
+    /// Keeps the connection of an answer for another request.
+    fn keep(&self, answer: Exchange) {
+        let client = self.client.clone();
+        tokio::task::spawn_local(async move {
+            if let Some(link) = answer.reclaim(MAX_ANSWER_BYTES).await {
+                client.keep(link);
+            }
+        });
     }
 
     /// Asks the server and waits for the head of its answer. Returns `None` if the connection is closed first.
@@ -311,18 +298,6 @@
     }
 }
 
-/// Keeps the connection of an answer for another request.
-async fn keep(client: Rc<Client>, answer: Exchange) {
-    if let Some(link) = answer.reclaim(MAX_ANSWER_BYTES).await {
-        client.keep(link);
-    }
-}
-
-/// Records that something happened now, unless it happened before.
-fn record_first(at: &Cell<Option<Time>>) {
-    at.set(at.get().or_else(|| Some(clock::now())));
-}
-
 /// Returns whether a connection was open for long enough for its end to say something of its server.
 fn has_settled(opened: Time) -> bool {
     clock::now().since(opened) >= MIN_OPEN_TIME
