Confirmation requests are looked up by number

Cause: they stood in a queue of pairs that was searched, beside the loan requests, which are a map by number. Change: the same map.

--- a/crates/alderglade-core/src/fleet/confirmation.rs
+++ b/crates/alderglade-core/src/fleet/confirmation.rs
@@ -7,7 +7,7 @@
 use super::message::{Confirmation, ConfirmationRequest};
 use super::request_number::RequestNumbers;
 use crate::time::Time;
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long a request may be answered. Keys are trusted for a shorter time.
@@ -21,8 +21,8 @@
 #[derive(Debug)]
 pub struct ConfirmationRequests {
     numbers: RequestNumbers,
-    /// The numbers of the requests and when they were sent, oldest first.
-    sent: VecDeque<(u64, Time)>,
+    /// When the requests were sent, by their numbers.
+    sent: BTreeMap<u64, Time>,
 }
 
 impl ConfirmationRequests {
@@ -30,18 +30,15 @@
     pub fn new(numbers: RequestNumbers) -> ConfirmationRequests {
         ConfirmationRequests {
             numbers,
-            sent: VecDeque::new(),
+            sent: BTreeMap::new(),
         }
     }
 
     /// Creates a request, which may be sent to several hosts.
     pub fn create(&mut self, now: Time) -> ConfirmationRequest {
-        let is_over = |(_, at): &(u64, Time)| now.since(*at) > REQUEST_LIFETIME;
-        while self.sent.front().is_some_and(is_over) {
-            self.sent.pop_front();
-        }
+        self.sent.retain(|_, at| now.since(*at) <= REQUEST_LIFETIME);
         let number = self.numbers.take();
-        self.sent.push_back((number, now));
+        self.sent.insert(number, now);
         ConfirmationRequest { number }
     }
 
@@ -53,11 +50,7 @@
     ///
     /// Returns an error if this process did not send the request.
     pub fn confirmed_until(&self, answer: &Confirmation) -> Result<Option<Time>, UnknownRequest> {
-        let request = self
-            .sent
-            .iter()
-            .find(|(number, _)| *number == answer.number);
-        let (_, sent_at) = request.ok_or(UnknownRequest)?;
-        Ok(answer.age.map(|age| *sent_at - age))
+        let sent_at = *self.sent.get(&answer.number).ok_or(UnknownRequest)?;
+        Ok(answer.age.map(|age| sent_at - age))
     }
 }
