An entry that goes missing is final or has a state, without a type for both

Cause: Absence had one variant without and one with the state of a missing entry, which is an Option; the retention of outages was a number beside the two that it follows from; three tests repeated the same series of outages. Change: these. Result: 2.8 s as before; the tests of outages, the directory, incarnations and restored stores pass with their assertions.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -29,7 +29,7 @@
 use crate::Name;
 use crate::time::Time;
 use departed::Departed;
-use grace::{Absence, Grace, Missing};
+use grace::{Grace, Missing};
 use leavers::Leavers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -460,9 +460,9 @@
 
     /// Handles an entry that is missing from the store. During a grace period the server is kept until its end.
     fn handle_missing(&mut self, id: &str, now: Time) {
-        match self.grace.judge(now) {
-            Absence::Final => self.remove_departed(id, now),
-            Absence::Temporary(missing) => {
+        match self.grace.missing(now) {
+            None => self.remove_departed(id, now),
+            Some(missing) => {
                 if let Some(entry) = self.entries.get_mut(id) {
                     entry.missing.get_or_insert(missing);
                 }
--- a/crates/alderglade-core/src/fleet/directory/grace.rs
+++ b/crates/alderglade-core/src/fleet/directory/grace.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 /// The number of heartbeats in a row that a server must miss for its entry to lapse.
-const MISSED_HEARTBEATS: usize = 3;
+const MISSED_HEARTBEATS: u32 = 3;
 /// The shortest time between two heartbeats. Servers send one about every 1.2 s.
 const MIN_HEARTBEAT: Duration = Duration::from_millis(1_000);
 /// The longest time between two heartbeats.
 const MAX_HEARTBEAT: Duration = Duration::from_millis(1_400);
 /// How long an outage matters after its end: until then it may have prevented the first heartbeat that was missed.
-const OUTAGE_RETENTION: Duration = Duration::from_millis(2_800);
+const OUTAGE_RETENTION: Duration = MAX_HEARTBEAT.saturating_mul(MISSED_HEARTBEATS - 1);
 
 /// The state of an entry that is missing from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,15 +22,6 @@
     Undecided,
 }
 
-/// What an entry that goes missing means.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Absence {
-    /// Its server is gone.
-    Final,
-    /// It may have lapsed.
-    Temporary(Missing),
-}
-
 /// The present outage of the store.
 #[derive(Debug, Clone, Copy)]
 struct Outage {
@@ -94,7 +85,7 @@
     /// Records that the store is available again. Returns until when the entries that are missing may be written again.
     ///
     /// Entries may have lapsed if the store was unavailable for long enough, in one outage or in several. Those that
-    /// had lapsed before could not be written meanwhile, and are with the next heartbeat.
+    /// had lapsed before could not be written meanwhile; the next heartbeat of their servers writes them.
     pub fn end_outage(&mut self, now: Time) -> Time {
         if let Some(outage) = self.outage.take() {
             let oldest = now - OUTAGE_RETENTION;
@@ -125,13 +116,13 @@
         }
     }
 
-    /// Returns what it means that an entry goes missing now.
-    pub fn judge(&self, now: Time) -> Absence {
-        match self.until {
-            _ if self.is_outage() => Absence::Temporary(Missing::Undecided),
-            Some(until) if until > now => Absence::Temporary(Missing::Until(until)),
-            _ => Absence::Final,
+    /// Returns the state of an entry that goes missing now, or `None` if its server is gone.
+    pub fn missing(&self, now: Time) -> Option<Missing> {
+        if self.is_outage() {
+            return Some(Missing::Undecided);
         }
+        let until = self.until.filter(|until| *until > now);
+        until.map(Missing::Until)
     }
 
     /// Returns whether the server of a missing entry is gone.
--- a/crates/alderglade-core/tests/testsuite/fleet/outage.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/outage.rs
@@ -23,6 +23,16 @@
     directory
 }
 
+/// Returns a directory with two servers after outages of this length, in milliseconds, that began at these times.
+fn after_outages(starts: &[u64], length: u64) -> Directory {
+    let mut directory = known(&["a", "b"]);
+    for start in starts {
+        directory.store_lost(at(*start));
+        directory.store_returned(at(start + length));
+    }
+    directory
+}
+
 /// Removes an entry, as the change after position 1.
 fn remove(directory: &mut Directory, id: &str, now: Time) {
     let (after, position) = (Position::new(1, 1), Position::new(1, 2));
@@ -76,20 +86,12 @@
 /// its heartbeats failed one in each.
 #[test]
 fn entries_may_lapse_over_several_short_outages() {
-    let mut directory = known(&["a", "b"]);
-    for start in [1_000, 2_200, 3_400] {
-        directory.store_lost(at(start));
-        directory.store_returned(at(start + 500));
-    }
+    let mut directory = after_outages(&[1_000, 2_200, 3_400], 500);
     remove(&mut directory, "a", at(3_900));
     directory.expire(at(5_899));
     assert_eq!(active_ids(&directory), id_set(&["a", "b"]));
     // Two of them are too few.
-    let mut directory = known(&["a", "b"]);
-    for start in [1_000, 2_200] {
-        directory.store_lost(at(start));
-        directory.store_returned(at(start + 500));
-    }
+    let mut directory = after_outages(&[1_000, 2_200], 500);
     remove(&mut directory, "a", at(2_700));
     assert_eq!(active_ids(&directory), id_set(&["b"]));
 }
@@ -97,11 +99,7 @@
 /// Guards against outages in series that keep a departed server for longer than each of them justifies.
 #[test]
 fn outages_long_apart_do_not_add_up() {
-    let mut directory = known(&["a", "b"]);
-    for start in [1_000, 5_000, 9_000] {
-        directory.store_lost(at(start));
-        directory.store_returned(at(start + 1_500));
-    }
+    let mut directory = after_outages(&[1_000, 5_000, 9_000], 1_500);
     remove(&mut directory, "a", at(10_500));
     assert_eq!(active_ids(&directory), id_set(&["b"]));
 }
