Taking a standby connection closes no idle ones, and recycling releases at once

Cause: reading the diff. Looking for an idle connection that lasts until it is asked on closed all that last for less, though ordinary requests could still use them; and since a connection is given back in one place, what an exchange holds (the use of a proxy) was released only when the connection had become idle.

Change: the newest idle connection is taken if it lasts, and left otherwise, so that take_idle is as it was; what is held is released when the exchange ends, as before the standby connections.

Result: 51 tests of ends and paths and those of alderglade-serve pass. No figure was measured for the idle connections: only servers that send answers without a length are concerned.

--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -295,16 +295,11 @@
 
     /// Takes an idle connection that is still usable, and closes unusable ones found before it.
     fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
-        self.take_idle_for(address, Duration::ZERO)
-    }
-
-    /// Takes an idle connection that stays usable for a time, and closes unusable ones found before it.
-    fn take_idle_for(&self, address: SocketAddr, span: Duration) -> Option<OpenConnection> {
-        let until = clock::now() + span;
+        let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(entry) = list.pop() {
-            if entry.until > until && entry.link.sender.is_ready() {
+            if entry.until > now && entry.link.sender.is_ready() {
                 return Some(entry.link);
             }
             entry.link.driver.task.abort();
@@ -313,12 +308,17 @@
     }
 
     /// Takes an idle connection as the standby connection of a request that is about to be sent, if the response is
-    /// likely to end with its connection.
+    /// likely to end with its connection. It stays usable until it is asked on.
     pub fn take_standby(&self, address: SocketAddr) -> Option<OpenConnection> {
         if !self.unframed.borrow().contains_key(&address) {
             return None;
         }
-        self.take_idle_for(address, standby::REFRESH_INTERVAL)
+        let until = clock::now() + standby::REFRESH_INTERVAL;
+        let mut idle = self.idle.borrow_mut();
+        let is_usable =
+            |entry: &mut IdleConnection| entry.until > until && entry.link.sender.is_ready();
+        let entry = idle.get_mut(&address)?.pop_if(is_usable)?;
+        Some(entry.link)
     }
 
     /// Opens a connection.
@@ -395,6 +395,8 @@
         if !self.reusable {
             return None;
         }
+        // The exchange has ended, although the connection may take longer to become idle.
+        self.held = None;
         let mut sender = self.sender.take()?;
         sender.ready().await.ok()?;
         Some(OpenConnection {
