Log the route of requests, and tell served by length within a route

For the incident: the logs could not tell how many of the longest prompts of a kind are served. `refused` stated no length for prompts that were not held, and nothing stated the kind of a request.

placed, answered, refused and held now have `route`, and refused has `asked` and `prompt` of admitted requests. The existing rows and literals are unchanged.

--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -7,7 +7,7 @@
 use serde::ser::{Serialize, SerializeSeq, Serializer};
 use serde_json::{Map, Value};
 use std::io::BufRead;
-use summary::group;
+use summary::{group, size};
 
 pub(super) const HELP: &str = "\
 Tell the story of one request from the logs of entry hosts.
@@ -23,7 +23,9 @@
 With --summary: how many requests ended in which way, by the length of their prompts, and what worth was lost
 by it (an ordinary short reply is worth about one), the greatest loss first. After that the same by workspace,
 failure domain and rank (0 is the highest), as far as the logs state them; the failure domain is that of the host,
-from its `started` line. With --json, rows by cause have `cause`, those that follow have `workspace`.
+from its `started` line. Then, for each route whose requests have prompts, how many were served of the tenth with the longest
+prompts, of the fifth below it and of the others, and why the rest was not; a caller's attempts count as one request. With
+--json, rows by cause have `cause`, those that follow have `workspace`, and the last ones have `part`.
 
 Exit codes: 0 told, 1 nothing found or a file can't be read, 2 wrong usage
 ";
@@ -155,17 +157,22 @@
 struct Summary {
     rows: Vec<summary::Row>,
     groups: Vec<group::Group>,
+    sizes: Vec<size::Size>,
 }
 
 impl Serialize for Summary {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut array = serializer.serialize_seq(Some(self.rows.len() + self.groups.len()))?;
+        let length = self.rows.len() + self.groups.len() + self.sizes.len();
+        let mut array = serializer.serialize_seq(Some(length))?;
         self.rows
             .iter()
             .try_for_each(|row| array.serialize_element(row))?;
         self.groups
             .iter()
             .try_for_each(|group| array.serialize_element(group))?;
+        self.sizes
+            .iter()
+            .try_for_each(|size| array.serialize_element(size))?;
         array.end()
     }
 }
@@ -175,8 +182,14 @@
     each_log(files, |log| lines.extend(log))?;
     let rows = summary::rows(&lines);
     let groups = group::groups(&lines);
-    let text = summary::table(&rows) + &group::table(&groups);
-    shell.result(&Summary { rows, groups }, &text);
+    let sizes = size::sizes(&lines);
+    let text = summary::table(&rows) + &group::table(&groups) + &size::table(&sizes);
+    let summary = Summary {
+        rows,
+        groups,
+        sizes,
+    };
+    shell.result(&summary, &text);
     Ok(())
 }
 
--- a/crates/alderglade-operator/src/command/explain/summary.rs
+++ b/crates/alderglade-operator/src/command/explain/summary.rs
@@ -4,6 +4,7 @@
 //! first: a thousand late short replies may weigh less than ten long prompts that were refused.
 
 pub mod group;
+pub mod size;
 
 use super::Line;
 use alderglade_core::fleet::placement::{self, LATE_VALUE, SHORT_PROMPT_TOKENS};
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -270,7 +270,7 @@
         /// The time since the host was asked to stop, in milliseconds, if it was.
         #[serde(skip_serializing_if = "Option::is_none")]
         stopping_ms: Option<u64>,
-        /// The workspace and rank of the request.
+        /// The workspace, rank and route of the request.
         #[serde(flatten)]
         requester: &'a Requester,
         /// The part of the expected time for which it waits for a slot of the engine, in milliseconds.
@@ -310,7 +310,7 @@
         aim_ms: u64,
         /// The objective for the longest pause, in milliseconds, if there is one.
         pause_aim_ms: Option<u64>,
-        /// The workspace and rank of the request.
+        /// The workspace, rank and route of the request.
         #[serde(flatten)]
         requester: &'a Requester,
     },
@@ -331,12 +331,21 @@
         /// The time since the host was asked to stop, in milliseconds, if it was.
         #[serde(skip_serializing_if = "Option::is_none")]
         stopping_ms: Option<u64>,
-        /// The workspace and rank of the request.
+        /// The workspace, rank and route of the request.
         #[serde(flatten)]
         requester: &'a Requester,
         /// Why capacity was short, if that is the cause: `slots`, `share` or one of the reasons of [`Record::Held`].
         #[serde(skip_serializing_if = "Option::is_none")]
         reason: Option<&'a str>,
+        /// The fingerprint of the request, which is the same for each retry by its caller, if it was admitted.
+        #[serde(
+            skip_serializing_if = "Option::is_none",
+            serialize_with = "server_break::as_optional_text"
+        )]
+        asked: Option<Fingerprint>,
+        /// The length of its prompt in tokens, if it was admitted and has one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        prompt: Option<u64>,
     },
     /// A response was broken off before its end.
     BrokenOff {
@@ -369,7 +378,7 @@
         giants: u32,
         /// How busy the engines have recently been with reading, from `0.0` to `1.0`.
         pressure: f64,
-        /// The workspace and rank of the request.
+        /// The workspace, rank and route of the request.
         #[serde(flatten)]
         requester: &'a Requester,
     },
--- a/crates/alderglade-serve/src/event/requester.rs
+++ b/crates/alderglade-serve/src/event/requester.rs
@@ -1,10 +1,10 @@
-//! Who a request is served for, as log lines and metrics state it.
+//! Who and what a request is served for, as log lines and metrics state it.
 
 use crate::job::Job;
 use alderglade_core::Name;
 use serde::Serialize;
 
-/// The workspace and the rank of a request. The default is that of a request that was not admitted.
+/// The workspace, the rank and the route of a request. The default is that of a request that was not admitted.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Requester {
     /// The workspace, if there is one.
@@ -13,6 +13,9 @@
     /// The level of the rank; `0` is the highest and is omitted from log lines.
     #[serde(skip_serializing_if = "is_highest")]
     pub rank: u8,
+    /// The name of the route, if the request has one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub route: Option<Name>,
 }
 
 impl From<&Job> for Requester {
@@ -20,6 +23,7 @@
         Requester {
             workspace: job.workspace.clone(),
             rank: job.rank.level(),
+            route: Some(job.route.name.clone()),
         }
     }
 }
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -38,7 +38,7 @@
     let arrived = in_flight.progress.arrived;
     let info = match read_head(&node, &head) {
         Ok(info) => info,
-        Err(refusal) => return refuse(&node, "", &Requester::default(), &refusal, arrived),
+        Err(refusal) => return refuse(&node, &Subject::unadmitted("", arrived), &refusal),
     };
     let id = info.id.clone();
     in_flight.progress.set_id(&id);
@@ -55,7 +55,7 @@
         }
     };
     let mut response = match result {
-        Err(refusal) => refuse(&node, &id, &Requester::default(), &refusal, arrived),
+        Err(refusal) => refuse(&node, &Subject::unadmitted(&id, arrived), &refusal),
         Ok(job) => answer(&node, job, in_flight).await,
     };
     guard.done = true;
@@ -68,10 +68,15 @@
 /// Serves an admitted request. If the host is about to stop before there is a response, the caller is informed that
 /// it is unknown whether the request ran.
 async fn answer(node: &Rc<Node>, job: Box<Job>, in_flight: RequestGuard) -> Response<Answer> {
-    let (id, arrived) = (job.info.id.clone(), job.arrived());
-    let requester = Requester::from(&*job);
-    let tokens = job.info.prompt.map_or(0, |prompt| prompt.tokens);
-    node.metrics.by_requester.observe(&requester, tokens);
+    let id = job.info.id.clone();
+    let subject = Subject {
+        id: &id,
+        ..Subject::from(&*job)
+    };
+    let tokens = subject.prompt.unwrap_or(0);
+    node.metrics
+        .by_requester
+        .observe(&subject.requester, tokens);
     let served = async {
         match job.route.kind {
             Kind::Stream { .. } => generate::serve(node, job, in_flight).await,
@@ -83,7 +88,7 @@
         response = served => response,
         () = node.wait_for_request_end() => {
             let refusal = Refusal::new(ErrorKind::ContactLost, Duration::ZERO);
-            refuse(node, &id, &requester, &refusal, arrived)
+            refuse(node, &subject, &refusal)
         }
     }
 }
@@ -111,36 +116,68 @@
     }
 }
 
-/// Logs a refusal and builds its response.
-pub fn refuse(
-    node: &Node,
-    id: &str,
-    requester: &Requester,
-    refusal: &Refusal,
+/// The request that a refusal concerns.
+pub struct Subject<'a> {
+    id: &'a str,
+    requester: Requester,
+    /// Its fingerprint, if it was admitted.
+    asked: Option<Fingerprint>,
+    /// The length of its prompt in tokens, if it was admitted and has one.
+    prompt: Option<u64>,
     arrived: Time,
-) -> Response<Answer> {
+}
+
+impl<'a> Subject<'a> {
+    /// Returns a request that was not admitted; `id` is empty if it is not known.
+    fn unadmitted(id: &'a str, arrived: Time) -> Subject<'a> {
+        Subject {
+            id,
+            requester: Requester::default(),
+            asked: None,
+            prompt: None,
+            arrived,
+        }
+    }
+}
+
+impl<'a> From<&'a Job> for Subject<'a> {
+    fn from(job: &'a Job) -> Subject<'a> {
+        Subject {
+            id: &job.info.id,
+            requester: job.into(),
+            asked: Some(job.identity.fingerprint),
+            prompt: job.info.prompt.map(|prompt| prompt.tokens),
+            arrived: job.arrived(),
+        }
+    }
+}
+
+/// Logs a refusal and builds its response.
+pub fn refuse(node: &Node, subject: &Subject<'_>, refusal: &Refusal) -> Response<Answer> {
     let row = refusal.kind.row();
     let now = clock::now();
     let store_age = node.state.borrow().freshness.age(now);
     node.metrics.answers.with_label_values(&[row.label]).inc();
-    node.metrics.by_requester.count_refused(requester);
+    node.metrics.by_requester.count_refused(&subject.requester);
     event::write(&Record::Refused {
-        id,
+        id: subject.id,
         kind: row.label,
         number: row.event,
         ran: refusal.ran.label(),
-        took_ms: now.since(arrived).as_millis() as u64,
+        took_ms: now.since(subject.arrived).as_millis() as u64,
         store_age_ms: store_age.map(|age| age.as_millis() as u64),
         stopping_ms: node.stopping_ms(),
-        requester,
+        requester: &subject.requester,
         reason: refusal.reason,
+        asked: subject.asked,
+        prompt: subject.prompt,
     });
     answer::refusal(refusal)
 }
 
 /// Logs the refusal of an admitted request and builds its response.
 pub fn refuse_job(node: &Node, job: &Job, refusal: &Refusal) -> Response<Answer> {
-    refuse(node, &job.info.id, &job.into(), refusal, job.arrived())
+    refuse(node, &job.into(), refusal)
 }
 
 /// Admits a request: checks that it may be served, reads its body and determines its service.
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -53,7 +53,7 @@
 }
 
 /// The lines of [`records`] with all optional fields, followed by those lines that differ without them and by those of
-/// [`attributed_records`].
+/// [`attributed_records`] and [`routed_record`].
 const LINES: &str = r#"
 "n":3001,"level":"INFO","event":"started","host":"host-1","domain":"domain-1","callers":"10.0.0.7:8002","ready":"10.0.0.7:8003","peers":"10.0.0.7:8004","metrics":"10.0.0.7:8005"}
 "n":3002,"level":"INFO","event":"stopping","in_flight":21}
@@ -128,6 +128,7 @@
 "n":3404,"level":"INFO","event":"refused","id":"id-52","kind":"kind-52","number":523,"ran":"ran-52","took_ms":525,"store_age_ms":526,"workspace":"workspace-52","rank":52,"reason":"reason-52"}
 "n":3407,"level":"INFO","event":"held","id":"id-53","reason":"reason-53","prompt":533,"waited_ms":534,"giants":535,"pressure":6.5,"workspace":"workspace-53","rank":53}
 "n":3404,"level":"INFO","event":"refused","id":"id-54","kind":"kind-54","number":543,"ran":"ran-54","took_ms":545,"store_age_ms":546,"workspace":"workspace-54"}
+"n":3404,"level":"INFO","event":"refused","id":"id-61","kind":"kind-61","number":613,"ran":"ran-61","took_ms":615,"store_age_ms":null,"rank":61,"route":"route-61","asked":"3d112233445566778899aabb","prompt":617}
 "#;
 
 #[test]
@@ -145,6 +146,12 @@
     written.append(&mut reduced);
     let requesters: Vec<Requester> = (50..55).map(requester).collect();
     written.extend(attributed_records(&requesters).iter().map(line));
+    let routed = Requester {
+        workspace: None,
+        rank: 61,
+        route: Some("route-61".into()),
+    };
+    written.push(line(&routed_record(&routed)));
     let expected: Vec<&str> = LINES.trim().lines().collect();
     for (written, expected) in written.iter().zip(&expected) {
         assert_eq!(written, expected);
@@ -218,7 +225,7 @@
         Record::Answered { id: "id-32", status: 322, took_ms: 323, first_ms: 324, longest_pause_ms: 325,
             aim_ms: 326, pause_aim_ms: full.then_some(327), requester: unknown },
         Record::Refused { id: "id-33", kind: "kind-33", number: 333, ran: "ran-33", took_ms: 335,
-            store_age_ms: full.then_some(336), stopping_ms: full.then_some(337), requester: unknown, reason: None },
+            store_age_ms: full.then_some(336), stopping_ms: full.then_some(337), requester: unknown, reason: None, asked: None, prompt: None },
         Record::BrokenOff { id: "id-34", problem: "problem-34", took_ms: 343, stopping_ms:
             full.then_some(344) },
         Record::CallerLeft { id: "id-35" },
@@ -250,6 +257,24 @@
     Requester {
         workspace: Some(format!("workspace-{number}").into()),
         rank: if number == 54 { 0 } else { number },
+        route: None,
+    }
+}
+
+/// Returns a record that states the route and the prompt of its request.
+fn routed_record(requester: &Requester) -> Record<'_> {
+    Record::Refused {
+        id: "id-61",
+        kind: "kind-61",
+        number: 613,
+        ran: "ran-61",
+        took_ms: 615,
+        store_age_ms: None,
+        stopping_ms: None,
+        requester,
+        reason: None,
+        asked: Some(fingerprint(61)),
+        prompt: Some(617),
     }
 }
 
@@ -266,10 +291,10 @@
         Record::Answered { id: "id-51", status: 512, took_ms: 513, first_ms: 514, longest_pause_ms: 515,
             aim_ms: 516, pause_aim_ms: Some(517), requester: answered },
         Record::Refused { id: "id-52", kind: "kind-52", number: 523, ran: "ran-52", took_ms: 525,
-            store_age_ms: Some(526), stopping_ms: None, requester: refused, reason: Some("reason-52") },
+            store_age_ms: Some(526), stopping_ms: None, requester: refused, reason: Some("reason-52"), asked: None, prompt: None },
         Record::Held { id: "id-53", reason: "reason-53", prompt: 533, waited_ms: 534, giants: 535, pressure:
             6.5, requester: held },
         Record::Refused { id: "id-54", kind: "kind-54", number: 543, ran: "ran-54", took_ms: 545,
-            store_age_ms: Some(546), stopping_ms: None, requester: highest, reason: None },
+            store_age_ms: Some(546), stopping_ms: None, requester: highest, reason: None, asked: None, prompt: None },
     ]
 }
--- a/crates/alderglade-serve/tests/testsuite/metrics.rs
+++ b/crates/alderglade-serve/tests/testsuite/metrics.rs
@@ -81,6 +81,7 @@
         let requester = Requester {
             workspace: Some(workspace(number % if number < 400 { 12 } else { 3_700 })),
             rank: (number % 256) as u8,
+            route: None,
         };
         metrics.by_requester.observe(&requester, 5_000);
         metrics.by_requester.count_late(&requester);
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -231,3 +231,66 @@
     );
     assert_eq!(rows.len(), 9);
 }
+
+/// Returns the lines of one attempt at a prompt of a route. Attempts with the same `caller` are of the same request.
+fn attempt(route: &str, id: &str, caller: u32, prompt: u64, is_served: bool) -> String {
+    let at_ms = if is_served { 90 } else { 50 };
+    let end = if is_served {
+        r#""n":3403,"event":"answered","status":200,"first_ms":80,"aim_ms":300"#.to_string()
+    } else {
+        format!(
+            r#""n":3404,"event":"refused","kind":"overloaded","reason":"giants","asked":"{caller}""#
+        )
+    };
+    let end = format!(
+        r#"{{"at_ms":{at_ms},"id":"{id}","level":"INFO","route":"{route}","prompt":{prompt},{end}}}"#
+    );
+    if !is_served {
+        return format!("1.0 host-1 {end}\n");
+    }
+    let placed = r#""at_ms":40,"n":3401,"level":"INFO","event":"placed","server":"e1""#;
+    let placed = format!(
+        r#"{{{placed},"id":"{id}","route":"{route}","prompt":{prompt},"asked":"{caller}"}}"#
+    );
+    format!("0.9 host-1 {placed}\n1.0 host-2 {end}\n")
+}
+
+/// Guards against an incident that the logs could not tell: the longest prompts of a kind were refused, and their length
+/// and kind were not logged.
+#[test]
+fn the_summary_tells_served_and_all_by_length_within_a_route() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut lines = String::new();
+    for number in 0..20 {
+        let id = format!("r-{number}");
+        let prompt = 100_000 + 10_000 * u64::from(number);
+        lines += &attempt("reviews", &id, number, prompt, number < 15);
+    }
+    // The caller of the longest prompt but one is served when it retries, and that of the longest is refused again.
+    lines += &attempt("reviews", "again-18", 18, 280_000, true);
+    lines += &attempt("reviews", "again-19", 19, 290_000, false);
+    lines += &attempt("digests", "d-1", 100, 45_000, true);
+    let log = write(folder.path(), "sizes.log", &lines);
+    let output = command(&["explain", "--summary", &log]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let rows = text.lines().filter(|line| line.starts_with("reviews"));
+    let rows: Vec<String> = rows
+        .map(|row| row.split_whitespace().collect::<Vec<_>>().join(" "))
+        .collect();
+    let refused = "refused (overloaded) at once for: giants";
+    let expected = [
+        format!("reviews all 100000 20 16 0.80 16 4 {refused}"),
+        format!("reviews largest tenth 280000 2 1 0.50 1 1 {refused}"),
+        format!("reviews fifth below it 240000 4 1 0.25 1 3 {refused}"),
+        "reviews the others 100000 14 14 1.00 14".to_string(),
+    ];
+    assert_eq!(rows, expected, "{text}");
+
+    let output = command(&["explain", "--summary", "--json", &log]);
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let rows = value.as_array().expect("an array").iter();
+    let tenth = rows.filter(|row| row["part"] == "largest_tenth" && row["route"] == "reviews");
+    let tenth: Vec<&serde_json::Value> = tenth.collect();
+    assert_eq!(tenth.len(), 1, "{value}");
+    assert_eq!(tenth[0]["not_served"][refused], 1, "{value}");
+}
