Tests: the longest prompts of a kind are refused in overload (failing)

A model in virtual time of hosts, engines and callers that retry plays short replies beside long prompts of very unlike lengths. The bound is the users' rule: the largest tenth of a kind and the fifth below it are served at least half as often as the kind; short replies are served at least as often as the long prompts beside them.

--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -38,6 +38,7 @@
 mod restored;
 mod rng;
 mod share;
+mod sizes;
 mod slot_queue;
 mod slots;
 mod slowdown;
