--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -1,8 +1,8 @@
 //! The fields of each log line apart from its number, level and name.
 
 use super::part::{self, PartBar};
-use super::server_break;
 use super::{Requester, ResponseEnd, ServerBreak};
+use super::{requester, server_break};
 use crate::daemon::Addresses;
 use alderglade_core::Name;
 use alderglade_core::fleet::fingerprint::Fingerprint;
@@ -274,7 +274,7 @@
         #[serde(flatten)]
         requester: &'a Requester,
         /// The part of the expected time for which it waits for a slot of the engine, in milliseconds.
-        #[serde(skip_serializing_if = "is_zero")]
+        #[serde(skip_serializing_if = "requester::is_zero")]
         slot_wait_ms: u64,
         /// Whether it continues a stream that another server began.
         #[serde(skip_serializing_if = "std::ops::Not::not")]
@@ -338,11 +338,8 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         reason: Option<&'a str>,
         /// The fingerprint of the request, which is the same for each retry by its caller, if it was admitted.
-        #[serde(
-            skip_serializing_if = "Option::is_none",
-            serialize_with = "server_break::as_optional_text"
-        )]
-        asked: Option<Fingerprint>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        asked: Option<String>,
         /// The length of its prompt in tokens, if it was admitted and has one.
         #[serde(skip_serializing_if = "Option::is_none")]
         prompt: Option<u64>,
@@ -501,7 +498,3 @@
         count: u64,
     },
 }
-
-fn is_zero(number: &u64) -> bool {
-    *number == 0
-}
--- a/crates/alderglade-serve/src/event/requester.rs
+++ b/crates/alderglade-serve/src/event/requester.rs
@@ -31,3 +31,8 @@
 fn is_highest(rank: &u8) -> bool {
     *rank == 0
 }
+
+/// Returns whether a field is zero, which log lines omit.
+pub(super) fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
--- a/crates/alderglade-serve/src/event/server_break.rs
+++ b/crates/alderglade-serve/src/event/server_break.rs
@@ -34,12 +34,3 @@
 ) -> Result<S::Ok, S::Error> {
     serializer.collect_str(fingerprint)
 }
-
-/// Serializes a fingerprint as text, or an empty text if there is none.
-pub(super) fn as_optional_text<S: Serializer>(
-    fingerprint: &Option<Fingerprint>,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
-    let text = fingerprint.map(|fingerprint| fingerprint.to_string());
-    serializer.collect_str(&text.unwrap_or_default())
-}
--- a/crates/alderglade-serve/src/forward.rs
+++ b/crates/alderglade-serve/src/forward.rs
@@ -169,7 +169,7 @@
         stopping_ms: node.stopping_ms(),
         requester: &subject.requester,
         reason: refusal.reason,
-        asked: subject.asked,
+        asked: subject.asked.map(|asked| asked.to_string()),
         prompt: subject.prompt,
     });
     answer::refusal(refusal)
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -273,7 +273,7 @@
         stopping_ms: None,
         requester,
         reason: None,
-        asked: Some(fingerprint(61)),
+        asked: Some(fingerprint(61).to_string()),
         prompt: Some(617),
     }
 }
