Placement: one place holds or refuses a long prompt, and one adds the order's delay

Change: hold is a part of wait_or_refuse; demand computes the start and adds the delay once. Behaviour is the same.

--- a/crates/alderglade-core/src/fleet/load_table/peer.rs
+++ b/crates/alderglade-core/src/fleet/load_table/peer.rs
@@ -67,8 +67,9 @@
     }
 
     /// Returns whether the peer has been silent for so long that its prompts have probably left the queue. Short prompts wait
-    /// for a fraction of their objective, and a host that holds one sends a notice when it begins and ends. A killed host's
-    /// entries would otherwise precede all others until its notices expire after some seconds.
+    /// for a fraction of their objective, and a host that holds one sends a notice when it begins and ends. Long ones wait
+    /// for seconds, so only a peer that is no longer live has lost them. A killed host's entries would otherwise precede
+    /// all others until its notices expire after some seconds.
     pub(super) fn may_have_lost_prompts(&self, are_short: bool, now: Time) -> bool {
         const MAX_SILENCE: Duration = Duration::from_millis(500);
         let max_silence = if are_short {
--- a/crates/alderglade-core/src/fleet/placement/demand.rs
+++ b/crates/alderglade-core/src/fleet/placement/demand.rs
@@ -15,15 +15,21 @@
 /// when it may no longer be deferred, see [`super::due`].
 pub fn demand(work: &Work, profile: &EngineProfile, engines: usize) -> Demand {
     let reading = profile.read_ms(work.prompt);
-    let due = if work.prompt < SHORT_PROMPT_TOKENS {
+    let is_short = work.prompt < SHORT_PROMPT_TOKENS;
+    let start = if is_short {
         let age = work.waited + slot_queue::age_at_arrival(work);
         PLANNED_SHARE * timing::to_millis(work.objective)
             - timing::to_millis(age)
             - reading
             - PASS_MS
-            + timing::to_millis(work.order_delay)
     } else {
-        long_due(work, reading, engines)
+        latest_start(work, reading, engines)
+    };
+    let start = start + timing::to_millis(work.order_delay);
+    let due = if is_short {
+        start
+    } else {
+        long_due(work, start)
     };
     Demand {
         due_ms: due.floor() as i32,
@@ -31,8 +37,8 @@
     }
 }
 
-/// Returns when a long prompt is due, in milliseconds from now.
-fn long_due(work: &Work, reading: f64, engines: usize) -> f64 {
+/// Returns when a long prompt is due that ranks by `start` until then; both are in milliseconds from now.
+fn long_due(work: &Work, start: f64) -> f64 {
     /// The least time of a prompt that isn't due, in milliseconds.
     const NOT_DUE_MS: f64 = 1.0;
     let due = due::time_left(work);
@@ -40,8 +46,7 @@
     if due <= 0.0 && work.queues_for_slots {
         return due;
     }
-    let latest = latest_start(work, reading, engines) + timing::to_millis(work.order_delay);
-    latest.max(NOT_DUE_MS)
+    start.max(NOT_DUE_MS)
 }
 
 /// Returns when a long prompt must be sent, in milliseconds from now.
--- a/crates/alderglade-core/src/fleet/placement/long.rs
+++ b/crates/alderglade-core/src/fleet/placement/long.rs
@@ -49,18 +49,6 @@
     }
 }
 
-/// Holds a prompt, or gives it up if it has been held for long enough. A resumed stream is not given up while its
-/// caller stays, because that caller would lose what it has.
-fn hold(work: &Work, reason: Reason) -> Decision {
-    if !work.resumed && hold_policy::should_give_up(work) {
-        return Decision::Refuse(GIVE_UP_RETRY_DELAY);
-    }
-    Decision::Wait(Wait {
-        recheck_after: RECHECK_INTERVAL,
-        reason,
-    })
-}
-
 /// Removes the engines at which the prompt has stalled before, unless fewer than `enough` others remain.
 fn without_stalled<'a>(work: &Work, pool: Vec<&'a Engine>, enough: usize) -> Vec<&'a Engine> {
     let others = pool.iter().copied();
@@ -92,10 +80,17 @@
     best
 }
 
-/// Holds a prompt, or refuses it if no time for reading would remain.
+/// Holds a prompt, or refuses it if no time for reading would remain or it has been held for long enough. A resumed stream
+/// is not given up while its caller stays, because that caller would lose what it has.
 fn wait_or_refuse(work: &Work, reading: f64, reason: Reason) -> Decision {
     if hold_policy::first_event_time_left(work) < reading {
         return Decision::Refuse(TOO_LATE_RETRY_DELAY);
     }
-    hold(work, reason)
+    if !work.resumed && hold_policy::should_give_up(work) {
+        return Decision::Refuse(GIVE_UP_RETRY_DELAY);
+    }
+    Decision::Wait(Wait {
+        recheck_after: RECHECK_INTERVAL,
+        reason,
+    })
 }
