Tests: models share the notice of a host, and fields that nothing reads go

Cause: the model of fleet::sizes repeated how that of fleet::burst builds a notice and how core computes when a caller leaves, and recorded two things that no test reads.

--- a/crates/alderglade-core/tests/testsuite/fleet/burst/model.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/burst/model.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::rng::SeededRng;
 use crate::fleet::slots::{SLOTS, engines, short, state};
-use crate::fleet::{empty_notice, reservation};
+use crate::fleet::{next_notice, reservation};
 use alderglade_core::fleet::load_table::{LoadTable, Notice, QueuedId, ReservationId};
 use alderglade_core::fleet::placement::{Decision, Engine, Work, choose, demand};
 use alderglade_core::time::Time;
@@ -330,17 +330,8 @@
         host.loads.expire(now);
         host.sequence += 1;
         let full = beat.is_multiple_of(1_000);
-        let changes = host.loads.take_changes();
-        let notice = Notice {
-            full,
-            queued: host.loads.queued_demands(now),
-            holdings: if full {
-                host.loads.all_holdings(now)
-            } else {
-                changes
-            },
-            ..empty_notice(&format!("h{from}"), 1, host.sequence)
-        };
+        let name = format!("h{from}");
+        let notice = next_notice(&mut host.loads, &name, host.sequence, full, now);
         let halves = self.case.halves;
         let hears = |to: &usize| *to != from && !(halves && to % 2 != from % 2);
         for to in (0..self.case.hosts).filter(hears) {
--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -47,10 +47,11 @@
 use alderglade_core::fleet::directory::{Directory, Server};
 use alderglade_core::fleet::evacuation::Snapshot;
 use alderglade_core::fleet::incarnation::{Incarnation, Key};
-use alderglade_core::fleet::load_table::{Load, Notice, Reservation};
+use alderglade_core::fleet::load_table::{Load, LoadTable, Notice, Reservation};
 use alderglade_core::fleet::pass::EngineProfile;
 use alderglade_core::fleet::position::Position;
 use alderglade_core::fleet::relay::StoreStatus;
+use alderglade_core::time::Time;
 use std::collections::BTreeSet;
 
 /// The profile of the users' engines.
@@ -109,6 +110,22 @@
     }
 }
 
+/// Returns the next notice of a host: all that it holds if it is `full`, else what has changed.
+fn next_notice(loads: &mut LoadTable, host: &str, sequence: u64, full: bool, now: Time) -> Notice {
+    let changes = loads.take_changes();
+    Notice {
+        full,
+        multi_engine_prompts: loads.own_multi_engine_prompts(),
+        queued: loads.queued_demands(now),
+        holdings: if full {
+            loads.all_holdings(now)
+        } else {
+            changes
+        },
+        ..empty_notice(host, 1, sequence)
+    }
+}
+
 /// Returns the reservation of one request at one server; `reading` is in microseconds.
 fn reservation(server: &str, reading: u64, memory: i64) -> Reservation {
     Reservation {
--- a/crates/alderglade-core/tests/testsuite/fleet/sizes/model.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/sizes/model.rs
@@ -2,7 +2,8 @@
 //! are delayed, engines read in passes, and callers that are refused retry once after the stated delay.
 
 use crate::fleet::rng::SeededRng;
-use crate::fleet::{empty_notice, key, profile};
+use crate::fleet::{key, next_notice, profile};
+use alderglade_core::fleet::caller;
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::fleet::load_table::{
     Load, LoadTable, Notice, PAUSE_CLASSES, Part, Pauses, QueuedId, Reservation, ReservationId,
@@ -47,6 +48,13 @@
     pub(super) time_limit: u64,
 }
 
+impl Kind {
+    fn caller_timeout(self) -> Duration {
+        let [objective, pause] = [self.objective, self.longest_pause].map(Duration::from_millis);
+        caller::response_timeout(objective, pause)
+    }
+}
+
 pub(super) const REVIEW: Kind = Kind {
     mean: 190_000.0,
     spread: 0.51,
@@ -99,11 +107,8 @@
     reservation: Option<ReservationId>,
     /// Parts of the prompt that engines have still to read.
     parts_left: usize,
-    sent: bool,
     pub(super) answered: Option<u64>,
     ends: u64,
-    /// How long each attempt that was refused had been held.
-    pub(super) held_in_vain: Vec<u64>,
 }
 
 impl Caller {
@@ -111,7 +116,6 @@
         let millis = Duration::from_millis;
         let Kind {
             objective,
-            longest_pause,
             time_limit,
             ..
         } = self.kind;
@@ -119,7 +123,7 @@
             prompt: self.prompt,
             memory: self.prompt + output,
             objective: millis(objective),
-            caller_timeout: millis((4 * objective).max(8 * longest_pause).max(2_000)),
+            caller_timeout: self.kind.caller_timeout(),
             waited: millis(now - self.arrived),
             time_left: millis((self.first + time_limit).saturating_sub(now)),
             is_retry: self.arrived > self.first + 100,
@@ -257,10 +261,8 @@
             queued: None,
             reservation: None,
             parts_left: 0,
-            sent: false,
             answered: None,
             ends: 0,
-            held_in_vain: Vec::new(),
         });
         self.schedule(self.now, Event::Arrival(self.callers.len() - 1));
     }
@@ -342,7 +344,6 @@
                 self.schedule(self.now + recheck, Event::Check(number));
             }
             Decision::Refuse(delay) => {
-                caller.held_in_vain.push(self.now - caller.arrived);
                 let stated = (delay.as_millis() as u64).min(work.time_left.as_millis() as u64 / 3);
                 let own = self.case.retry_after.filter(|_| caller.is_long);
                 if caller.attempts < 2 {
@@ -359,7 +360,6 @@
         let now = Time::from_millis(self.now);
         let reservation = reservation(caller, plan, self.case.output);
         caller.reservation = Some(host.loads.reserve(reservation, now));
-        caller.sent = true;
         host.has_news = true;
         let readers = || plan.helpers.iter().chain([&plan.primary]);
         caller.parts_left = readers().count();
@@ -411,11 +411,9 @@
     fn begin_answer(&mut self, server: usize, number: usize) {
         let strides = 1 + self.rng.next_below(2 * self.case.output / 68);
         let caller = &mut self.callers[number];
-        let patience = (4 * caller.kind.objective)
-            .max(8 * caller.kind.longest_pause)
-            .max(2_000);
+        let waited = Duration::from_millis(self.now - caller.arrived);
         let in_time = self.now <= caller.first + caller.kind.time_limit;
-        if in_time && self.now <= caller.arrived + patience {
+        if in_time && waited <= caller.kind.caller_timeout() {
             caller.answered = Some(self.now);
         }
         caller.ends = self.now + strides * 75;
@@ -438,18 +436,8 @@
         host.loads.expire(now);
         host.sequence += 1;
         let full = beat.is_multiple_of(1_000);
-        let changes = host.loads.take_changes();
-        let notice = Notice {
-            full,
-            multi_engine_prompts: host.loads.own_multi_engine_prompts(),
-            queued: host.loads.queued_demands(now),
-            holdings: if full {
-                host.loads.all_holdings(now)
-            } else {
-                changes
-            },
-            ..empty_notice(&format!("h{from}"), 1, host.sequence)
-        };
+        let name = format!("h{from}");
+        let notice = next_notice(&mut host.loads, &name, host.sequence, full, now);
         let halves = self.case.halves;
         let hears = |to: &usize| *to != from && !(halves && to % 2 != from % 2);
         for to in (0..self.case.hosts).filter(hears) {
