Review: a key that was taken away works after a copy and a zone's restart

Cause: a host that starts asks the others whether they have a newer configuration than the store, and takes two answers for enough. Hosts that start beside it answer too, with nothing but the old copy.

Nothing of the project's own code is touched.

--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,51 @@
+//! Plays a case of the review: the project's daemon as processes on loopback addresses, between stand-ins of clients,
+//! workers and the platform's store. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod copy;
+mod host;
+mod http;
+mod link;
+mod store;
+mod worker;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::{env, fs, process};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let [case, record] = &arguments[..] else {
+        eprintln!(
+            "usage: review-standin-2 CASE RECORD, in the root of the repository; TROUBLE=0 leaves the disruption out"
+        );
+        return ExitCode::from(2);
+    };
+    let trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let folder = env::temp_dir().join(format!("review-standin-2-{}", process::id()));
+    let play = |disruption| {
+        let disruption = Some(disruption).filter(|_| trouble);
+        copy::play(&folder, Path::new(record), disruption)
+    };
+    let played = fs::create_dir_all(&folder).and_then(|()| match case.as_str() {
+        "copy-restart" => play(copy::Trouble::PowerLoss { zone: "muc-a" }),
+        "copy-cut" => play(copy::Trouble::Cut { zone: "nue-c" }),
+        other => Err(std::io::Error::other(format!("unknown case {other}"))),
+    });
+    if env::var_os("KEEP").is_none() {
+        let _ = fs::remove_dir_all(&folder);
+    }
+    match played {
+        Ok(true) => {
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("broken");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            eprintln!("could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
