--- a/review/standin-2/src/copy.rs
+++ b/review/standin-2/src/copy.rs
@@ -33,6 +33,17 @@
     Cut { zone: &'static str },
 }
 
+/// Which of the two disruptions happen.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Parts {
+    Both,
+    /// The store comes back from a copy; the zone is left alone.
+    Copy,
+    /// Something is done to the zone; the store is left alone.
+    Zone,
+    None,
+}
+
 /// A request of a client.
 struct Sent {
     at: Instant,
@@ -91,7 +102,7 @@
 }
 
 /// Plays the case; returns whether the rule held.
-pub fn play(folder: &Path, record: &Path, trouble: Option<Trouble>) -> io::Result<bool> {
+pub fn play(folder: &Path, record: &Path, trouble: Trouble, parts: Parts) -> io::Result<bool> {
     let store = Arc::new(Store::default());
     let runs: Runs = Arc::default();
     store.put("config", "main", &config(1, &[KEPT_KEY, TAKEN_KEY]));
@@ -136,7 +147,13 @@
     let copy = store.copy();
     events.push((Instant::now(), "the store's copy is of this moment"));
     thread::sleep(Duration::from_millis(200));
-    if let Some(Trouble::Cut { zone }) = trouble {
+    let (is_copied, is_struck) = (
+        matches!(parts, Parts::Both | Parts::Copy),
+        matches!(parts, Parts::Both | Parts::Zone),
+    );
+    if let Trouble::Cut { zone } = trouble
+        && is_struck
+    {
         store.cut().set(Some(zone));
         events.push((Instant::now(), "a zone is cut off"));
     }
@@ -145,24 +162,31 @@
     let acked = Instant::now();
     events.push((acked, "a config without the key is acknowledged"));
     let after = |millis| acked + Duration::from_millis(millis);
-    if let Some(trouble) = trouble {
+    if parts != Parts::None {
         let back = match trouble {
             Trouble::PowerLoss { .. } => 4_900,
             Trouble::Cut { .. } => 5_200,
         };
         sleep_until(after(back - 1_000));
-        store.go_away();
-        events.push((Instant::now(), "the store goes away"));
-        if let Trouble::PowerLoss { zone } = trouble {
+        if is_copied {
+            store.go_away();
+            events.push((Instant::now(), "the store goes away"));
+        }
+        if let Trouble::PowerLoss { zone } = trouble
+            && is_struck
+        {
             sleep_until(after(back - 500));
             let struck = hosts.iter_mut().filter(|host| host.zone == zone);
             struck.for_each(Host::kill);
             events.push((Instant::now(), "the machines of a zone lose power"));
         }
         sleep_until(after(back));
-        store.come_back(copy);
-        events.push((Instant::now(), "the store is back from the copy"));
+        if is_copied {
+            store.come_back(copy);
+            events.push((Instant::now(), "the store is back from the copy"));
+        }
         match trouble {
+            _ if !is_struck => {}
             Trouble::PowerLoss { zone } => {
                 for host in hosts.iter_mut().filter(|host| host.zone == zone) {
                     host.spawn()?;
@@ -176,9 +200,11 @@
             }
         }
         sleep_until(after(back + 1_000));
-        workers.iter().for_each(|worker| worker.enter(&store));
-        store.put("config", "main", &config(2, &[KEPT_KEY]));
-        events.push((Instant::now(), "operator and workers have written again"));
+        if is_copied {
+            workers.iter().for_each(|worker| worker.enter(&store));
+            store.put("config", "main", &config(2, &[KEPT_KEY]));
+            events.push((Instant::now(), "operator and workers have written again"));
+        }
     }
     sleep_until(after(8_500));
     stop.store(true, Ordering::Relaxed);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -16,16 +16,18 @@
     let arguments: Vec<String> = env::args().skip(1).collect();
     let [case, record] = &arguments[..] else {
         eprintln!(
-            "usage: review-standin-2 CASE RECORD, in the root of the repository; TROUBLE=0 leaves the disruption out"
+            "usage: review-standin-2 CASE RECORD, in the root of the repository; TROUBLE=0 leaves the disruptions out, TROUBLE=copy and TROUBLE=zone play one of them"
         );
         return ExitCode::from(2);
     };
-    let trouble = env::var("TROUBLE").as_deref() != Ok("0");
-    let folder = env::temp_dir().join(format!("review-standin-2-{}", process::id()));
-    let play = |disruption| {
-        let disruption = Some(disruption).filter(|_| trouble);
-        copy::play(&folder, Path::new(record), disruption)
+    let parts = match env::var("TROUBLE").as_deref() {
+        Ok("0") => copy::Parts::None,
+        Ok("copy") => copy::Parts::Copy,
+        Ok("zone") => copy::Parts::Zone,
+        _ => copy::Parts::Both,
     };
+    let folder = env::temp_dir().join(format!("review-standin-2-{}", process::id()));
+    let play = |trouble| copy::play(&folder, Path::new(record), trouble, parts);
     let played = fs::create_dir_all(&folder).and_then(|()| match case.as_str() {
         "copy-restart" => play(copy::Trouble::PowerLoss { zone: "muc-a" }),
         "copy-cut" => play(copy::Trouble::Cut { zone: "nue-c" }),
