Review: a whole stream of a worker that leaves is cut off in a stop

Cause: an answer that ends with its connection counts as broken off if its process has ended, also where the worker had said that it leaves.

Change: case 6, a script with a worker as a process of its own.

--- a/review/standin-2/src/host.rs
+++ b/review/standin-2/src/host.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn ask_to_stop(&self) -> io::Result<()> {
+        let process = self.process.as_ref().ok_or(io::ErrorKind::NotFound)?;
+        let id = process.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status()?;
+        Ok(())
+    }
+
     /// Waits until the host calls itself ready.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         const PROBE: &str = "GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod copy;
 mod host;
 mod http;
+mod leaving;
 mod link;
 mod store;
 mod worker;
@@ -14,6 +15,12 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
+    if let [mode, id, end] = &arguments[..]
+        && mode == "worker"
+    {
+        let run = leaving::run_worker(id, end == leaving::LEAVES);
+        return run.map_or(ExitCode::FAILURE, |()| ExitCode::SUCCESS);
+    }
     let [case, record] = &arguments[..] else {
         eprintln!(
             "usage: review-standin-2 CASE RECORD, in the root of the repository; TROUBLE=0 leaves the disruptions out, TROUBLE=copy and TROUBLE=zone play one of them"
@@ -28,9 +35,18 @@
     };
     let folder = env::temp_dir().join(format!("review-standin-2-{}", process::id()));
     let play = |trouble| copy::play(&folder, Path::new(record), trouble, parts);
+    let leave = || {
+        let parts = match env::var("TROUBLE").as_deref() {
+            Ok("0") => leaving::Parts::None,
+            Ok("stop") => leaving::Parts::Stop,
+            _ => leaving::Parts::Both,
+        };
+        leaving::play(&folder, Path::new(record), parts)
+    };
     let played = fs::create_dir_all(&folder).and_then(|()| match case.as_str() {
         "copy-restart" => play(copy::Trouble::PowerLoss { zone: "muc-a" }),
         "copy-cut" => play(copy::Trouble::Cut { zone: "nue-c" }),
+        "leaving" => leave(),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     });
     if env::var_os("KEEP").is_none() {
