Review: whole streams of living workers are cut off in a stop

Cause: a worker may drop an idle connection silently. The host holds one beside an answer that ends with its connection, and takes its loss for the end of the worker, although the worker answers on the next one.

--- a/review/standin-2/src/leaving.rs
+++ b/review/standin-2/src/leaving.rs
@@ -16,7 +16,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const ZONES: [&str; 3] = ["muc-a", "muc-b", "nue-c"];
+pub const ZONES: [&str; 3] = ["muc-a", "muc-b", "nue-c"];
 /// The streams that are open while the worker leaves.
 const STREAMS: usize = 3;
 const EVENTS: usize = 27;
@@ -33,11 +33,11 @@
     None,
 }
 
-fn config() -> String {
+pub fn config() -> String {
     r#"{"version":1,"routes":[{"name":"r-draft","host":"desk.example","path_prefix":"/draft/","kind":"stream","timeout_ms":10000,"target_latency_ms":300,"gap_target_ms":250,"priority":1,"service":"drafts","max_attempts":2,"public":true}],"services":[{"name":"drafts","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#.to_string()
 }
 
-fn event(number: usize) -> String {
+pub fn event(number: usize) -> String {
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
@@ -164,10 +164,10 @@
 }
 
 /// Asks for a stream and returns what arrived until the connection closed.
-fn ask(to: SocketAddr, id: &str) -> io::Result<Vec<u8>> {
+pub fn ask(to: SocketAddr, id: &str) -> io::Result<Vec<u8>> {
     let mut stream = http::connect(to, Duration::from_secs(12))?;
     let head = format!(
-        "POST /draft/1 HTTP/1.1\r\nHost: desk.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 10000\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
+        "POST /draft/1 HTTP/1.1\r\nHost: desk.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 10000\r\nAlderglade-Token-Count: 500,20\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
     );
     stream.write_all(head.as_bytes())?;
     let mut bytes = Vec::new();
@@ -183,7 +183,7 @@
 }
 
 /// Returns the body of a response in chunks, and whether its last chunk has arrived.
-fn unchunk(bytes: &[u8]) -> (String, bool) {
+pub fn unchunk(bytes: &[u8]) -> (String, bool) {
     let text = String::from_utf8_lossy(bytes);
     let Some((_, mut rest)) = text.split_once("\r\n\r\n") else {
         return (String::new(), false);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod copy;
 mod host;
 mod http;
+mod idle;
 mod leaving;
 mod link;
 mod store;
@@ -43,10 +44,20 @@
         };
         leaving::play(&folder, Path::new(record), parts)
     };
+    let drop_idle = || {
+        let parts = match env::var("TROUBLE").as_deref() {
+            Ok("0") => idle::Parts::None,
+            Ok("stop") => idle::Parts::Stop,
+            Ok("idle") => idle::Parts::Idle,
+            _ => idle::Parts::Both,
+        };
+        idle::play(&folder, Path::new(record), parts)
+    };
     let played = fs::create_dir_all(&folder).and_then(|()| match case.as_str() {
         "copy-restart" => play(copy::Trouble::PowerLoss { zone: "muc-a" }),
         "copy-cut" => play(copy::Trouble::Cut { zone: "nue-c" }),
         "leaving" => leave(),
+        "idle" => drop_idle(),
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     });
     if env::var_os("KEEP").is_none() {
