--- a/review/standin-2/src/copy.rs
+++ b/review/standin-2/src/copy.rs
@@ -2,6 +2,7 @@
 //! start again, or one zone is cut off from the others and the store. Checked: no request runs that was sent with the key
 //! later than `revoke_ms` after the acknowledgement.
 
+use crate::balancer::Balancer;
 use crate::host::Host;
 use crate::http;
 use crate::store::Store;
@@ -10,7 +11,7 @@
 use std::fmt::Write;
 use std::fs;
 use std::io::{self, BufReader, Write as _};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -21,6 +22,10 @@
 const ZONES: [(&str, u8); 3] = [("muc-a", 3), ("muc-b", 2), ("nue-c", 1)];
 /// The bound on keys that were taken away, as the settings state it.
 const REVOKE: Duration = Duration::from_millis(5_000);
+/// Connections that rest while a zone is cut off, and when requests are sent on them again.
+const KEPT_CONNECTIONS: usize = 30;
+const FIRST_KEPT: Duration = Duration::from_millis(5_600);
+const KEPT_PAUSE: Duration = Duration::from_millis(50);
 const KEPT_KEY: &str = "kept-key";
 const TAKEN_KEY: &str = "taken-key";
 
@@ -64,36 +69,81 @@
 }
 
 /// Sends one request. The time that counts is that before its first byte.
-fn send(host: &str, to: SocketAddr, key: &'static str, id: String) -> io::Result<Sent> {
-    let mut stream = http::connect(to, Duration::from_secs(3))?;
+fn send(
+    stream: TcpStream,
+    host: &str,
+    key: &'static str,
+    id: String,
+    option: &str,
+) -> (Sent, Option<TcpStream>) {
     let head = format!(
-        "POST /confirm/1 HTTP/1.1\r\nHost: desk.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 2000\r\nAlderglade-Credential: {key}\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx"
+        "POST /confirm/1 HTTP/1.1\r\nHost: desk.example\r\nAlderglade-Request-Id: {id}\r\nAlderglade-Deadline-Ms: 2000\r\nAlderglade-Credential: {key}\r\n{option}Content-Length: 1\r\n\r\nx"
     );
     let at = Instant::now();
-    let answered = stream.write_all(head.as_bytes());
-    let answer = answered.and_then(|()| http::read(&mut BufReader::new(stream)));
-    let status = answer.ok().flatten().map_or(0, |answer| answer.status());
-    Ok(Sent {
+    let mut reader = BufReader::new(stream);
+    let answered = reader.get_mut().write_all(head.as_bytes());
+    let answer = answered
+        .and_then(|()| http::read(&mut reader))
+        .ok()
+        .flatten();
+    let is_kept = answer.as_ref().is_some_and(|answer| {
+        let connection = answer.header("connection").unwrap_or_default();
+        !connection.eq_ignore_ascii_case("close")
+    });
+    let sent = Sent {
         at,
         host: host.to_string(),
         key,
         id,
-        status,
-    })
+        status: answer.map_or(0, |answer| answer.status()),
+    };
+    (sent, is_kept.then(|| reader.into_inner()))
 }
 
-/// Sends requests to a host, one after the other, until told to stop.
-fn call_on(host: String, to: SocketAddr, key: &'static str, log: Log, stop: Arc<AtomicBool>) {
+/// Sends requests to a host on new connections, one after the other, as long as the platform gives it any.
+fn call_on(
+    (place, host, to): (usize, String, SocketAddr),
+    key: &'static str,
+    balancer: Balancer,
+    log: Log,
+    stop: Arc<AtomicBool>,
+) {
     const PAUSE: Duration = Duration::from_millis(25);
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
+        thread::sleep(PAUSE);
+        if !balancer.uses(place) {
+            continue;
+        }
         number += 1;
         let id = format!("{host}-{key}-{number}");
         // A machine without power takes no connection.
-        if let Ok(sent) = send(&host, to, key, id) {
+        if let Ok(stream) = http::connect(to, Duration::from_secs(3)) {
+            let (sent, _) = send(stream, &host, key, id, "Connection: close\r\n");
             log.lock().unwrap().push(sent);
         }
-        thread::sleep(PAUSE);
+    }
+}
+
+/// Sends two requests on one connection, which rests until the second one: for less than four fifths of the idle time-out.
+fn call_on_kept(
+    host: String,
+    to: SocketAddr,
+    key: &'static str,
+    number: usize,
+    at: Instant,
+    log: Log,
+) {
+    let id = |which| format!("{host}-{key}-kept-{number}-{which}");
+    let Ok(stream) = http::connect(to, Duration::from_secs(3)) else {
+        return;
+    };
+    let (sent, kept) = send(stream, &host, key, id("first"), "");
+    log.lock().unwrap().push(sent);
+    if let Some(stream) = kept {
+        sleep_until(at);
+        let (sent, _) = send(stream, &host, key, id("second"), "");
+        log.lock().unwrap().push(sent);
     }
 }
 
@@ -134,16 +184,29 @@
     thread::sleep(Duration::from_secs(3));
 
     let (log, stop) = (Log::default(), Arc::new(AtomicBool::new(false)));
+    let balancer = Balancer::start(&hosts);
     let mut callers = Vec::new();
-    for host in &hosts {
+    for (place, host) in hosts.iter().enumerate() {
         for key in [KEPT_KEY, TAKEN_KEY] {
-            let (name, to) = (host.name.clone(), host.callers);
-            let (log, stop) = (log.clone(), stop.clone());
-            callers.push(thread::spawn(move || call_on(name, to, key, log, stop)));
+            let to = (place, host.name.clone(), host.callers);
+            let (balancer, log, stop) = (balancer.clone(), log.clone(), stop.clone());
+            callers.push(thread::spawn(move || call_on(to, key, balancer, log, stop)));
         }
     }
     thread::sleep(Duration::from_secs(1));
     let mut events = Vec::new();
+    // Opened before anything happens; a connection that is open stays with its node.
+    if let Trouble::Cut { zone } = trouble {
+        for host in hosts.iter().filter(|host| host.zone == zone) {
+            for number in 0..KEPT_CONNECTIONS {
+                let at = Instant::now() + FIRST_KEPT + KEPT_PAUSE * number as u32;
+                let (name, to, log) = (host.name.clone(), host.callers, log.clone());
+                let call = move || call_on_kept(name, to, TAKEN_KEY, number, at, log);
+                callers.push(thread::spawn(call));
+            }
+        }
+        thread::sleep(Duration::from_millis(200));
+    }
     let copy = store.copy();
     events.push((Instant::now(), "the store's copy is of this moment"));
     thread::sleep(Duration::from_millis(200));
--- a/review/standin-2/src/host.rs
+++ b/review/standin-2/src/host.rs
@@ -13,12 +13,25 @@
 const PROGRAM: &str = "target/release/alderglade-adapter";
 const ARGUMENTS: [&str; 2] = ["--metrics-port", "9464"];
 
+/// Where a host is asked whether it is ready.
+#[derive(Clone, Copy)]
+pub struct Ready(SocketAddr);
+
+impl Ready {
+    /// Returns whether the host answers 200 now.
+    pub fn is_ready(self) -> bool {
+        const PROBE: &str = "GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+        let answer = http::call(self.0, PROBE, Duration::from_secs(1));
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+}
+
 /// An entry host. Its process ends with it.
 pub struct Host {
     pub name: String,
     pub zone: String,
     pub callers: SocketAddr,
-    ready: SocketAddr,
+    ready: Ready,
     folder: PathBuf,
     settings: PathBuf,
     process: Option<Child>,
@@ -121,7 +134,7 @@
             name,
             zone: zone.to_string(),
             callers: SocketAddr::new(ip.into(), front),
-            ready: SocketAddr::new(ip.into(), ready),
+            ready: Ready(SocketAddr::new(ip.into(), ready)),
             folder: folder.to_path_buf(),
             settings,
             process: None,
@@ -144,8 +157,17 @@
         Ok(())
     }
 
-    /// Kills the process.
+    /// Returns where the host is asked whether it is ready.
+    pub fn ready(&self) -> Ready {
+        self.ready
+    }
+
+    /// Kills the process. Its next start is not the first one of the system.
     pub fn kill(&mut self) {
+        if let Ok(text) = fs::read_to_string(&self.settings) {
+            let text = text.replace("bootstrap = true", "bootstrap = false");
+            let _ = fs::write(&self.settings, text);
+        }
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
@@ -162,11 +184,9 @@
 
     /// Waits until the host calls itself ready.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
-        const PROBE: &str = "GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
         let end = Instant::now() + limit;
         while Instant::now() < end {
-            let answer = http::call(self.ready, PROBE, Duration::from_secs(1));
-            if answer.is_ok_and(|answer| answer.status() == 200) {
+            if self.ready.is_ready() {
                 return true;
             }
             thread::sleep(Duration::from_millis(50));
--- a/review/standin-2/src/idle.rs
+++ b/review/standin-2/src/idle.rs
@@ -1,6 +1,7 @@
 //! Workers drop idle connections silently, and a host is asked to stop. The workers live on and send each of their answers,
 //! streams without a length, whole. Checked: no connection of a client closes before the whole answer.
 
+use crate::balancer::Balancer;
 use crate::host::Host;
 use crate::http;
 use crate::leaving::{ZONES, ask, config, event, unchunk};
@@ -156,13 +157,15 @@
     let is_stopped = matches!(parts, Parts::Both | Parts::Stop);
     let stop_at = Instant::now() + FIRST_ASKED;
     let callers = hosts[0].callers;
+    let balancer = Balancer::start(&hosts);
     let whole: String = (1..=EVENTS).map(event).collect();
     let results = Arc::new(Mutex::new((0, 0)));
     let clients = (0..CLIENTS).map(|client| {
         let (log, results, whole) = (log.clone(), results.clone(), whole.clone());
+        let balancer = balancer.clone();
         thread::spawn(move || {
             for number in 1.. {
-                if Instant::now() > stop_at + LAST_ASKED {
+                if Instant::now() > stop_at + LAST_ASKED || !balancer.uses(0) {
                     return;
                 }
                 let id = format!("draft-{client}-{number}");
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the review: the project's daemon as processes on loopback addresses, between stand-ins of clients,
 //! workers and the platform's store. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod balancer;
 mod copy;
 mod host;
 mod http;
