Logs: each step of a server's departure, by whom the host was told, and its last send

Cause: no line states when and by whom a host was told that a server leaves, up to which position of the store it knew the servers, until when it uses the server nevertheless, or when it last sent a request there.

Change: the directory records the steps of departures and the last send to each server. New lines: server_departing (3117), server_dropped (3118), server_returned (3119) and servers_kept (3209). `alderglade explain` tells the departures of the servers that a request was sent to. No decision changes.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -15,8 +15,10 @@
 //! that hosts compare to check that they know the same servers leaves it out.
 
 mod departed;
+pub mod departure;
 mod grace;
 mod leavers;
+mod removal;
 mod server;
 mod store_sync;
 
@@ -29,6 +31,7 @@
 use crate::Name;
 use crate::time::Time;
 use departed::Departed;
+use departure::Departures;
 use grace::{Grace, Missing};
 use leavers::Leavers;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -111,36 +114,11 @@
     evacuated: BTreeSet<Name>,
     /// Servers that have reported being cold since the last [`Directory::take_cold`].
     cold_servers: Vec<Cold>,
+    /// How servers depart, for the log.
+    departures: Departures,
 }
 
 impl Directory {
-    /// Records that the store stopped responding: entries that go missing from now on may only have lapsed. `answered` is
-    /// when the store responded last.
-    pub fn store_lost(&mut self, answered: Time) {
-        self.grace.begin_outage(answered);
-    }
-
-    /// Records that the store responds again. Servers whose entries went missing meanwhile are gone if these cannot have
-    /// lapsed; [`Directory::expire`] drops them.
-    pub fn store_returned(&mut self, now: Time) {
-        let until = self.grace.end_outage(now);
-        for entry in self.entries.values_mut() {
-            entry.missing = entry.missing.map(|_| Missing::Until(until));
-        }
-    }
-
-    /// Extends the grace period at the request of a peer: until then entries may be missing although their servers are
-    /// alive.
-    pub fn extend_grace(&mut self, until: Time) {
-        self.grace.extend(until);
-    }
-
-    /// Returns how much longer entries may be missing although their servers are alive. Zero while the store is
-    /// unavailable, because the end of the grace period is then unknown.
-    pub fn grace_left(&self, now: Time) -> Duration {
-        self.grace.left(now)
-    }
-
     /// Replaces the known servers by a full list from the store.
     pub fn replace(&mut self, listing: Listing, now: Time) {
         let listed = listing.servers.iter().map(|server| server.id());
@@ -156,14 +134,14 @@
             self.mark_unreadable(fault);
         }
         for server in listing.servers {
-            self.upsert(server, Source::List);
+            self.upsert(server, Source::List, now);
         }
     }
 
     /// Applies one change from the store.
     pub fn apply(&mut self, change: Change, now: Time) {
         match change {
-            Change::Known(server) => self.upsert(server, Source::Write),
+            Change::Known(server) => self.upsert(server, Source::Write, now),
             Change::Unreadable(fault) => self.mark_unreadable(&fault),
             Change::Gone(id) => {
                 self.faults.clear(&id);
@@ -210,52 +188,6 @@
         self.faults.take_news()
     }
 
-    /// Drops the servers whose grace period has passed and admits those that were held back for long enough. Returns
-    /// whether there were any.
-    pub fn expire(&mut self, now: Time) -> bool {
-        self.departed.expire(now);
-        let ids = &self.ids;
-        self.leavers.expire(|key| ids.contains_key(&key), now);
-        let is_past = |until: Option<Time>| until.is_some_and(|until| until <= now);
-        let is_gone = |missing| self.grace.is_over(missing, now);
-        let missing = self.ids_where(|entry| entry.missing.is_some_and(is_gone));
-        for id in &missing {
-            self.remove_departed(id, now);
-        }
-        let held = self.ids_where(|entry| is_past(entry.held_until));
-        for id in &held {
-            self.departed.clear(id);
-            self.hold_back(id, None);
-        }
-        !missing.is_empty() || !held.is_empty()
-    }
-
-    fn ids_where(&self, predicate: impl Fn(&Entry) -> bool) -> Vec<Name> {
-        let entries = self.entries.iter().filter(|(_, entry)| predicate(entry));
-        entries.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Holds a server back until the given time; `None` admits it.
-    fn hold_back(&mut self, id: &str, until: Option<Time>) {
-        if let Some(mut entry) = self.remove(id) {
-            entry.held_until = until;
-            self.insert(entry);
-        }
-    }
-
-    /// Marks an incarnation of a server as leaving, as reported by the server itself or by a peer. Returns whether this
-    /// was unknown. The mark persists when the entry lapses and is written again.
-    pub fn mark_leaving(&mut self, key: Key, now: Time) -> bool {
-        self.leavers.record(key, now);
-        let Some(entry) = self.entry_mut(key) else {
-            return false;
-        };
-        let before = entry.digest();
-        let is_new = !std::mem::replace(&mut entry.server.leaving, true);
-        self.digest = self.digest.wrapping_sub(before);
-        is_new
-    }
-
     /// Returns the servers that are leaving.
     pub fn leaving(&self) -> Vec<Key> {
         let leaving = self.entries.values().filter(|entry| entry.server.leaving);
@@ -362,9 +294,10 @@
 
     /// Inserts or updates a server from its store entry, unless a newer incarnation is known. An incarnation that once
     /// announced that it is leaving stays so.
-    fn upsert(&mut self, mut server: Server, source: Source) {
+    fn upsert(&mut self, mut server: Server, source: Source, now: Time) {
         self.faults.clear(server.id());
         let mut held_until = None;
+        let mut accepted_work = false;
         if let Some(known) = self.entries.get(server.id()) {
             server.incarnation = server.incarnation.or_known(&known.server.incarnation);
             if known.server.incarnation.supersedes(&server.incarnation) {
@@ -372,6 +305,7 @@
             }
             let is_same = known.server.incarnation == server.incarnation;
             server.leaving |= is_same && known.server.leaving;
+            accepted_work = is_same && known.accepts_work();
             held_until = known
                 .held_until
                 .filter(|_| is_same && source == Source::List);
@@ -388,6 +322,11 @@
                 span: Duration::from_millis(u64::from(server.cold_ms)),
             });
         }
+        if server.leaving && accepted_work {
+            self.record_announced(server.key(), server.id(), now);
+        } else if !server.leaving {
+            self.departures.restore(server.key(), server.id(), now);
+        }
         self.insert(Entry {
             server,
             is_listed: true,
@@ -443,13 +382,6 @@
         Some(entry)
     }
 
-    /// Removes a server that has gone and remembers that it did.
-    fn remove_departed(&mut self, id: &str, now: Time) {
-        if let Some(entry) = self.remove(id) {
-            self.departed.record(entry.server.incarnation, now);
-        }
-    }
-
     fn entry(&self, key: Key) -> Option<&Entry> {
         self.entries.get(self.ids.get(&key)?)
     }
@@ -457,16 +389,4 @@
     fn entry_mut(&mut self, key: Key) -> Option<&mut Entry> {
         self.entries.get_mut(self.ids.get(&key)?)
     }
-
-    /// Handles an entry that is missing from the store. During a grace period the server is kept until its end.
-    fn handle_missing(&mut self, id: &str, now: Time) {
-        match self.grace.missing(now) {
-            None => self.remove_departed(id, now),
-            Some(missing) => {
-                if let Some(entry) = self.entries.get_mut(id) {
-                    entry.missing.get_or_insert(missing);
-                }
-            }
-        }
-    }
 }
--- a/crates/alderglade-operator/src/command/explain.rs
+++ b/crates/alderglade-operator/src/command/explain.rs
@@ -18,7 +18,8 @@
 Reads the files, or standard input where none is named. What stands before the `{` of a line, such as a
 time and a host, is kept; a line without it is told under the name of its file. Lines that say how the
 host stood before the request (configuration, store, servers, peers) are told too, the last of each kind,
-and when it was asked to stop meanwhile.
+and when it was asked to stop meanwhile. So are the departures of the servers that it was sent to, before
+and after it.
 
 With --summary: how many requests ended in which way, by the length of their prompts, and what worth was lost
 by it (an ordinary short reply is worth about one), the greatest loss first. After that the same by workspace,
@@ -47,6 +48,10 @@
 const STARTED: &str = "started";
 /// The event of a host that is asked to stop.
 const STOPPING: &str = "stopping";
+/// The event of a request that is sent to a server.
+const PLACED: &str = "placed";
+/// The events of a server's departure.
+const DEPARTURE: [&str; 3] = ["server_departing", "server_dropped", "server_returned"];
 
 /// One line of a log, understood.
 #[derive(Debug, Clone, serde::Serialize)]
@@ -102,7 +107,7 @@
 }
 
 /// The lines that tell a request's story: for each file, the host's standing before it, its own lines, and among them when
-/// the host was asked to stop.
+/// the host was asked to stop and how the servers departed that it was sent to.
 pub fn story(lines: &[Line], id: &str) -> Vec<Line> {
     let is_own = |line: &Line| line.id.as_deref() == Some(id);
     let Some(first) = lines.iter().position(is_own) else {
@@ -123,10 +128,24 @@
             standing.push(line.clone());
         }
     }
-    let stops = |line: &Line| line.event == STOPPING && host_of(line) == host;
-    let own = lines[first..=last].iter();
-    let own = own.filter(|line| is_own(line) || stops(line));
-    standing.into_iter().chain(own.cloned()).collect()
+    let own = &lines[first..=last];
+    let placed = own
+        .iter()
+        .filter(|line| is_own(line) && line.event == PLACED);
+    let servers: Vec<&Value> = placed
+        .filter_map(|line| line.details.get("server"))
+        .collect();
+    let departs = |line: &Line| {
+        let server = line.details.get("server");
+        DEPARTURE.contains(&line.event.as_str())
+            && server.is_some_and(|server| servers.contains(&server))
+    };
+    let story = lines.iter().enumerate().filter(|(index, line)| {
+        let stops = (first..=last).contains(index) && line.event == STOPPING;
+        is_own(line) || (host_of(line) == host && (stops || departs(line)))
+    });
+    let story = story.map(|(_, line)| line.clone());
+    standing.into_iter().chain(story).collect()
 }
 
 /// Gives the part of a line's source that names its host: the last word, after a time.
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -91,6 +91,7 @@
         build_request(node, job, &dispatch)
     };
     let sent_at = clock::now();
+    node.record_send(server.key());
     let exchange = match transport::send(node, &outgoing, request).await {
         Ok(exchange) => exchange,
         Err(error) => return Err(handle_error(node, job, server, attempt, &error).await),
--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -4,6 +4,7 @@
 //! through a bounded queue to a separate thread. Lines beyond the limit per second are counted, and the count is
 //! logged in their place.
 
+mod departure;
 mod kind;
 mod part;
 mod queue;
@@ -11,7 +12,9 @@
 mod requester;
 mod response_end;
 mod server_break;
+mod store_reach;
 
+pub use departure::{ServerDeparting, ServerDropped};
 pub use kind::{ALL, Kind};
 pub use part::PartBar;
 pub use queue::{Pending, Queue};
@@ -19,6 +22,7 @@
 pub use requester::Requester;
 pub use response_end::ResponseEnd;
 pub use server_break::ServerBreak;
+pub use store_reach::StoreReach;
 
 use log4rs::config::{Appender, Config, Root};
 use serde::Serialize;
--- a/crates/alderglade-serve/src/event/kind.rs
+++ b/crates/alderglade-serve/src/event/kind.rs
@@ -73,6 +73,12 @@
 const PATH_LOST: Kind = warn(3115, "path_lost");
 /// The host has its own path to the servers again.
 const PATH_REGAINED: Kind = info(3116, "path_regained");
+/// This host was told that a backend server departs.
+const SERVER_DEPARTING: Kind = info(3117, "server_departing");
+/// A departing backend server receives no more work.
+const SERVER_DROPPED: Kind = info(3118, "server_dropped");
+/// The entry of a backend server that was missing was written again.
+const SERVER_RETURNED: Kind = info(3119, "server_returned");
 /// The store does not respond.
 const STORE_LOST: Kind = warn(3201, "store_lost");
 /// The store responds again.
@@ -89,6 +95,8 @@
 const WRITTEN_AGAIN: Kind = info(3207, "entry_written_again");
 /// The configuration was copied from another host.
 const CONFIG_COPIED: Kind = info(3208, "config_copied");
+/// Servers whose entries go missing are kept for a while, because entries may have lapsed.
+const SERVERS_KEPT: Kind = info(3209, "servers_kept");
 /// Another entry host joined or returned.
 const PEER_JOINED: Kind = info(3301, "peer_joined");
 /// Another entry host is silent; its reservations expire.
@@ -137,7 +145,7 @@
 const MEMORY_NOT_RELEASED: Kind = warn(3502, "memory_not_released");
 
 /// All kinds, in the order of their numbers.
-pub const ALL: [Kind; 53] = [
+pub const ALL: [Kind; 57] = [
     STARTED,
     STOPPING,
     STOPPED,
@@ -160,6 +168,9 @@
     GROUPED,
     PATH_LOST,
     PATH_REGAINED,
+    SERVER_DEPARTING,
+    SERVER_DROPPED,
+    SERVER_RETURNED,
     STORE_LOST,
     STORE_BACK,
     STORE_ROLE,
@@ -168,6 +179,7 @@
     SERVERS_RESTORED,
     WRITTEN_AGAIN,
     CONFIG_COPIED,
+    SERVERS_KEPT,
     PEER_JOINED,
     PEER_LOST,
     PEER_FAULT,
@@ -219,14 +231,18 @@
             Record::EntryMended { .. } => &ENTRY_MENDED,
             Record::PathLost { .. } => &PATH_LOST,
             Record::PathRegained { .. } => &PATH_REGAINED,
+            Record::ServerDeparting(_) => &SERVER_DEPARTING,
+            Record::ServerDropped(_) => &SERVER_DROPPED,
+            Record::ServerReturned { .. } => &SERVER_RETURNED,
             Record::StoreLost { .. } => &STORE_LOST,
             Record::StoreBack { .. } => &STORE_BACK,
             Record::StoreRole { .. } => &STORE_ROLE,
-            Record::StoreReach { .. } => &STORE_REACH,
+            Record::StoreReach(_) => &STORE_REACH,
             Record::StoreRestored { .. } => &STORE_RESTORED,
             Record::ServersRestored { .. } => &SERVERS_RESTORED,
             Record::WrittenAgain { .. } => &WRITTEN_AGAIN,
             Record::ConfigCopied { .. } => &CONFIG_COPIED,
+            Record::ServersKept { .. } => &SERVERS_KEPT,
             Record::PeerJoined { .. } => &PEER_JOINED,
             Record::PeerLost { .. } => &PEER_LOST,
             Record::PeerFault { .. } => &PEER_FAULT,
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -1,7 +1,7 @@
 //! The fields of each log line apart from its number, level and name.
 
 use super::part::{self, PartBar};
-use super::{Requester, ResponseEnd, ServerBreak};
+use super::{Requester, ResponseEnd, ServerBreak, ServerDeparting, ServerDropped, StoreReach};
 use super::{requester, server_break};
 use crate::daemon::Addresses;
 use alderglade_core::Name;
@@ -148,6 +148,17 @@
         /// How long it had none, in milliseconds.
         after_ms: u64,
     },
+    /// This host was told that a backend server departs.
+    ServerDeparting(ServerDeparting<'a>),
+    /// A departing backend server receives no more work.
+    ServerDropped(ServerDropped<'a>),
+    /// The entry of a backend server that was missing was written again.
+    ServerReturned {
+        /// The server.
+        server: &'a str,
+        /// The time since the entry was found missing, in milliseconds.
+        after_ms: u64,
+    },
     /// An entry of the store cannot be parsed and is ignored.
     EntryUnreadable {
         /// The object that holds it: `servers`, `hosts`, `quarantine` or `evacuations`.
@@ -186,18 +197,7 @@
         store_age_ms: Option<u64>,
     },
     /// The host is considered disconnected from the store, or no longer is.
-    StoreReach {
-        /// Whether it is considered disconnected, and therefore not ready for new connections.
-        cut_off: bool,
-        /// Whether its own latest call to the store failed.
-        refused: bool,
-        /// Whether it queries the store itself, or receives notices from a host that does so successfully.
-        informed: bool,
-        /// Whether it receives no notices from any other failure domain.
-        isolated: bool,
-        /// The age of the host's store data, in milliseconds.
-        store_age_ms: Option<u64>,
-    },
+    StoreReach(StoreReach),
     /// The store was restored from a copy: whatever was written after the copy is lost.
     StoreRestored {
         /// The new era of the store.
@@ -230,6 +230,13 @@
         /// The address of the other host.
         from: SocketAddr,
     },
+    /// Servers whose entries go missing are kept for a while, because entries may have lapsed.
+    ServersKept {
+        /// Servers whose entries are missing by now.
+        servers: usize,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// Other entry hosts joined or returned.
     PeerJoined {
         /// The first few of them by name.
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod cold;
 mod connectivity;
+mod departure;
 mod era;
 mod evacuation;
 mod faults;
@@ -31,6 +32,7 @@
 
 pub use alderglade_core::fleet::message::Host;
 pub use choice::Unavailability;
+pub use departure::Origin;
 pub use guard::{CallGuard, ConnectionGuard, QueueGuard, RequestGuard, ReservationGuard};
 pub use hosts::Hosts;
 pub use outbox::{Envelope, Recipients};
@@ -325,6 +327,7 @@
         log_peers(joined, lost);
         self.regroup();
         if expired_servers {
+            self.log_departures(Origin::Expiry);
             self.on_servers_changed();
         }
         if expired_evacuations {
--- a/crates/alderglade-serve/src/node/connectivity.rs
+++ b/crates/alderglade-serve/src/node/connectivity.rs
@@ -2,7 +2,7 @@
 
 use super::{Node, State};
 use crate::clock;
-use crate::event::{self, Record};
+use crate::event::{self, Record, StoreReach};
 use alderglade_core::fleet::connectivity::Observation;
 use alderglade_core::time::Time;
 use std::time::Duration;
@@ -38,11 +38,11 @@
 
 /// Logs that the host has lost or regained its connectivity to the store, with the observation that shows it.
 fn log_connectivity(disconnected: bool, observation: &Observation, age: Option<Duration>) {
-    event::write(&Record::StoreReach {
+    event::write(&Record::StoreReach(StoreReach {
         cut_off: disconnected,
         refused: observation.call_failed,
         informed: observation.informed,
         isolated: observation.isolated,
         store_age_ms: age.map(|age| age.as_millis() as u64),
-    });
+    }));
 }
--- a/crates/alderglade-serve/src/node/hosts.rs
+++ b/crates/alderglade-serve/src/node/hosts.rs
@@ -69,6 +69,13 @@
         self.by_name.get(name).map(|location| location.address)
     }
 
+    /// Returns the name of the host at an address.
+    pub fn name_of(&self, address: SocketAddr) -> Option<&Name> {
+        let mut hosts = self.by_name.iter();
+        let host = hosts.find(|(_, location)| location.address == address);
+        host.map(|(name, _)| name)
+    }
+
     /// Returns the addresses of all hosts except those that `is_excluded` selects.
     pub fn addresses_except(&self, is_excluded: impl Fn(&Name) -> bool) -> Vec<SocketAddr> {
         let others = self.by_name.iter().filter(|(name, _)| !is_excluded(name));
--- a/crates/alderglade-serve/src/node/outbox.rs
+++ b/crates/alderglade-serve/src/node/outbox.rs
@@ -3,7 +3,7 @@
 //! The hosts that watch the store put changes into their outbox. The other hosts apply them and query the store only
 //! if something is missing.
 
-use super::{Node, StoreEvent};
+use super::{Node, Origin, StoreEvent};
 use crate::clock;
 use alderglade_core::Name;
 use alderglade_core::fleet::config::{Config, Patch};
@@ -204,9 +204,9 @@
     }
 
     /// Applies an update of a peer that watches the store.
-    pub fn apply_store_update(&self, update: &StoreUpdate) {
+    pub fn apply_store_update(&self, update: &StoreUpdate, sender: SocketAddr) {
         match update {
-            StoreUpdate::Servers(servers) => self.apply_server_update(servers),
+            StoreUpdate::Servers(servers) => self.apply_server_update(servers, sender),
             StoreUpdate::Config(patch) => self.apply_config_patch(patch),
             StoreUpdate::ProxyKeys(keys) => {
                 let hosts = &mut self.state.borrow_mut().hosts;
@@ -226,7 +226,7 @@
 
     /// Applies changes of backend servers from a peer that watches the store. If earlier changes are missing here,
     /// the changes are ignored and the store is queried.
-    fn apply_server_update(&self, servers: &Servers) {
+    fn apply_server_update(&self, servers: &Servers, sender: SocketAddr) {
         let mut state = self.state.borrow_mut();
         let Servers {
             base: after,
@@ -245,6 +245,7 @@
             .directory
             .apply_changes(after, &changes, position, now);
         drop(state);
+        self.log_departures(Origin::Address(sender));
         self.on_servers_changed();
         self.notice_due.notify_one();
     }
--- a/crates/alderglade-serve/src/node/statement.rs
+++ b/crates/alderglade-serve/src/node/statement.rs
@@ -1,6 +1,6 @@
 //! What servers report about themselves in their answers.
 
-use super::Node;
+use super::{Node, Origin};
 use crate::clock;
 use crate::event::{self, Record};
 use alderglade_core::fleet::directory::{Cold, Server};
@@ -40,6 +40,7 @@
             event::write(&Record::ServerLeaves {
                 server: server.id(),
             });
+            self.log_departures(Origin::Server);
             self.on_servers_changed();
             self.notice_due.notify_one();
         }
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -1,6 +1,6 @@
 //! Updates from the store, and whether the store answers at all.
 
-use super::{Host, Node, State};
+use super::{Host, Node, Origin, State};
 use crate::clock;
 use crate::event::{self, Record};
 use alderglade_core::Name;
@@ -223,6 +223,7 @@
         drop(state);
         restored.iter().for_each(log_restored);
         self.startup_progress.notify_waiters();
+        self.log_departures(Origin::Store);
         self.on_servers_changed();
     }
 
@@ -240,6 +241,7 @@
         if !applied || changes.is_empty() {
             return;
         }
+        self.log_departures(Origin::Store);
         self.on_servers_changed();
         self.publish_server_changes(after, position, changes);
         self.notice_due.notify_one();
@@ -334,10 +336,20 @@
             return;
         }
         let outage = now.since(answered);
-        self.state.borrow_mut().directory.store_returned(now);
+        let mut state = self.state.borrow_mut();
+        state.directory.store_returned(now);
+        let grace = state.directory.grace_left(now);
+        let servers = state.directory.kept_count();
+        drop(state);
         event::write(&Record::StoreBack {
             age_ms: outage.as_millis() as u64,
         });
+        if !grace.is_zero() {
+            event::write(&Record::ServersKept {
+                servers,
+                for_ms: grace.as_millis() as u64,
+            });
+        }
         self.ask_store.notify_waiters();
     }
 }
--- a/crates/alderglade-serve/src/peer/receive.rs
+++ b/crates/alderglade-serve/src/peer/receive.rs
@@ -2,7 +2,7 @@
 
 use super::{BATCH_DELAY, log_fault, send};
 use crate::clock;
-use crate::node::{Host, Node};
+use crate::node::{Host, Node, Origin};
 use alderglade_core::fleet::load_table::Notice;
 use alderglade_core::fleet::loan::LoanRequest;
 use alderglade_core::fleet::message::{ConfirmationRequest, ForwardedNotice, Message, StoreUpdate};
@@ -46,8 +46,10 @@
             answer_confirmation_request(node, socket, request, sender).await
         }
         Message::Confirmation(confirmation) => node.apply_confirmation(&confirmation, sender),
-        Message::StoreUpdate(update) => node.apply_store_update(&update),
-        Message::StoreUpdateToForward(update) => forward_update(node, socket, update).await,
+        Message::StoreUpdate(update) => node.apply_store_update(&update, sender),
+        Message::StoreUpdateToForward(update) => {
+            forward_update(node, socket, update, sender).await;
+        }
         Message::LoanRequest(request) => answer_loan_request(node, socket, &request, sender).await,
         Message::Loan(loan) => node.accept_loan(loan),
         Message::GrantRequest(request) => {
@@ -60,8 +62,8 @@
 }
 
 /// Applies an update from the store and forwards it to the hosts of the own group and failure domain.
-async fn forward_update(node: &Node, socket: &UdpSocket, update: StoreUpdate) {
-    node.apply_store_update(&update);
+async fn forward_update(node: &Node, socket: &UdpSocket, update: StoreUpdate, sender: SocketAddr) {
+    node.apply_store_update(&update, sender);
     node.metrics.passed_on.inc();
     send::send(
         socket,
@@ -118,6 +120,7 @@
     if joined {
         node.forget_previous_usage(notice);
     }
+    node.log_departures(Origin::Host(&notice.host));
     node.apply_limit_reports(&notice.limits);
     node.apply_cold_reports(&notice.cold);
     node.apply_evacuations(&notice.evacuations);
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -6,7 +6,10 @@
 use alderglade_core::fleet::fingerprint::Fingerprint;
 use alderglade_core::fleet::part::Part;
 use alderglade_serve::daemon::Addresses;
-use alderglade_serve::event::{self, ALL, PartBar, Record, Requester, ResponseEnd, ServerBreak};
+use alderglade_serve::event::{
+    self, ALL, PartBar, Record, Requester, ResponseEnd, ServerBreak, ServerDeparting,
+    ServerDropped, StoreReach,
+};
 use log::{LevelFilter, Log, Metadata};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -74,6 +77,9 @@
 "n":3114,"level":"INFO","event":"grouped","groups":171,"hosts":172,"servers":173}
 "n":3115,"level":"WARN","event":"path_lost","blocked":551,"live_hosts":552}
 "n":3116,"level":"INFO","event":"path_regained","after_ms":561}
+"n":3117,"level":"INFO","event":"server_departing","server":"server-62","sign":"sign-62","told_by":"told-by-62","peer":"peer-62","era":625,"revision":626,"store_age_ms":627,"kept":"kept-62","kept_ms":629}
+"n":3118,"level":"INFO","event":"server_dropped","server":"server-63","sign":"sign-63","after_ms":633,"last_send_ms":634}
+"n":3119,"level":"INFO","event":"server_returned","server":"server-64","after_ms":642}
 "n":3107,"level":"WARN","event":"entry_unreadable","of":"of-18","name":"name-18","problem":"problem-18"}
 "n":3108,"level":"INFO","event":"entry_mended","of":"of-19","name":"name-19"}
 "n":3201,"level":"WARN","event":"store_lost","problem":"problem-20"}
@@ -84,6 +90,7 @@
 "n":3206,"level":"INFO","event":"servers_restored","era":251,"revision":252,"former_revision":253,"missing":254,"held_back":255}
 "n":3207,"level":"INFO","event":"entry_written_again","name":"name-26"}
 "n":3208,"level":"INFO","event":"config_copied","version":271,"from":"10.0.0.7:8001"}
+"n":3209,"level":"INFO","event":"servers_kept","servers":651,"for_ms":652}
 "n":3301,"level":"INFO","event":"peer_joined","peers":["h2","h3"],"count":282}
 "n":3302,"level":"WARN","event":"peer_lost","peers":["h2","h3"],"count":292}
 "n":3401,"level":"INFO","event":"placed","id":"id-30","asked":"1e112233445566778899aabb","server":"server-30","attempt":304,"prompt":305,"helpers":306,"shares":307,"waited_ms":308,"expected_ms":309,"config":3010,"stopping_ms":3011}
@@ -113,6 +120,8 @@
 "n":3101,"level":"INFO","event":"config_in_force","version":61,"before":null}
 "n":3106,"level":"INFO","event":"server_restarted","server":"server-11","born_ms":null,"former_born_ms":null}
 "n":3111,"level":"INFO","event":"server_limit","server":"server-14","per_second":null}
+"n":3117,"level":"INFO","event":"server_departing","server":"server-62","sign":"sign-62","told_by":"told-by-62","era":625,"revision":626,"store_age_ms":null}
+"n":3118,"level":"INFO","event":"server_dropped","server":"server-63","sign":"sign-63","after_ms":633,"last_send_ms":null}
 "n":3203,"level":"INFO","event":"store_role","role":"role-22","heard":222,"watchers":223,"store_age_ms":null}
 "n":3204,"level":"INFO","event":"store_reach","cut_off":true,"refused":false,"informed":true,"isolated":false,"store_age_ms":null}
 "n":3401,"level":"INFO","event":"placed","id":"id-30","asked":"1e112233445566778899aabb","server":"server-30","attempt":304,"prompt":305,"helpers":306,"shares":307,"waited_ms":308,"expected_ms":309,"config":3010}
@@ -203,19 +212,26 @@
         Record::Grouped { groups: 171, hosts: 172, servers: 173 },
         Record::PathLost { blocked: 551, live_hosts: 552 },
         Record::PathRegained { after_ms: 561 },
+        Record::ServerDeparting(ServerDeparting { server: "server-62", sign: "sign-62", told_by: "told-by-62", peer:
+            full.then_some("peer-62"), era: 625, revision: 626, store_age_ms: full.then_some(627), kept:
+            full.then_some("kept-62"), kept_ms: full.then_some(629) }),
+        Record::ServerDropped(ServerDropped { server: "server-63", sign: "sign-63", after_ms: 633, last_send_ms:
+            full.then_some(634) }),
+        Record::ServerReturned { server: "server-64", after_ms: 642 },
         Record::EntryUnreadable { of: "of-18", name: "name-18", problem: "problem-18" },
         Record::EntryMended { of: "of-19", name: "name-19" },
         Record::StoreLost { problem: "problem-20" },
         Record::StoreBack { age_ms: 211 },
         Record::StoreRole { role: "role-22", heard: 222, watchers: 223, store_age_ms: full.then_some(224)
             },
-        Record::StoreReach { cut_off: true, refused: full, informed: !full, isolated: false, store_age_ms:
-            full.then_some(235) },
+        Record::StoreReach(StoreReach { cut_off: true, refused: full, informed: !full, isolated: false, store_age_ms:
+            full.then_some(235) }),
         Record::StoreRestored { era: 241, former_era: 242 },
         Record::ServersRestored { era: 251, revision: 252, former_revision: 253, missing: 254, held_back:
             255 },
         Record::WrittenAgain { name: "name-26" },
         Record::ConfigCopied { version: 271, from: address(8_001) },
+        Record::ServersKept { servers: 651, for_ms: 652 },
         Record::PeerJoined { peers, count: 282 },
         Record::PeerLost { peers, count: 292 },
         Record::Placed { id: "id-30", asked: fingerprint(30), server: "server-30", attempt: 304, prompt: 305,
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -53,6 +53,31 @@
     );
 }
 
+const DEPARTURES: &str = r#"
+  1.0 host-1 {"at_ms":10,"n":3117,"level":"INFO","event":"server_departing","server":"e1","sign":"removed","told_by":"peer","peer":"host-2"}
+  1.1 host-1 {"at_ms":11,"n":3117,"level":"INFO","event":"server_departing","server":"e2","sign":"removed","told_by":"store"}
+  1.2 host-2 {"at_ms":12,"n":3118,"level":"INFO","event":"server_dropped","server":"e1","sign":"removed","after_ms":0,"last_send_ms":null}
+  2.0 host-1 {"at_ms":20,"n":3401,"level":"INFO","event":"placed","id":"r-1","server":"e1","attempt":1}
+  3.0 host-1 {"at_ms":30,"n":3403,"level":"INFO","event":"answered","id":"r-1","status":200}
+  4.0 host-1 {"at_ms":40,"n":3118,"level":"INFO","event":"server_dropped","server":"e1","sign":"removed","after_ms":30,"last_send_ms":20}
+"#;
+
+/// Guards against a late request to a departed server whose log doesn't show when and by whom its host was told.
+#[test]
+fn the_departure_of_a_request_s_server_is_part_of_its_story() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = write(folder.path(), "departures.log", DEPARTURES);
+    let output = command(&["explain", "r-1", &log]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(3))
+        .collect();
+    let expected = ["server_departing", "placed", "answered", "server_dropped"];
+    assert_eq!(events, expected, "{text}");
+    assert!(!text.contains("e2") && !text.contains("(host-2)"), "{text}");
+}
+
 const MANY: &str = r#"
   1.0 host-1 {"at_ms":1,"n":3401,"level":"INFO","event":"placed","id":"a","server":"e1","prompt":5000,"waited_ms":0,"expected_ms":60}
   1.1 host-1 {"at_ms":2,"n":3403,"level":"INFO","event":"answered","id":"a","status":200,"first_ms":80,"longest_pause_ms":60,"aim_ms":300,"pause_aim_ms":250}
