--- a/crates/alderglade-core/tests/testsuite/fleet/mod.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod confirmation;
 mod connectivity;
+mod departures;
 mod directory;
 mod ending;
 mod evacuation;
