Directory: the digest tells missing entries from listed ones

Cause: a host adopts the position of another one if their digests are equal. A server whose entry is missing and that is kept counted like a listed one, so a host that had it listed adopted a position past the removal, or one that kept it a position past the entry written again. It then never learned of that change: it used the departed server for good, or dropped the sound one at the end of the grace period, and a fetch from its position returned nothing.

Change: a kept server counts by the complement of its number.

--- a/crates/alderglade-core/src/fleet/directory.rs
+++ b/crates/alderglade-core/src/fleet/directory.rs
@@ -65,12 +65,15 @@
         self.is_listed && !self.server.leaving && self.held_until.is_none()
     }
 
-    /// Returns the entry's part of the directory's digest: zero if the server accepts no new work.
+    /// Returns the entry's part of the directory's digest: zero if the server accepts no new work. A server that is used
+    /// although its entry is missing counts differently from a listed one, because hosts with equal digests adopt each
+    /// other's positions.
     fn digest(&self) -> u64 {
-        if self.accepts_work() {
-            self.server.key().number()
-        } else {
-            0
+        let number = self.server.key().number();
+        match (self.accepts_work(), self.missing) {
+            (false, _) => 0,
+            (true, None) => number,
+            (true, Some(_)) => !number,
         }
     }
 }
@@ -194,7 +197,8 @@
         leaving.map(|entry| entry.server.key()).collect()
     }
 
-    /// Returns a digest of the servers that accept new work. Hosts that know the same servers have the same digest.
+    /// Returns a digest of the servers that accept new work, and of which of these have missing entries. Hosts that know the
+    /// same servers have the same digest.
     pub fn digest(&self) -> u64 {
         self.digest
     }
--- a/crates/alderglade-core/src/fleet/directory/removal.rs
+++ b/crates/alderglade-core/src/fleet/directory/removal.rs
@@ -3,7 +3,7 @@
 
 use super::departure::{Departure, Keep, Sign};
 use super::grace::Missing;
-use super::{Directory, Entry};
+use super::{Directory, Entry, Server};
 use crate::Name;
 use crate::fleet::incarnation::Key;
 use crate::time::Time;
@@ -106,11 +106,11 @@
         self.departures.take()
     }
 
-    /// Returns the number of servers that are used although their entries are missing.
-    pub fn kept_count(&self) -> usize {
+    /// Returns the servers that are used although their entries are missing, ordered by id.
+    pub fn kept(&self) -> impl Iterator<Item = &Server> {
         let entries = self.entries.values();
         let kept = entries.filter(|entry| entry.missing.is_some() && entry.accepts_work());
-        kept.count()
+        kept.map(|entry| &entry.server)
     }
 
     /// Removes a server that has gone and remembers that it did.
@@ -133,7 +133,10 @@
             return;
         };
         let is_new = entry.missing.is_none();
+        let before = entry.digest();
         entry.missing = entry.missing.or(missing);
+        let digest = entry.digest().wrapping_sub(before);
+        self.digest = self.digest.wrapping_add(digest);
         let (key, id) = (entry.server.key(), entry.server.id().clone());
         let keep = missing.map(|missing| match missing {
             Missing::Until(until) => Keep::Grace(until),
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -339,7 +339,7 @@
         let mut state = self.state.borrow_mut();
         state.directory.store_returned(now);
         let grace = state.directory.grace_left(now);
-        let servers = state.directory.kept_count();
+        let servers = state.directory.kept().count();
         drop(state);
         event::write(&Record::StoreBack {
             age_ms: outage.as_millis() as u64,
