Send: the server is looked at again when the request is written

Cause: a request looked at its server before it opened a connection (up to 300 ms), before other hosts were asked to carry it (up to three, one after the other), and a host that carries one before it had read the body. A grace period ended for requests at the next heartbeat, up to 250 ms late.

Change: requests are checked after the connection is open, before each host that may carry them, and there after the body is read; orders to engines are not. The end of a grace period counts to the millisecond.

--- a/crates/alderglade-core/src/fleet/directory/removal.rs
+++ b/crates/alderglade-core/src/fleet/directory/removal.rs
@@ -106,6 +106,13 @@
         self.departures.take()
     }
 
+    /// Returns whether new work may go to a server at this moment.
+    pub fn is_usable(&self, key: Key, now: Time) -> bool {
+        let missing = self.entry(key).and_then(|entry| entry.missing);
+        let is_over = missing.is_some_and(|missing| self.grace.is_over(missing, now));
+        !is_over && self.get(key).is_some()
+    }
+
     /// Returns the servers that are used although their entries are missing, ordered by id.
     pub fn kept(&self) -> impl Iterator<Item = &Server> {
         let entries = self.entries.values();
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -299,6 +299,11 @@
         self.state.borrow().directory.active(key).is_some()
     }
 
+    /// Returns whether new work may be sent to a server at this moment.
+    pub fn is_usable(&self, key: Key) -> bool {
+        self.state.borrow().directory.is_usable(key, clock::now())
+    }
+
     /// Returns a server if new work may be sent to it.
     pub fn server(&self, key: Key) -> Option<Server> {
         self.state.borrow().directory.get(key).cloned()
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -181,9 +181,10 @@
 
     /// Returns whether new work may be sent to a server, as far as this host knows.
     fn accepts_work(&self, server: Key) -> bool {
+        let now = clock::now();
         let state = self.state.borrow();
-        let backing_off = !state.backoffs.remaining(&server, clock::now()).is_zero();
-        !backing_off && state.directory.get(server).is_some()
+        let backing_off = !state.backoffs.remaining(&server, now).is_zero();
+        !backing_off && state.directory.is_usable(server, now)
     }
 
     /// Requests a grant from the owner of a server's limit if there may be a limit. The state of a server of another
--- a/crates/alderglade-serve/src/proxy/send.rs
+++ b/crates/alderglade-serve/src/proxy/send.rs
@@ -40,6 +40,10 @@
     let mut tried: Vec<Proxy> = Vec::new();
     let mut last_error = Error::NotSent;
     while tried.len() < MAX_PROXIES {
+        // The hosts tried before have taken time.
+        if outgoing.purpose == Purpose::Request && !node.is_usable(server.key()) {
+            return Err(Error::NotSent);
+        }
         let Some(proxy) = node.choose_proxy(server, outgoing.homes, &tried) else {
             break;
         };
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -137,7 +137,7 @@
     outgoing.headers_mut().remove(CONTENT_LENGTH);
     let stage = Stage::Sent(server.id().clone());
     resources.in_flight.progress.set_stage(stage);
-    let exchange = exchange(node, &server, outgoing, target.fresh).await?;
+    let exchange = exchange(node, &server, outgoing, &target).await?;
     Ok(relay(node, server, exchange, resources))
 }
 
@@ -157,10 +157,14 @@
     node: &Rc<Node>,
     server: &Server,
     request: Request<Full<Bytes>>,
-    fresh: bool,
+    target: &Target,
 ) -> Result<Exchange, Outcome> {
     let sent_at = clock::now();
-    let sent = transport::send_direct(node, server, request, fresh).await;
+    // Reading the body may have taken a while.
+    if target.purpose == Purpose::Request && !node.is_usable(server.key()) {
+        return Err(Outcome::Declined);
+    }
+    let sent = transport::send_direct(node, server, request, target.purpose, target.fresh).await;
     let exchange = sent.map_err(|error| outcome(&error))?;
     let head = &exchange.head;
     let statement = node.translator.statement(head.status, &head.headers);
--- a/crates/alderglade-serve/src/transport.rs
+++ b/crates/alderglade-serve/src/transport.rs
@@ -47,7 +47,7 @@
 ) -> Result<Exchange, Error> {
     let server = outgoing.server;
     if node.path_to(server.key()) == Path::Direct {
-        let result = send_direct(node, server, request(), outgoing.fresh).await;
+        let result = send_direct(node, server, request(), outgoing.purpose, outgoing.fresh).await;
         let no_connection = matches!(
             result,
             Err(Error::Unreachable { .. } | Error::Closed { .. })
@@ -69,6 +69,7 @@
     node: &Rc<Node>,
     server: &Server,
     request: Request<Full<Bytes>>,
+    purpose: Purpose,
     fresh: bool,
 ) -> Result<Exchange, Error> {
     let standby = node.client.take_standby(server.address);
@@ -77,6 +78,11 @@
         IdleSend::Done(result) => result,
         IdleSend::Unsent(request) => {
             let link = connect(node, server).await?;
+            // The host may have been told meanwhile that the server departs.
+            if purpose == Purpose::Request && !node.is_usable(server.key()) {
+                node.client.keep(link);
+                return Err(Error::NotSent);
+            }
             node.client.send_on(link, request).await
         }
     };
