Store: watchers publish what a list of the servers changes

Cause: after the store has dropped its history, watchers list the servers again. What had changed meanwhile was not sent to the hosts that follow them: these compared digests and fetched, 0.74 and 0.79 s later.

Change: a list within an era is compared with the known servers, and the difference is published like changes.

--- a/crates/alderglade-core/src/fleet/directory/store_sync.rs
+++ b/crates/alderglade-core/src/fleet/directory/store_sync.rs
@@ -4,6 +4,7 @@
 use crate::Name;
 use crate::fleet::position::Position;
 use crate::time::Time;
+use std::collections::BTreeSet;
 
 /// Findings from the first list of a new era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +45,26 @@
         true
     }
 
+    /// Returns the changes that lead from the known servers to those of a list as of `position`, for hosts that know the
+    /// same. There are none between two eras, or if no list is known.
+    pub fn changes_to(&self, listing: &Listing, position: Position) -> Vec<Change> {
+        if !self.listed || position.era != self.position.era || position <= self.position {
+            return Vec::new();
+        }
+        let listed: BTreeSet<&Name> = listing.servers.iter().map(Server::id).collect();
+        let known = self.entries.iter();
+        let gone = known.filter(|(id, entry)| entry.is_listed && !listed.contains(id));
+        let gone = gone.map(|(id, _)| Change::Gone(id.clone()));
+        let is_new = |server: &&Server| {
+            let entry = self.entries.get(server.id());
+            entry.is_none_or(|entry| {
+                entry.server != **server || !entry.is_listed || entry.missing.is_some()
+            })
+        };
+        let new = listing.servers.iter().filter(is_new).cloned();
+        gone.chain(new.map(Change::Known)).collect()
+    }
+
     /// Returns whether the changes between two positions come next: they are not known yet and continue the known
     /// history.
     pub fn needs_changes(&self, after: Position, position: Position) -> bool {
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -213,18 +213,26 @@
         self.quarantine_listed.get() || clock::now().since(self.started) > MAX_WAIT
     }
 
-    /// Applies the complete list of backend servers, unless peers have sent later changes in the meantime.
+    /// Applies the complete list of backend servers and publishes what has changed, unless peers have sent later changes in the
+    /// meantime.
     fn apply_listing(&self, all: Listing, position: Position, now: Time) {
         let mut state = self.state.borrow_mut();
-        if !state.directory.apply_listing(all, position, now) {
+        let directory = &mut state.directory;
+        let former = directory.position();
+        let changes = directory.changes_to(&all, position);
+        if !directory.apply_listing(all, position, now) {
             return;
         }
-        let restored = state.directory.take_restored();
+        let restored = directory.take_restored();
         drop(state);
         restored.iter().for_each(log_restored);
         self.startup_progress.notify_waiters();
         self.log_departures(Origin::Store);
         self.on_servers_changed();
+        self.publish_server_changes(former, position, &changes);
+        if !changes.is_empty() {
+            self.notice_due.notify_one();
+        }
     }
 
     /// Applies changes of backend servers and publishes them, unless peers have sent them in the meantime.
