Relay: differing servers are noticed sooner, and at watchers too

Cause: a follower that has missed an update notices by the digests of its domain's watchers: 300 ms and a heartbeat or two, then a call at most once a second, and with the configuration's calls, up to 200 ms later. That alone takes 2.2 s at worst. If these watchers are cut off and don't know it yet, it doesn't notice at all, nor does a watcher whose own watch hangs.

Change: the delay is 150 ms, calls for servers have an interval of their own of 500 ms and are spread over 100 ms. A host that differs from most watchers of all domains calls as well, and a watcher that does makes its calls again, once a second at most.

The test of the interval states the new times: a mismatch is fetched after 200 ms and then twice a second in place of after 300 ms and once a second.

Result: two new tests; both conditions didn't exist before.

--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -26,9 +26,11 @@
 const LATE_STEP_IN_DELAY: Duration = Duration::from_millis(1_500);
 /// How long the known servers may differ from a watcher's before the store is queried. The watcher's own
 /// message about the change arrives first.
-const SERVER_MISMATCH_DELAY: Duration = Duration::from_millis(300);
+const SERVER_MISMATCH_DELAY: Duration = Duration::from_millis(150);
 /// Minimum time between two calls of a follower about servers.
-const FETCH_INTERVAL: Duration = Duration::from_millis(1_000);
+const SERVERS_FETCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two calls of a follower about the same version of the configuration.
+const CONFIG_FETCH_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Minimum time between two calls of a follower whose state is stale. An update from the watchers arrives sooner
 /// if they have one.
 const STALE_FETCH_INTERVAL: Duration = Duration::from_millis(2_500);
@@ -206,8 +208,10 @@
     too_few_since: Option<Time>,
     /// Since when the servers have differed from a watcher's.
     mismatch_since: Option<Time>,
-    /// When the store was last queried outside of watches for the configuration or the servers.
+    /// When the store was last queried outside of watches for the configuration.
     last_fetch: Option<Time>,
+    /// When it was last queried outside of watches for the servers.
+    last_servers_fetch: Option<Time>,
     /// When it was last queried outside of watches for the evacuations.
     last_evacuations_fetch: Option<Time>,
     /// Since when keys of live hosts are missing.
@@ -351,32 +355,50 @@
         now: Time,
     ) -> Option<Duration> {
         /// Small compared with the seconds within which a leaving server must stop receiving work.
-        const SPREAD: Duration = Duration::from_millis(200);
-        let mut watchers = neighbours
-            .iter()
-            .filter(|host| host.same_domain && host.store.in_contact);
-        if !watchers.any(|host| host.store.servers != own.servers) {
+        const SPREAD: Duration = Duration::from_millis(100);
+        if !differs_from_watchers(own, neighbours) {
             self.mismatch_since = None;
             return None;
         }
         let since = *self.mismatch_since.get_or_insert(now);
         let is_due = now.since(since) >= SERVER_MISMATCH_DELAY
-            && try_begin_fetch(&mut self.last_fetch, FETCH_INTERVAL, now);
+            && try_begin_fetch(&mut self.last_servers_fetch, SERVERS_FETCH_INTERVAL, now);
         is_due.then_some(SPREAD)
     }
 
     /// Returns whether one call may be made for a configuration that a watcher has, and records it. The store itself
     /// may lack this version if it was restored from an older copy, so that the calls have to be limited.
     fn try_begin_config_fetch(&mut self, version: u64, now: Time) -> bool {
-        let fetched_recently = self
-            .last_config_fetch
-            .is_some_and(|(fetched, at)| fetched == version && now.since(at) < FETCH_INTERVAL);
+        let fetched_recently = self.last_config_fetch.is_some_and(|(fetched, at)| {
+            fetched == version && now.since(at) < CONFIG_FETCH_INTERVAL
+        });
         if !fetched_recently {
             self.last_config_fetch = Some((version, now));
         }
         !fetched_recently
     }
 
+    /// Returns whether a host that watches the store should make its calls again because it knows other servers than most
+    /// watchers, and records that it does.
+    pub fn must_watch_again(
+        &mut self,
+        own: &LocalStatus<'_>,
+        neighbours: &[Neighbour<'_>],
+        now: Time,
+    ) -> bool {
+        /// Minimum time between two such repetitions.
+        const INTERVAL: Duration = Duration::from_millis(1_000);
+        if self.role != Role::Watcher || !differs_from_most_watchers(own, neighbours) {
+            if self.role == Role::Watcher {
+                self.mismatch_since = None;
+            }
+            return false;
+        }
+        let since = *self.mismatch_since.get_or_insert(now);
+        now.since(since) >= SERVER_MISMATCH_DELAY
+            && try_begin_fetch(&mut self.last_servers_fetch, INTERVAL, now)
+    }
+
     /// Returns whether the host's store state is so old that it should ask every watcher to confirm it.
     pub fn is_stale(age: Option<Duration>, bound: Option<Duration>) -> bool {
         /// Below `1.0`, so that watchers are asked before the store itself is queried.
@@ -400,6 +422,25 @@
     age.is_none_or(|age| age > bound.mul_f64(fraction))
 }
 
+/// Returns whether a host's servers differ from those of a watcher of its failure domain, or of most watchers. The former may
+/// be cut off from the store without knowing yet.
+fn differs_from_watchers(own: &LocalStatus<'_>, neighbours: &[Neighbour<'_>]) -> bool {
+    let mut watchers = neighbours
+        .iter()
+        .filter(|host| host.same_domain && host.store.in_contact);
+    watchers.any(|host| host.store.servers != own.servers)
+        || differs_from_most_watchers(own, neighbours)
+}
+
+/// Returns whether a host's servers differ from those of more than half of the watchers.
+fn differs_from_most_watchers(own: &LocalStatus<'_>, neighbours: &[Neighbour<'_>]) -> bool {
+    let watchers = neighbours.iter().filter(|host| host.store.in_contact);
+    let differing = watchers
+        .clone()
+        .filter(|host| host.store.servers != own.servers);
+    2 * differing.count() > watchers.count()
+}
+
 /// Returns whether a watcher has a newer configuration.
 pub fn is_behind(own: &LocalStatus<'_>, neighbours: &[Neighbour<'_>]) -> bool {
     newest_config(neighbours).is_some_and(|version| version > own.config)
--- a/crates/alderglade-core/tests/testsuite/fleet/relay.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/relay.rs
@@ -215,7 +215,64 @@
             fetched.push(tenth);
         }
     }
-    assert_eq!(fetched, [3, 13, 23]);
+    assert_eq!(fetched, [2, 7, 12, 17, 22, 27]);
+}
+
+/// Returns neighbours, the first of which is of the own failure domain, whose servers have these digests.
+fn watchers_of_two_domains(servers: &[u64]) -> Neighbours {
+    let statuses = servers.iter().map(|servers| StoreStatus {
+        servers: *servers,
+        ..status(true)
+    });
+    Neighbours::reporting(&statuses.collect::<Vec<_>>())
+}
+
+/// Guards against a follower that keeps a departed server because the watchers of its own failure domain are cut off and
+/// don't know it yet.
+#[test]
+fn a_host_that_differs_from_most_watchers_queries_the_store() {
+    let neighbours = watchers_of_two_domains(&[70, 70, 71, 71, 71]);
+    let (mut relay, now) = relay_with_role(&own("h5"), &neighbours);
+    let mut elsewhere = neighbours.list();
+    elsewhere[2..]
+        .iter_mut()
+        .for_each(|host| host.same_domain = false);
+    let own = own("h5");
+    let later = now + Duration::from_millis(200);
+    assert_eq!(
+        relay.next_query(Topic::Servers, &own, &elsewhere, 0.0, now),
+        None
+    );
+    let query = relay.next_query(Topic::Servers, &own, &elsewhere, 0.0, later);
+    assert_eq!(query, Some(StoreQuery::Fetch(Duration::ZERO)));
+    // A minority of other failure domains doesn't count.
+    let (mut relay, now) = relay_with_role(&own, &neighbours);
+    elsewhere.truncate(3);
+    for step in 0..10 {
+        let now = now + Duration::from_millis(100) * step;
+        assert_eq!(
+            relay.next_query(Topic::Servers, &own, &elsewhere, 0.0, now),
+            None
+        );
+    }
+}
+
+/// Guards against a watcher that misses changes because the connection of its watch is dead while others live.
+#[test]
+fn a_watcher_that_differs_from_most_watchers_makes_its_calls_again() {
+    let neighbours = watchers_of_two_domains(&[71, 71, 70]);
+    let (mut relay, now) = relay_with_role(&own("h0"), &Neighbours::reporting(&[]));
+    assert_eq!(relay.role(), Role::Watcher);
+    let mut repeated = Vec::new();
+    for tenth in 0..25u32 {
+        let now = now + Duration::from_millis(100) * tenth;
+        if relay.must_watch_again(&own("h0"), &neighbours.list(), now) {
+            repeated.push(tenth);
+        }
+    }
+    assert_eq!(repeated, [2, 12, 22]);
+    let agreeing = watchers_of_two_domains(&[70, 70, 71]);
+    assert!(!relay.must_watch_again(&own("h0"), &agreeing.list(), now + Duration::from_secs(9)));
 }
 
 #[test]
--- a/crates/alderglade-serve/src/node.rs
+++ b/crates/alderglade-serve/src/node.rs
@@ -328,6 +328,7 @@
         self.set_gauges(&mut state, now);
         drop(state);
         self.observe_store();
+        self.check_watches();
         self.store_status_changed.notify_waiters();
         log_peers(joined, lost);
         self.regroup();
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -80,6 +80,19 @@
         query
     }
 
+    /// Makes the calls to the store again if this host watches it and knows other servers than most watchers: one of its
+    /// connections may be dead.
+    pub(super) fn check_watches(&self) {
+        let now = clock::now();
+        let state = &mut *self.state.borrow_mut();
+        let local_status = self.local_status(state, now);
+        let peers: Vec<Neighbour<'_>> =
+            state.loads.live_hosts(&self.settings.domain, now).collect();
+        if state.relay.must_watch_again(&local_status, &peers, now) {
+            self.ask_store.notify_waiters();
+        }
+    }
+
     /// Returns this host's own status with regard to the store.
     fn local_status(&self, state: &State, now: Time) -> LocalStatus<'_> {
         LocalStatus {
