Start: hosts that have just started don't answer for the configuration

Cause: a host that starts asks others for a newer configuration than the store's, since the store may have come back from a copy, and takes two answers for enough.

Change: a host answers such a question only when it has asked others itself.

--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -162,11 +162,15 @@
             .collect()
     }
 
-    /// Answers a peer's confirmation request; `None` if this host has no configuration.
+    /// Answers a peer's confirmation request; `None` if this host has no configuration, or has just started and may have an
+    /// old one: the store may have been restored from a copy, and other hosts were not asked yet.
     pub fn answer_confirmation(&self, request: ConfirmationRequest) -> Option<Confirmation> {
         let now = clock::now();
         let state = self.state.borrow();
         state.config.as_ref()?;
+        if !self.startup_sync.is_finished() {
+            return None;
+        }
         Some(Confirmation {
             number: request.number,
             age: state.freshness.age(now),
