--- a/crates/alderglade-core/tests/testsuite/fleet/departures/host.rs
+++ b/crates/alderglade-core/tests/testsuite/fleet/departures/host.rs
@@ -291,7 +291,8 @@
             return;
         }
         let fetches = self.next_fetch.is_some_and(|at| at <= now);
-        if !fetches && !(self.watches() && now >= self.next_changes) {
+        let watch_answers = self.watches() && now >= self.next_changes;
+        if !(fetches || watch_answers) {
             return;
         }
         self.next_fetch = None;
