Permits: a server is chosen and permitted by the same criterion

Cause: the permit looked at the exact end of a grace period, the choice of a server at the set that the next heartbeat reduces. Between the two, the same server was chosen and refused without a pause: the host did nothing else, not even that heartbeat, until the request's time was over (8 s in the test).

Change: permits go by the directory again; the exact end counts where the request is sent, after which the server is not chosen for it again.

--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -67,7 +67,7 @@
         );
         return Err(SendFailure::NotSent);
     }
-    if !node.is_valid(&permit) {
+    if !node.is_valid(&permit) || !node.is_usable(server.key()) {
         log_failure(job, server, attempt, "the server takes nothing now");
         return Err(SendFailure::NotSent);
     }
--- a/crates/alderglade-serve/src/node/permit.rs
+++ b/crates/alderglade-serve/src/node/permit.rs
@@ -184,7 +184,8 @@
         let now = clock::now();
         let state = self.state.borrow();
         let backing_off = !state.backoffs.remaining(&server, now).is_zero();
-        !backing_off && state.directory.is_usable(server, now)
+        // Servers are chosen by the same criterion: one that is chosen again and never permitted would be asked for without end.
+        !backing_off && state.directory.get(server).is_some()
     }
 
     /// Requests a grant from the owner of a server's limit if there may be a limit. The state of a server of another
