--- a/crates/alderglade-serve/src/event.rs
+++ b/crates/alderglade-serve/src/event.rs
@@ -14,7 +14,7 @@
 mod server_break;
 mod store_reach;
 
-pub use departure::{ServerDeparting, ServerDropped};
+pub use departure::{ServerDeparting, ServerDropped, ServerReturned, ServersKept};
 pub use kind::{ALL, Kind};
 pub use part::PartBar;
 pub use queue::{Pending, Queue};
--- a/crates/alderglade-serve/src/event/departure.rs
+++ b/crates/alderglade-serve/src/event/departure.rs
@@ -40,3 +40,21 @@
     /// The time since this host last sent a request to the server, in milliseconds, if it did.
     pub last_send_ms: Option<u64>,
 }
+
+/// The entry of a server that was missing was written again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct ServerReturned<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// The time since the entry was found missing, in milliseconds.
+    pub after_ms: u64,
+}
+
+/// Servers whose entries go missing are kept for a while, because entries may have lapsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct ServersKept {
+    /// Servers whose entries are missing by now.
+    pub servers: usize,
+    /// For how long, in milliseconds.
+    pub for_ms: u64,
+}
--- a/crates/alderglade-serve/src/event/record.rs
+++ b/crates/alderglade-serve/src/event/record.rs
@@ -1,7 +1,8 @@
 //! The fields of each log line apart from its number, level and name.
 
 use super::part::{self, PartBar};
-use super::{Requester, ResponseEnd, ServerBreak, ServerDeparting, ServerDropped, StoreReach};
+use super::{Requester, ResponseEnd, ServerBreak, ServerDeparting, ServerDropped, ServerReturned};
+use super::{ServersKept, StoreReach};
 use super::{requester, server_break};
 use crate::daemon::Addresses;
 use alderglade_core::Name;
@@ -153,12 +154,7 @@
     /// A departing backend server receives no more work.
     ServerDropped(ServerDropped<'a>),
     /// The entry of a backend server that was missing was written again.
-    ServerReturned {
-        /// The server.
-        server: &'a str,
-        /// The time since the entry was found missing, in milliseconds.
-        after_ms: u64,
-    },
+    ServerReturned(ServerReturned<'a>),
     /// An entry of the store cannot be parsed and is ignored.
     EntryUnreadable {
         /// The object that holds it: `servers`, `hosts`, `quarantine` or `evacuations`.
@@ -231,12 +227,7 @@
         from: SocketAddr,
     },
     /// Servers whose entries go missing are kept for a while, because entries may have lapsed.
-    ServersKept {
-        /// Servers whose entries are missing by now.
-        servers: usize,
-        /// For how long, in milliseconds.
-        for_ms: u64,
-    },
+    ServersKept(ServersKept),
     /// Other entry hosts joined or returned.
     PeerJoined {
         /// The first few of them by name.
--- a/crates/alderglade-serve/src/node/departure.rs
+++ b/crates/alderglade-serve/src/node/departure.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use crate::clock;
-use crate::event::{self, Record, ServerDeparting, ServerDropped};
+use crate::event::{self, Record, ServerDeparting, ServerDropped, ServerReturned};
 use alderglade_core::fleet::directory::departure::{Departure, Keep, Step};
 use alderglade_core::fleet::incarnation::Key;
 use alderglade_core::time::Time;
@@ -92,10 +92,10 @@
                 after_ms: after.as_millis() as u64,
                 last_send_ms: last_send.map(|at| now.since(at).as_millis() as u64),
             })),
-            Step::Returned { after } => event::write(&Record::ServerReturned {
+            Step::Returned { after } => event::write(&Record::ServerReturned(ServerReturned {
                 server,
                 after_ms: after.as_millis() as u64,
-            }),
+            })),
         }
     }
 }
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -2,7 +2,7 @@
 
 use super::{Host, Node, Origin, State};
 use crate::clock;
-use crate::event::{self, Record};
+use crate::event::{self, Record, ServersKept};
 use alderglade_core::Name;
 use alderglade_core::fleet::config::Config;
 use alderglade_core::fleet::contact::{MAX_ANSWER_TIME, STANDSTILL_TIME};
@@ -352,10 +352,10 @@
             age_ms: outage.as_millis() as u64,
         });
         if !grace.is_zero() {
-            event::write(&Record::ServersKept {
+            event::write(&Record::ServersKept(ServersKept {
                 servers,
                 for_ms: grace.as_millis() as u64,
-            });
+            }));
         }
         self.ask_store.notify_waiters();
     }
--- a/crates/alderglade-serve/tests/testsuite/event_lines.rs
+++ b/crates/alderglade-serve/tests/testsuite/event_lines.rs
@@ -8,7 +8,7 @@
 use alderglade_serve::daemon::Addresses;
 use alderglade_serve::event::{
     self, ALL, PartBar, Record, Requester, ResponseEnd, ServerBreak, ServerDeparting,
-    ServerDropped, StoreReach,
+    ServerDropped, ServerReturned, ServersKept, StoreReach,
 };
 use log::{LevelFilter, Log, Metadata};
 use std::cell::RefCell;
@@ -217,7 +217,7 @@
             full.then_some("kept-62"), kept_ms: full.then_some(629) }),
         Record::ServerDropped(ServerDropped { server: "server-63", sign: "sign-63", after_ms: 633, last_send_ms:
             full.then_some(634) }),
-        Record::ServerReturned { server: "server-64", after_ms: 642 },
+        Record::ServerReturned(ServerReturned { server: "server-64", after_ms: 642 }),
         Record::EntryUnreadable { of: "of-18", name: "name-18", problem: "problem-18" },
         Record::EntryMended { of: "of-19", name: "name-19" },
         Record::StoreLost { problem: "problem-20" },
@@ -231,7 +231,7 @@
             255 },
         Record::WrittenAgain { name: "name-26" },
         Record::ConfigCopied { version: 271, from: address(8_001) },
-        Record::ServersKept { servers: 651, for_ms: 652 },
+        Record::ServersKept(ServersKept { servers: 651, for_ms: 652 }),
         Record::PeerJoined { peers, count: 282 },
         Record::PeerLost { peers, count: 292 },
         Record::Placed { id: "id-30", asked: fingerprint(30), server: "server-30", attempt: 304, prompt: 305,
