Send: one function looks at the server before a request is written

Cause: the look at the server stood in four places, two of them right before a third. A refusal there was logged as a connection that had closed, and the last send was recorded before it was known that anything is sent.

Change: `transport::begin_send` looks at the server and records the send; direct sends call it before an idle connection and after a new one, sends through other hosts before each of these. Such a refusal has an error of its own, which is handled like the one before and logged as "the server takes nothing now".

Result: the same requests are withheld.

--- a/crates/alderglade-backend/src/service.rs
+++ b/crates/alderglade-backend/src/service.rs
@@ -88,7 +88,9 @@
     // An idle connection may break just as a call is sent on it, and then it is unknown whether the call ran.
     let mut exchange = match client.send(address, request, true).await {
         Ok(exchange) => exchange,
-        Err(Error::Unreachable { .. } | Error::Closed { .. } | Error::NotSent) => {
+        Err(
+            Error::Unreachable { .. } | Error::Closed { .. } | Error::NotSent | Error::Withheld,
+        ) => {
             return End::Unreached;
         }
         Err(Error::Lost { .. } | Error::ProxyLost { .. }) => return End::Broke,
--- a/crates/alderglade-serve/src/attempt.rs
+++ b/crates/alderglade-serve/src/attempt.rs
@@ -67,7 +67,7 @@
         );
         return Err(SendFailure::NotSent);
     }
-    if !node.is_valid(&permit) || !node.is_usable(server.key()) {
+    if !node.is_valid(&permit) {
         log_failure(job, server, attempt, "the server takes nothing now");
         return Err(SendFailure::NotSent);
     }
@@ -91,7 +91,6 @@
         build_request(node, job, &dispatch)
     };
     let sent_at = clock::now();
-    node.record_send(server.key());
     let exchange = match transport::send(node, &outgoing, request).await {
         Ok(exchange) => exchange,
         Err(error) => return Err(handle_error(node, job, server, attempt, &error).await),
@@ -140,7 +139,7 @@
             node.record_outcome(server.key(), Outcome::Closed);
             SendFailure::Closed
         }
-        Error::NotSent => SendFailure::NotSent,
+        Error::NotSent | Error::Withheld => SendFailure::NotSent,
         Error::ProxyLost { .. } => SendFailure::Lost,
         Error::Lost { .. } => {
             node.record_outcome(server.key(), Outcome::Broken);
--- a/crates/alderglade-serve/src/client.rs
+++ b/crates/alderglade-serve/src/client.rs
@@ -71,6 +71,9 @@
     /// An idle connection was closed before anything was sent on it.
     #[snafu(display("the connection closed before the request was sent"))]
     NotSent,
+    /// Nothing was sent, because the server accepts no new work any more.
+    #[snafu(display("the server takes nothing now"))]
+    Withheld,
     /// The connection was lost after the request, or a part of it, was sent.
     #[snafu(display("contact lost: {reason}"))]
     Lost {
--- a/crates/alderglade-serve/src/proxy/send.rs
+++ b/crates/alderglade-serve/src/proxy/send.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::event::{self, Record};
 use crate::node::{Node, Proxy};
-use crate::transport::Outgoing;
+use crate::transport::{self, Outgoing};
 use alderglade_core::fleet::directory::Server;
 use alderglade_core::fleet::homes::Homes;
 use alderglade_core::fleet::reachability::Finding;
@@ -41,9 +41,7 @@
     let mut last_error = Error::NotSent;
     while tried.len() < MAX_PROXIES {
         // The hosts tried before have taken time.
-        if outgoing.purpose == Purpose::Request && !node.is_usable(server.key()) {
-            return Err(Error::NotSent);
-        }
+        transport::begin_send(node, server, outgoing.purpose)?;
         let Some(proxy) = node.choose_proxy(server, outgoing.homes, &tried) else {
             break;
         };
@@ -93,7 +91,9 @@
 fn error_label(error: &Error) -> &'static str {
     match error {
         Error::Lost { .. } | Error::ProxyLost { .. } => "proxy_lost",
-        Error::Unreachable { .. } | Error::Closed { .. } | Error::NotSent => "no_proxy",
+        Error::Unreachable { .. } | Error::Closed { .. } | Error::NotSent | Error::Withheld => {
+            "no_proxy"
+        }
     }
 }
 
--- a/crates/alderglade-serve/src/proxy/serve.rs
+++ b/crates/alderglade-serve/src/proxy/serve.rs
@@ -160,10 +160,6 @@
     target: &Target,
 ) -> Result<Exchange, Outcome> {
     let sent_at = clock::now();
-    // Reading the body may have taken a while.
-    if target.purpose == Purpose::Request && !node.is_usable(server.key()) {
-        return Err(Outcome::Declined);
-    }
     let sent = transport::send_direct(node, server, request, target.purpose, target.fresh).await;
     let exchange = sent.map_err(|error| outcome(&error))?;
     let head = &exchange.head;
@@ -176,7 +172,7 @@
     match error {
         Error::Closed { .. } => Outcome::Refused,
         Error::Unreachable { .. } => Outcome::Unreachable,
-        Error::NotSent => Outcome::Declined,
+        Error::NotSent | Error::Withheld => Outcome::Declined,
         Error::Lost { .. } | Error::ProxyLost { .. } => Outcome::Lost,
     }
 }
--- a/crates/alderglade-serve/src/transport.rs
+++ b/crates/alderglade-serve/src/transport.rs
@@ -59,12 +59,30 @@
     proxy::send(node, outgoing, request).await
 }
 
+/// Looks at a server once more right before a request is sent to it, and records the send. The host may have been told
+/// since the server was chosen that it departs.
+///
+/// # Errors
+///
+/// Returns an error if the server accepts no new work.
+pub fn begin_send(node: &Node, server: &Server, purpose: Purpose) -> Result<(), Error> {
+    if purpose != Purpose::Request {
+        return Ok(());
+    }
+    if !node.is_usable(server.key()) {
+        return Err(Error::Withheld);
+    }
+    node.record_send(server.key());
+    Ok(())
+}
+
 /// Sends a request over a connection of this host. With `fresh`, no idle connection is used. If the response ends with
 /// its connection, a standby connection is held beside it.
 ///
 /// # Errors
 ///
-/// Returns an error if no connection can be opened, or if it breaks before the head has arrived.
+/// Returns an error if the server accepts no new work, if no connection can be opened, or if it breaks before the head has
+/// arrived.
 pub async fn send_direct(
     node: &Rc<Node>,
     server: &Server,
@@ -72,16 +90,16 @@
     purpose: Purpose,
     fresh: bool,
 ) -> Result<Exchange, Error> {
+    begin_send(node, server, purpose)?;
     let standby = node.client.take_standby(server.address);
     let idle_send = node.client.send_on_idle(server.address, request, fresh);
     let result = match idle_send.await {
         IdleSend::Done(result) => result,
         IdleSend::Unsent(request) => {
             let link = connect(node, server).await?;
-            // The host may have been told meanwhile that the server departs.
-            if purpose == Purpose::Request && !node.is_usable(server.key()) {
+            if let Err(error) = begin_send(node, server, purpose) {
                 node.client.keep(link);
-                return Err(Error::NotSent);
+                return Err(error);
             }
             node.client.send_on(link, request).await
         }
