Relay and store: one condition for differing servers, and less work on each answer

Cause: the conditions under which a follower fetches servers and a watcher makes its calls again were written twice, and the filter for watchers in contact five times. Servers with missing entries were counted at each answer of the store, and followers listed the live hosts at each heartbeat, for nothing.

Change: one function each; the count follows an outage only, and only watchers compare. Two comments on the end of a grace period say it in fewer words.

Result: no behaviour changes.

--- a/crates/alderglade-core/src/fleet/contact.rs
+++ b/crates/alderglade-core/src/fleet/contact.rs
@@ -24,8 +24,8 @@
 pub const CONTACT_TIMEOUT: Duration = Duration::from_millis(1_100);
 /// A call that takes longer than this, on top of the time that a watch waits, was not answered by a store within reach.
 pub const MAX_ANSWER_TIME: Duration = Duration::from_millis(300);
-/// How long a host has reached the store at most when it is bound again by what the store has removed: less than the
-/// shortest `contact_ms` of a deployment, by the time from the choice of a server to the request's arrival there.
+/// How long after its last failed call a host may use servers whose entries are missing. Hosts that have been in contact
+/// with the store for three seconds are bound by what it has removed; this leaves time for a request to arrive.
 pub const REACH_TIME: Duration = Duration::from_millis(2_850);
 /// A host that did nothing for so long may have missed an outage of the store.
 pub const STANDSTILL_TIME: Duration = Duration::from_millis(1_000);
--- a/crates/alderglade-core/src/fleet/directory/grace.rs
+++ b/crates/alderglade-core/src/fleet/directory/grace.rs
@@ -114,8 +114,8 @@
     /// Entries may have lapsed if the store was unavailable for long enough, in one outage or in several. Those that
     /// had lapsed before could not be written meanwhile; the next heartbeat of their servers writes them.
     ///
-    /// This host may have been cut off from a store that was available. It is bound by the store's removals again when it
-    /// has reached the store for [`REACH_TIME`], so the period ends before that.
+    /// This host may have been cut off from a store that was available, so the period ends [`REACH_TIME`] after its last
+    /// failed call.
     pub fn end_outage(&mut self, now: Time) -> Time {
         if let Some(outage) = self.outage.take()
             && outage.is_confirmed
--- a/crates/alderglade-core/src/fleet/relay.rs
+++ b/crates/alderglade-core/src/fleet/relay.rs
@@ -356,14 +356,20 @@
     ) -> Option<Duration> {
         /// Small compared with the seconds within which a leaving server must stop receiving work.
         const SPREAD: Duration = Duration::from_millis(100);
-        if !differs_from_watchers(own, neighbours) {
+        let differs = differs_from_watchers(own, neighbours);
+        let is_due = self.try_begin_servers_fetch(differs, SERVERS_FETCH_INTERVAL, now);
+        is_due.then_some(SPREAD)
+    }
+
+    /// Returns whether one call may be made because the known servers differ from those of watchers, and records it.
+    fn try_begin_servers_fetch(&mut self, differs: bool, interval: Duration, now: Time) -> bool {
+        if !differs {
             self.mismatch_since = None;
-            return None;
+            return false;
         }
         let since = *self.mismatch_since.get_or_insert(now);
-        let is_due = now.since(since) >= SERVER_MISMATCH_DELAY
-            && try_begin_fetch(&mut self.last_servers_fetch, SERVERS_FETCH_INTERVAL, now);
-        is_due.then_some(SPREAD)
+        now.since(since) >= SERVER_MISMATCH_DELAY
+            && try_begin_fetch(&mut self.last_servers_fetch, interval, now)
     }
 
     /// Returns whether one call may be made for a configuration that a watcher has, and records it. The store itself
@@ -388,15 +394,8 @@
     ) -> bool {
         /// Minimum time between two such repetitions.
         const INTERVAL: Duration = Duration::from_millis(1_000);
-        if self.role != Role::Watcher || !differs_from_most_watchers(own, neighbours) {
-            if self.role == Role::Watcher {
-                self.mismatch_since = None;
-            }
-            return false;
-        }
-        let since = *self.mismatch_since.get_or_insert(now);
-        now.since(since) >= SERVER_MISMATCH_DELAY
-            && try_begin_fetch(&mut self.last_servers_fetch, INTERVAL, now)
+        let differs = differs_from_most_watchers(own, neighbours);
+        self.role == Role::Watcher && self.try_begin_servers_fetch(differs, INTERVAL, now)
     }
 
     /// Returns whether the host's store state is so old that it should ask every watcher to confirm it.
@@ -422,31 +421,33 @@
     age.is_none_or(|age| age > bound.mul_f64(fraction))
 }
 
+/// Returns the hosts that watch the store and are in contact with it.
+fn watchers<'a, 'b>(
+    neighbours: &'a [Neighbour<'b>],
+) -> impl Iterator<Item = &'a Neighbour<'b>> + Clone {
+    neighbours.iter().filter(|host| host.store.in_contact)
+}
+
 /// Returns whether a host's servers differ from those of a watcher of its failure domain, or of most watchers. The former may
 /// be cut off from the store without knowing yet.
 fn differs_from_watchers(own: &LocalStatus<'_>, neighbours: &[Neighbour<'_>]) -> bool {
-    let mut watchers = neighbours
-        .iter()
-        .filter(|host| host.same_domain && host.store.in_contact);
-    watchers.any(|host| host.store.servers != own.servers)
+    let mut same_domain = watchers(neighbours).filter(|host| host.same_domain);
+    same_domain.any(|host| host.store.servers != own.servers)
         || differs_from_most_watchers(own, neighbours)
 }
 
 /// Returns whether a host's servers differ from those of more than half of the watchers.
 fn differs_from_most_watchers(own: &LocalStatus<'_>, neighbours: &[Neighbour<'_>]) -> bool {
-    let watchers = neighbours.iter().filter(|host| host.store.in_contact);
-    let differing = watchers
-        .clone()
-        .filter(|host| host.store.servers != own.servers);
-    2 * differing.count() > watchers.count()
+    let differing = watchers(neighbours).filter(|host| host.store.servers != own.servers);
+    2 * differing.count() > watchers(neighbours).count()
 }
 
 /// Returns how much longer entries of servers may be missing from the store although their servers are alive, for a host
 /// that doesn't watch the store. `reported` is what a watcher reports with a removal, if one does. All watchers that are
 /// in contact must agree, because one that was cut off by itself takes that for an outage of the store.
 pub fn told_grace(reported: Option<Duration>, neighbours: &[Neighbour<'_>]) -> Duration {
-    let watchers = neighbours.iter().filter(|host| host.store.in_contact);
-    let grace = watchers.map(|host| Duration::from_millis(u64::from(host.store.grace_ms)));
+    let grace =
+        watchers(neighbours).map(|host| Duration::from_millis(u64::from(host.store.grace_ms)));
     grace.chain(reported).min().unwrap_or_default()
 }
 
@@ -457,8 +458,7 @@
 
 /// Returns the newest configuration version that a watcher has.
 fn newest_config(neighbours: &[Neighbour<'_>]) -> Option<u64> {
-    let watchers = neighbours.iter().filter(|host| host.store.in_contact);
-    watchers.map(|host| host.store.config).max()
+    watchers(neighbours).map(|host| host.store.config).max()
 }
 
 /// Returns how long there must have been too few watchers before a host steps in that `senior_count` hosts precede.
--- a/crates/alderglade-serve/src/node/relay.rs
+++ b/crates/alderglade-serve/src/node/relay.rs
@@ -90,6 +90,9 @@
     pub(super) fn check_watches(&self) {
         let now = clock::now();
         let state = &mut *self.state.borrow_mut();
+        if !state.watches_store() {
+            return;
+        }
         let local_status = self.local_status(state, now);
         let peers: Vec<Neighbour<'_>> =
             state.loads.live_hosts(&self.settings.domain, now).collect();
--- a/crates/alderglade-serve/src/node/store.rs
+++ b/crates/alderglade-serve/src/node/store.rs
@@ -342,12 +342,12 @@
             }
             state.directory.store_returned(now);
         }
-        let grace = state.directory.grace_left(now);
-        let servers = state.directory.kept().count();
-        drop(state);
         let Some(outage) = outage else {
             return;
         };
+        let grace = state.directory.grace_left(now);
+        let servers = state.directory.kept().count();
+        drop(state);
         event::write(&Record::StoreBack {
             age_ms: outage.as_millis() as u64,
         });
